--- /dev/null
+++ b/Makefile
@@ -0,0 +1,10 @@
+.PHONY: build test generate
+
+build:
+	go build -o bin/fescuestep ./cmd/fescuestep
+
+test:
+	.ci/run
+
+generate:
+	find rpc -name '*.proto' -print0 | xargs -0 protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative
--- /dev/null
+++ b/pkg/chain/chain.go
@@ -0,0 +1,95 @@
+// Package chain defines the filter chain that every request passes.
+package chain
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/prompt"
+)
+
+// Request is the state of one request on its way through the chain. A request
+// is handled by one goroutine; filters fill in the fields they own.
+type Request struct {
+	// Set by the listener.
+	HTTP     *http.Request
+	Writer   http.ResponseWriter
+	Arrived  time.Time
+	Snapshot *config.Snapshot
+
+	// Set by requestid.
+	ID string
+
+	// Set by auth; nil on open routes.
+	Key      *config.Key
+	Customer *config.Customer
+
+	// Set by route.
+	Deadline    time.Time
+	Deployment  *config.Deployment
+	Application *config.Application
+	Route       *config.Route
+	Pool        *config.Pool
+	Body        []byte // bounded by the body limit
+	Prompt      *prompt.Prompt
+	Blocks      []block.Hash // chained hashes of the whole blocks of the prompt
+	Path        string       // path that the upstream sees
+
+	// Set by endpoint for one attempt.
+	Target Target
+
+	// Set by relay, read by accounting, idempotency and ratelimit.
+	Outcome Outcome
+}
+
+// Target is the upstream chosen for one attempt.
+type Target struct {
+	ID          string // upstream ID
+	Addr        string // IP:port
+	Incarnation string // engine incarnation the choice relied on, empty for services
+	HitTokens   int    // tokens expected to be cached
+}
+
+// Outcome is what is known of a request after the relay.
+type Outcome struct {
+	Sent         bool // bytes may have reached an upstream
+	Started      bool // bytes of the answer were written to the caller
+	Status       int  // HTTP status of the upstream's answer
+	FirstToken   time.Duration
+	Total        time.Duration
+	PromptTokens int // as reported by the engine
+	CachedTokens int // as reported by the engine
+	OutputTokens int
+	Complete     bool
+	Recorded     *Response // set by relay for non-streamed answers of plain services
+}
+
+// Response is a whole upstream answer, kept so that it can be replayed for a
+// repeated idempotency key.
+type Response struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body"`
+}
+
+// Handler handles a request. A returned *code.Error has not been written to
+// the caller yet, unless Request.Outcome.Started is set.
+type Handler func(ctx context.Context, r *Request) error
+
+// Filter wraps a handler.
+type Filter interface {
+	Name() string
+	Wrap(next Handler) Handler
+}
+
+// Build composes filters around last; the first filter is outermost.
+func Build(last Handler, filters ...Filter) Handler {
+	h := last
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i].Wrap(h)
+	}
+	return h
+}
