Add the filter chain, the callers' listener and the order state machine

Cause: the repository has shared types only; no request can be served. Change: filters requestid, auth, route, ratelimit, idempotency, endpoint, relay and accounting; listener with drain; order decisions and their shell; router assembly.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -40,6 +40,9 @@
 
 	// Set by endpoint for one attempt.
 	Target Target
+	// OnFirstToken is called by relay when the first event of a model's answer
+	// arrives; nil when nobody listens.
+	OnFirstToken func(cachedTokens int)
 
 	// Set by relay, read by accounting, idempotency and ratelimit.
 	Outcome Outcome
--- /dev/null
+++ b/pkg/controller/orders/batch.go
@@ -0,0 +1,197 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// op is one conditional write of one row.
+type op struct {
+	cond   platform.Condition
+	write  platform.Write
+	result chan result // with room for one
+}
+
+type result struct {
+	version uint64
+	err     error
+}
+
+// commitBurst lets the record of a single order follow its claim at once.
+const commitBurst = 10
+
+// batcher commits the writes of concurrent orders in shared transactions.
+type batcher struct {
+	table   platform.Table
+	options Options
+	limiter *rate.Limiter
+	ops     chan op
+	slots   chan struct{} // transactions in flight
+	token   func() string
+}
+
+func newBatcher(table platform.Table, o Options, token func() string) *batcher {
+	return &batcher{
+		table:   table,
+		options: o,
+		limiter: rate.NewLimiter(rate.Limit(o.CommitsPerSecond), commitBurst),
+		ops:     make(chan op, o.MaxPending),
+		slots:   make(chan struct{}, o.MaxInFlight),
+		token:   token,
+	}
+}
+
+// commit waits for the result of one write. When ctx ends first, the write may
+// still take effect.
+func (b *batcher) commit(ctx context.Context, cond platform.Condition, write platform.Write) (uint64, error) {
+	o := op{cond: cond, write: write, result: make(chan result, 1)}
+	select {
+	case b.ops <- o:
+	default:
+		return 0, errors.Wrap(platform.ErrUnavailable, "too many pending writes of orders")
+	}
+	select {
+	case r := <-o.result:
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, errors.Mark(ctx.Err(), platform.ErrOutcomeUnknown)
+	}
+}
+
+// run gathers writes until ctx ends and waits for running transactions.
+func (b *batcher) run(ctx context.Context) {
+	var held []op
+	for {
+		batch, rest := b.gather(ctx, held)
+		held = rest
+		if len(batch) == 0 {
+			break
+		}
+		b.slots <- struct{}{}
+		go func() {
+			defer func() { <-b.slots }()
+			b.write(batch)
+		}()
+	}
+	for range cap(b.slots) {
+		b.slots <- struct{}{}
+	}
+	b.refuseQueued()
+}
+
+func (b *batcher) refuseQueued() {
+	for {
+		select {
+		case o := <-b.ops:
+			o.result <- result{err: errors.Wrap(platform.ErrUnavailable, "shutting down")}
+		default:
+			return
+		}
+	}
+}
+
+// gather returns the next batch: it starts with the first write and ends after
+// the interval, when the commit rate allows another transaction, or when the
+// batch is full. Writes of a row that is already in the batch are left for the
+// next one. An empty batch means that ctx ended.
+func (b *batcher) gather(ctx context.Context, held []op) (batch, rest []op) {
+	rows := map[string]bool{}
+	add := func(o op) {
+		if rows[o.cond.Key] || len(batch) >= b.options.BatchSize {
+			rest = append(rest, o)
+			return
+		}
+		rows[o.cond.Key] = true
+		batch = append(batch, o)
+	}
+	for _, o := range held {
+		add(o)
+	}
+	if len(batch) == 0 {
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case o := <-b.ops:
+			add(o)
+		}
+	}
+	delay := max(b.options.BatchInterval, b.limiter.Reserve().Delay())
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return batch, rest
+		case o := <-b.ops:
+			add(o)
+		}
+	}
+}
+
+// write commits a batch. When a condition failed, nothing was written: the
+// failed writes are sorted out by reading their rows and the others are tried
+// again.
+func (b *batcher) write(batch []op) {
+	for len(batch) > 0 {
+		version, err := b.commitAll(batch)
+		if !errors.Is(err, platform.ErrConflict) {
+			answer(batch, result{version: version, err: err})
+			return
+		}
+		batch = b.withoutConflicts(batch)
+	}
+}
+
+func (b *batcher) commitAll(batch []op) (uint64, error) {
+	txn := platform.Txn{Token: b.token()}
+	for _, o := range batch {
+		txn.Conditions = append(txn.Conditions, o.cond)
+		txn.Writes = append(txn.Writes, o.write)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.options.TableTimeout)
+	defer cancel()
+	version, err := b.table.Commit(ctx, txn)
+	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
+		return version, err
+	}
+	return 0, errors.Mark(err, platform.ErrOutcomeUnknown)
+}
+
+func (b *batcher) withoutConflicts(batch []op) []op {
+	if len(batch) == 1 {
+		answer(batch, result{err: platform.ErrConflict})
+		return nil
+	}
+	keys := make([]string, len(batch))
+	for i, o := range batch {
+		keys[i] = o.cond.Key
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.options.TableTimeout)
+	defer cancel()
+	rows, err := b.table.Get(ctx, keys...)
+	if err != nil || len(rows) != len(batch) {
+		// The conflict proves that nothing of this transaction was written.
+		answer(batch, result{err: errors.Wrap(platform.ErrUnavailable, "rows of a conflict cannot be read")})
+		return nil
+	}
+	var rest []op
+	for i, o := range batch {
+		if rows[i].Version == o.cond.Version {
+			rest = append(rest, o)
+			continue
+		}
+		o.result <- result{err: platform.ErrConflict}
+	}
+	return rest
+}
+
+func answer(batch []op, r result) {
+	for _, o := range batch {
+		o.result <- r
+	}
+}
--- /dev/null
+++ b/pkg/filter/ratelimit/ratelimit.go
@@ -0,0 +1,67 @@
+// Package ratelimit charges a customer's tokens.
+//
+// A model request is charged its prompt tokens plus its maximum output before
+// it runs. Afterwards the charge is settled with what the engine reports as
+// used. The whole charge is returned when no upstream received the request.
+// When the request was sent and no usage is known, the whole charge counts as
+// used: the engine may have generated the maximum. Calls of plain services
+// cost no tokens.
+package ratelimit
+
+import (
+	"context"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/config"
+)
+
+// Limiter charges tokens.
+type Limiter interface {
+	// Take waits for tokens until ctx or the wait bound ends; it returns a
+	// *code.Error when refused.
+	Take(ctx context.Context, customer *config.Customer, tokens int) (Charge, error)
+}
+
+// Charge is a number of tokens taken from a customer's rate.
+type Charge interface {
+	// Settle is called once and returns the unused rest.
+	Settle(used int)
+}
+
+// Filter charges model requests.
+type Filter struct {
+	limiter Limiter
+}
+
+// New returns the filter.
+func New(limiter Limiter) *Filter { return &Filter{limiter: limiter} }
+
+// Name implements chain.Filter.
+func (f *Filter) Name() string { return "ratelimit" }
+
+// Wrap implements chain.Filter.
+func (f *Filter) Wrap(next chain.Handler) chain.Handler {
+	return func(ctx context.Context, r *chain.Request) error {
+		if r.Prompt == nil || r.Customer == nil {
+			return next(ctx, r)
+		}
+		charged := r.Prompt.Tokens() + r.Prompt.MaxTokens
+		charge, err := f.limiter.Take(ctx, r.Customer, charged)
+		if err != nil {
+			return err
+		}
+		defer func() { charge.Settle(used(r.Outcome, charged)) }()
+		return next(ctx, r)
+	}
+}
+
+func used(o chain.Outcome, charged int) int {
+	if !o.Sent {
+		return 0
+	}
+	reported := o.PromptTokens + o.OutputTokens
+	if !o.Complete || reported == 0 {
+		return charged
+	}
+	return min(reported, charged)
+}
--- /dev/null
+++ b/pkg/filter/route/body.go
@@ -0,0 +1,95 @@
+package route
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/code"
+)
+
+// bodyCopies is how many copies of a body a request holds at most: the body as
+// received, the rendered prompt and the body for the upstream.
+const bodyCopies = 3
+
+// firstRead is the initial buffer for a body of unknown length, in bytes.
+const firstRead = 16 << 10
+
+// budget bounds the memory that all request bodies of the instance take.
+type budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+func (b *budget) take(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (b *budget) give(n int64) { b.used.Add(-n) }
+
+// readBody reads the body within the limits. held is the part of the budget
+// that the caller must give back, also after an error.
+func (f *Filter) readBody(w http.ResponseWriter, req *http.Request) (body []byte, held int64, err error) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return nil, 0, nil
+	}
+	if req.ContentLength > f.limits.MaxBody {
+		return nil, 0, f.tooLarge(w)
+	}
+	// Servers without deadline support (tests with a recorder) read unbounded.
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(f.limits.ReadTimeout))
+	body, held, err = f.readChunks(w, req.Body)
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return body, held, nil
+	}
+	// The rest of the body is still on the connection, so it cannot be reused.
+	w.Header().Set("Connection", "close")
+	return nil, held, err
+}
+
+func (f *Filter) readChunks(w http.ResponseWriter, r io.Reader) (body []byte, held int64, err error) {
+	for {
+		if len(body) == cap(body) {
+			grow := int64(max(firstRead, cap(body)))
+			if !f.budget.take(grow * bodyCopies) {
+				return nil, held, code.New(code.QueueFull, "the instance has no memory for another request body").
+					WithRetryAfter(time.Second)
+			}
+			held += grow * bodyCopies
+			body = append(make([]byte, 0, int64(cap(body))+grow), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > f.limits.MaxBody {
+			return nil, held, f.tooLarge(w)
+		}
+		if errors.Is(err, io.EOF) {
+			return body, held, nil
+		}
+		if err != nil {
+			return nil, held, readError(err)
+		}
+	}
+}
+
+func (f *Filter) tooLarge(w http.ResponseWriter) error {
+	w.Header().Set("Connection", "close")
+	return code.New(code.BodyTooLarge, "the body exceeds %d bytes", f.limits.MaxBody)
+}
+
+func readError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return code.New(code.BodyReadTimeout, "the body was not received in time").WithCause(err)
+	}
+	return code.New(code.BodyReadTimeout, "the body ended early").WithCause(err)
+}
--- /dev/null
+++ b/pkg/filter/route/route.go
@@ -0,0 +1,181 @@
+// Package route finds what a request is for and reads its body.
+//
+// Model requests (/v1/chat/completions, /v1/completions) are routed by the
+// model named in the body; plain services by path below /<application>/;
+// /v1/models is answered here. The method is checked before the body is read.
+// A body is limited in size, all bodies of an instance share a memory budget,
+// and a body must arrive within the read timeout. A customer reaches only the
+// applications it may use; a model it may not use is reported as unknown.
+//
+// The body that an engine sees is rebuilt from the parsed fields, so that the
+// model, the stream flag and the output limit that were checked and charged are
+// the ones the engine acts on. Fields that differ from these only in case, and
+// more than one choice per request, are refused. Block hashes are chained from
+// the customer's cache scope, the model, the adapter and the pool's weights.
+//
+// The context carries the deadline: arrival plus the application's timeout.
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/prompt"
+)
+
+// Limits of request bodies.
+type Limits struct {
+	MaxBody        int64         // bytes of one body
+	Budget         int64         // bytes of all bodies of the instance with their copies
+	ReadTimeout    time.Duration // for one whole body
+	DefaultTimeout time.Duration // of a request whose application names none
+}
+
+// DefaultLimits fit an instance of 128 MB: a long catalogue prompt is about
+// 1 MB.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBody:        4 << 20,
+		Budget:         64 << 20,
+		ReadTimeout:    10 * time.Second,
+		DefaultTimeout: time.Minute,
+	}
+}
+
+// Filter routes requests.
+type Filter struct {
+	limits Limits
+	budget budget
+}
+
+// New returns the filter.
+func New(limits Limits) *Filter {
+	return &Filter{limits: limits, budget: budget{limit: limits.Budget}}
+}
+
+// Name implements chain.Filter.
+func (f *Filter) Name() string { return "route" }
+
+// Wrap implements chain.Filter.
+func (f *Filter) Wrap(next chain.Handler) chain.Handler {
+	return func(ctx context.Context, r *chain.Request) error {
+		target, err := Match(r.Snapshot, r.HTTP)
+		if err != nil {
+			return err
+		}
+		if target.Models {
+			return writeModels(r)
+		}
+		if target.Application != nil && r.Customer != nil && !r.Customer.MayUse(target.Application.ID) {
+			return code.New(code.NotPermitted, "the customer may not use %s", target.Application.ID)
+		}
+		body, held, err := f.readBody(r.Writer, r.HTTP)
+		defer f.budget.give(held)
+		if err != nil {
+			return err
+		}
+		r.Body = body
+		r.Path = target.Path
+		if err := resolve(r, target); err != nil {
+			return err
+		}
+		r.Deadline = r.Arrived.Add(f.timeout(r.Application))
+		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+		return next(ctx, r)
+	}
+}
+
+func (f *Filter) timeout(a *config.Application) time.Duration {
+	if a.Timeout > 0 {
+		return a.Timeout
+	}
+	return f.limits.DefaultTimeout
+}
+
+func resolve(r *chain.Request, t Target) error {
+	if t.Application == nil {
+		if err := resolveModel(r, t.Kind); err != nil {
+			return err
+		}
+	} else {
+		r.Application = t.Application
+		r.Route = t.Route
+	}
+	r.Deployment = r.Snapshot.DeploymentOf(r.Application.ID)
+	r.Pool = r.Snapshot.Pool(r.Application.Pool)
+	if r.Pool == nil {
+		return code.New(code.NoUpstream, "the pool of %s is not configured", r.Application.ID)
+	}
+	if r.Prompt != nil {
+		r.Blocks = blocks(r)
+	}
+	return nil
+}
+
+func resolveModel(r *chain.Request, kind prompt.Kind) error {
+	p, err := prompt.Parse(kind, r.Body)
+	if err != nil {
+		return code.New(code.BadRequest, "%v", err)
+	}
+	app := r.Snapshot.ApplicationByModel(p.Model)
+	if app == nil || r.Customer == nil || !r.Customer.MayUse(app.ID) {
+		return code.New(code.UnknownModel, "the model %q is not known", p.Model)
+	}
+	body, err := rebuild(p, r.Body)
+	if err != nil {
+		return err
+	}
+	r.Prompt = p
+	r.Application = app
+	r.Body = body
+	return nil
+}
+
+func blocks(r *chain.Request) []block.Hash {
+	size := r.Pool.BlockTokens * prompt.BytesPerToken
+	if size <= 0 {
+		return nil
+	}
+	id := block.Identity{
+		Scope:   r.Customer.CacheScope,
+		Model:   r.Application.Model,
+		Adapter: r.Application.Adapter,
+		Weights: r.Pool.Weights,
+	}
+	dst := make([]block.Hash, 0, len(r.Prompt.Text)/size)
+	return block.Chain(dst, id.Seed(), r.Prompt.Text, size)
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func writeModels(r *chain.Request) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range r.Snapshot.Models() {
+		app := r.Snapshot.ApplicationByModel(name)
+		if r.Customer != nil && r.Customer.MayUse(app.ID) {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: app.ID})
+		}
+	}
+	r.Writer.Header().Set("Content-Type", "application/json")
+	r.Writer.WriteHeader(http.StatusOK)
+	r.Outcome.Started = true
+	_ = json.NewEncoder(r.Writer).Encode(list) // the caller may have left
+	return nil
+}
