--- /dev/null
+++ b/pkg/standin/list/list.go
@@ -0,0 +1,156 @@
+// Package list stands in for the platform's lagging list of instances.
+package list
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/standin/host"
+)
+
+// Faults are switched at run time. Durations are nanoseconds in JSON.
+type Faults struct {
+	Down   bool          `json:"down"`
+	Lag    time.Duration `json:"lag"`    // in addition to the configured lag
+	Frozen bool          `json:"frozen"` // answer what was last answered
+	Omit   []string      `json:"omit"`   // instance IDs wrongly left out
+}
+
+// Options configure a Store.
+type Options struct {
+	Scale host.Scale
+	Lag   time.Duration // between a change and its appearance
+}
+
+// Store keeps the list and its recent versions. It implements
+// platform.InstanceList.
+type Store struct {
+	Faults host.Faults[Faults]
+
+	options Options
+	mu      sync.Mutex
+	history []version // oldest first, never empty
+	last    []platform.Instance
+}
+
+type version struct {
+	at        time.Time
+	instances map[string]platform.Instance
+}
+
+var _ platform.InstanceList = (*Store)(nil)
+
+// NewStore returns an empty list.
+func NewStore(o Options) *Store {
+	return &Store{options: o, history: []version{{instances: map[string]platform.Instance{}}}}
+}
+
+// Put adds or replaces an instance.
+func (s *Store) Put(instance platform.Instance) {
+	s.change(func(m map[string]platform.Instance) { m[instance.ID] = instance })
+}
+
+// Remove deletes an instance.
+func (s *Store) Remove(id string) {
+	s.change(func(m map[string]platform.Instance) { delete(m, id) })
+}
+
+// maxHistory bounds the kept versions; older ones count as visible.
+const maxHistory = 4096
+
+func (s *Store) change(apply func(map[string]platform.Instance)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := maps.Clone(s.history[len(s.history)-1].instances)
+	apply(next)
+	s.history = append(s.history, version{at: time.Now(), instances: next})
+	if len(s.history) > maxHistory {
+		s.history = slices.Clone(s.history[1:])
+	}
+}
+
+// List implements platform.InstanceList; entries are ordered by ID.
+func (s *Store) List(context.Context) ([]platform.Instance, error) {
+	faults := s.Faults.Get()
+	if faults.Down {
+		return nil, errors.Wrap(platform.ErrUnavailable, "list stand-in is down")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if faults.Frozen && s.last != nil {
+		return slices.Clone(s.last), nil
+	}
+	lag := s.options.Scale.Of(s.options.Lag + faults.Lag)
+	visible := s.visible(time.Now().Add(-lag))
+	out := make([]platform.Instance, 0, len(visible))
+	for _, id := range slices.Sorted(maps.Keys(visible)) {
+		if !slices.Contains(faults.Omit, id) {
+			out = append(out, visible[id])
+		}
+	}
+	s.last = out
+	return slices.Clone(out), nil
+}
+
+// visible returns the newest version not after the time.
+func (s *Store) visible(at time.Time) map[string]platform.Instance {
+	for i := len(s.history) - 1; i > 0; i-- {
+		if !s.history[i].at.After(at) {
+			return s.history[i].instances
+		}
+	}
+	return s.history[0].instances
+}
+
+// Server serves a Store: GET and PUT /instances, DELETE /instances/<id>,
+// /faults.
+type Server struct {
+	*host.Server
+	Store *Store
+}
+
+// Start serves a new list on addr; an empty addr means a free loopback port.
+func Start(addr string, o Options) (*Server, error) {
+	store := NewStore(o)
+	e := host.NewEcho()
+	store.Faults.Register(e, nil)
+	e.GET("/instances", store.handleList)
+	e.PUT("/instances", store.handlePut)
+	e.DELETE("/instances/:id", func(c echo.Context) error {
+		store.Remove(c.Param("id"))
+		return c.NoContent(http.StatusNoContent)
+	})
+	server, err := host.Serve(addr, e)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{Server: server, Store: store}, nil
+}
+
+func (s *Store) handleList(c echo.Context) error {
+	instances, err := s.List(c.Request().Context())
+	if err != nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	}
+	return c.JSON(http.StatusOK, instances)
+}
+
+func (s *Store) handlePut(c echo.Context) error {
+	var instance platform.Instance
+	if err := c.Bind(&instance); err != nil {
+		return err
+	}
+	if instance.ID == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "an instance needs an id")
+	}
+	s.Put(instance)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/pkg/standin/table/server.go
@@ -0,0 +1,97 @@
+package table
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/twitchtv/twirp"
+
+	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/standin/host"
+	rpc "github.com/fescuestep/fescuestep/rpc/platform"
+)
+
+// Server serves a Store over Twirp, with GET /counts and /faults.
+type Server struct {
+	*host.Server
+	Store *Store
+}
+
+// Start serves a new table on addr; an empty addr means a free loopback port.
+func Start(addr string, o Options) (*Server, error) {
+	return StartStore(addr, NewStore(o))
+}
+
+// StartStore serves an existing table.
+func StartStore(addr string, store *Store) (*Server, error) {
+	e := host.NewEcho()
+	store.Faults.Register(e, nil)
+	e.GET("/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, store.Counts()) })
+	handler := rpc.NewTableServer(service{store})
+	e.Any(handler.PathPrefix()+"*", echo.WrapHandler(handler))
+	server, err := host.Serve(addr, e)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{Server: server, Store: store}, nil
+}
+
+// service adapts a Store to the Twirp service.
+type service struct{ store *Store }
+
+// Get implements rpc.Table.
+func (s service) Get(ctx context.Context, req *rpc.GetRequest) (*rpc.GetResponse, error) {
+	rows, err := s.store.Get(ctx, req.Keys...)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &rpc.GetResponse{Rows: toRows(rows)}, nil
+}
+
+// Scan implements rpc.Table.
+func (s service) Scan(ctx context.Context, req *rpc.ScanRequest) (*rpc.ScanResponse, error) {
+	rows, err := s.store.Scan(ctx, req.Prefix, req.After, int(req.Limit))
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &rpc.ScanResponse{Rows: toRows(rows)}, nil
+}
+
+// Commit implements rpc.Table.
+func (s service) Commit(ctx context.Context, req *rpc.CommitRequest) (*rpc.CommitResponse, error) {
+	txn := platform.Txn{Token: req.Token}
+	for _, c := range req.Conditions {
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: c.GetKey(), Version: c.GetVersion()})
+	}
+	for _, w := range req.Writes {
+		txn.Writes = append(txn.Writes, platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
+	}
+	version, err := s.store.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrOutcomeUnknown) {
+		host.Drop()
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &rpc.CommitResponse{Version: version}, nil
+}
+
+func toTwirp(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return twirp.NewError(twirp.Aborted, err.Error())
+	case errors.Is(err, platform.ErrUnavailable):
+		return twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return twirp.InternalErrorWith(err)
+}
+
+func toRows(rows []platform.Row) []*rpc.Row {
+	out := make([]*rpc.Row, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Token: r.Token})
+	}
+	return out
+}
