--- a/pkg/questionnaire/check.go
+++ b/pkg/questionnaire/check.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
+
+	"github.com/fescuestep/fescuestep/pkg/suggest"
 )
 
 var (
@@ -54,13 +56,17 @@
 
 func check(text []byte) (*Questionnaire, []Mistake) {
 	q, d := parse(text)
-	if d.unreadable {
-		return q, d.sorted()
+	if !d.unreadable {
+		d.examine(q)
 	}
+	return q, d.sorted()
+}
+
+// examine reports mistakes in the meaning of answers that could be decoded.
+func (d *decoder) examine(q *Questionnaire) {
 	d.constraints(q)
 	d.references(q)
 	d.meaning(q)
-	return q, d.sorted()
 }
 
 // constraints reports violations of the validate tags of the schema.
@@ -80,7 +86,7 @@
 func describe(v validator.FieldError) (message, suggestion string) {
 	if p, ok := patterns[v.Tag()]; ok {
 		if v.Tag() == "name" {
-			suggestion = didYouMean(asName(fmt.Sprint(v.Value())))
+			suggestion = suggest.DidYouMean(asName(fmt.Sprint(v.Value())))
 		}
 		return fmt.Sprintf("%q is not allowed here; write %s", v.Value(), p.form), suggestion
 	}
@@ -89,7 +95,7 @@
 		return "an answer is required", ""
 	case "oneof":
 		known := strings.Fields(v.Param())
-		return fmt.Sprintf("%q is not one of %s", v.Value(), strings.Join(known, ", ")), didYouMean(closest(fmt.Sprint(v.Value()), known))
+		return fmt.Sprintf("%q is not one of %s", v.Value(), strings.Join(known, ", ")), suggest.DidYouMean(suggest.Closest(fmt.Sprint(v.Value()), known))
 	case "gt":
 		return "must be greater than " + v.Param(), ""
 	}
--- a/pkg/questionnaire/mistake.go
+++ b/pkg/questionnaire/mistake.go
@@ -104,10 +104,3 @@
 	d.mistakes = slices.Compact(d.mistakes)
 	return d.mistakes[:min(len(d.mistakes), maxMistakes)]
 }
-
-func didYouMean(name string) string {
-	if name == "" {
-		return ""
-	}
-	return fmt.Sprintf("did you mean %q?", name)
-}
--- a/pkg/questionnaire/parse.go
+++ b/pkg/questionnaire/parse.go
@@ -13,6 +13,8 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
+
+	"github.com/fescuestep/fescuestep/pkg/suggest"
 )
 
 // Bounds on a questionnaire. 1,600 customers with three teams each take about
@@ -216,7 +218,7 @@
 	switch {
 	case !known:
 		d.incomplete[path] = true
-		d.addAt(where, join(path, name), fmt.Sprintf("unknown field %q", name), didYouMean(closest(name, fieldNames(v.Type()))))
+		d.addAt(where, join(path, name), fmt.Sprintf("unknown field %q", name), suggest.DidYouMean(suggest.Closest(name, fieldNames(v.Type()))))
 		return
 	case seen[name]:
 		d.addAt(where, join(path, name), fmt.Sprintf("field %q is given twice", name), "keep one of them")
--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fescuestep/fescuestep/examples"
+	"github.com/fescuestep/fescuestep/pkg/config"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -172,6 +173,27 @@
 	}
 }
 
+// TestConflicts guards against a deployment that takes over the customers or
+// pools of another, and against a deployment that conflicts with itself.
+func TestConflicts(t *testing.T) {
+	d, err := Build(examples.UCAB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet := config.Restore(1, []*config.Deployment{d}, nil, config.Membership{})
+	if _, err := BuildFor(fleet, examples.UCAB); err != nil {
+		t.Errorf("replacing a deployment: %v", err)
+	}
+	if _, err := BuildFor(fleet, examples.Skovgaard); err != nil {
+		t.Errorf("adding a deployment: %v", err)
+	}
+	copied := strings.Replace(string(examples.UCAB), "deployment: ucab", "deployment: copy", 1)
+	_, err = BuildFor(fleet, []byte(copied))
+	if err == nil || len(err.(Mistakes)) != 5+4+2+3 {
+		t.Errorf("want a mistake for each customer, application, model and pool, got:\n%v", err)
+	}
+}
+
 // FuzzBuild guards against input that makes the parser panic or hang, and
 // against an accepted questionnaire whose JSON is not reproducible.
 func FuzzBuild(f *testing.F) {
--- a/pkg/questionnaire/references.go
+++ b/pkg/questionnaire/references.go
@@ -1,6 +1,10 @@
 package questionnaire
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/fescuestep/fescuestep/pkg/suggest"
+)
 
 // names collects the names of one kind and reports those given twice.
 func (d *decoder) names(kind string, n int, at func(int) (path, name string)) []string {
@@ -47,7 +51,7 @@
 	if name == "" || to.set[name] || !to.defined {
 		return
 	}
-	d.add(path, fmt.Sprintf("no %s is named %q", to.kind, name), didYouMean(closest(name, to.names)))
+	d.add(path, fmt.Sprintf("no %s is named %q", to.kind, name), suggest.DidYouMean(suggest.Closest(name, to.names)))
 }
 
 // references reports names given twice and names that refer to nothing.
--- a/pkg/questionnaire/suggest.go
+++ b/pkg/suggest/suggest.go
@@ -1,14 +1,27 @@
-package questionnaire
+// Package suggest finds the known name that a misspelt one probably means.
+package suggest
 
 import (
-	"regexp"
+	"fmt"
 	"strings"
 )
 
-// closest returns the known name with the smallest edit distance to name, or
-// the empty string when none is close enough to be a likely typing mistake.
-func closest(name string, known []string) string {
-	best, bestDistance := "", len(name)/2+1
+// MaxLength bounds the names that are compared, because the comparison takes
+// time proportional to the product of their lengths.
+const MaxLength = 128
+
+// Closest returns the known name with the smallest edit distance to name, or
+// the empty string when more than half of the name would have to change.
+func Closest(name string, known []string) string {
+	return Within(name, known, len(name)/2)
+}
+
+// Within is Closest with a given largest edit distance.
+func Within(name string, known []string, most int) string {
+	if len(name) > MaxLength {
+		return ""
+	}
+	best, bestDistance := "", most+1
 	for _, candidate := range known {
 		d := distance(strings.ToLower(name), strings.ToLower(candidate), bestDistance)
 		if d < bestDistance {
@@ -18,6 +31,14 @@
 	return best
 }
 
+// DidYouMean words a suggestion; it is empty for an empty name.
+func DidYouMean(name string) string {
+	if name == "" {
+		return ""
+	}
+	return fmt.Sprintf("did you mean %q?", name)
+}
+
 // distance returns the edit distance of a and b with adjacent transpositions
 // counted as one step, or bound when it is at least bound.
 func distance(a, b string, bound int) int {
@@ -53,14 +74,3 @@
 func abs(n int) int {
 	return max(n, -n)
 }
-
-var notInName = regexp.MustCompile(`[^a-z0-9]+`)
-
-// asName returns text in the form that names must have, or the empty string.
-func asName(text string) string {
-	name := strings.Trim(notInName.ReplaceAllString(strings.ToLower(text), "-"), "-")
-	if !namePattern.MatchString(name) {
-		return ""
-	}
-	return name
-}
