--- /dev/null
+++ b/pkg/cacheindex/table.go
@@ -0,0 +1,276 @@
+package cacheindex
+
+import "slices"
+
+// Sizes of the hash table. A segment grows by 1.4 at a load of 0.8, so that
+// its load stays above 0.57 and a block costs at most 28 bytes; a table that
+// doubles would cost up to 40. Segments keep a single growth step short.
+const (
+	segmentBits  = 10
+	segmentCount = 1 << segmentBits
+	minCells     = 8
+	maxLoadNum   = 4 // maximum load as a fraction
+	maxLoadDen   = 5
+	growNum      = 7 // growth factor as a fraction
+	growDen      = 5
+)
+
+// manyFlag marks a cell whose ref is the index of a holder set.
+const manyFlag = 1 << 31
+
+// holder says that one engine incarnation holds a block.
+type holder struct {
+	slot uint32 // engine incarnation
+	tick uint32 // time of the last evidence
+}
+
+// cell is one block. A block with one holder keeps it inline: ref is the slot
+// and tick its time. Otherwise ref is manyFlag plus the index of its set.
+type cell struct {
+	key  uint64 // block hash, 0 when the cell is empty
+	ref  uint32
+	tick uint32
+}
+
+// segment is an open-addressed table with linear probing.
+type segment struct {
+	cells []cell
+	used  int
+	sets  [][]holder // each sorted by slot, at least 2 entries
+	free  []uint32   // unused sets
+}
+
+func segmentOf(key uint64) int { return int(key >> (64 - segmentBits)) }
+
+// home returns the preferred position of key, by multiplication instead of a
+// mask so that any table length works.
+func (s *segment) home(key uint64) int {
+	return int(uint64(uint32(key)) * uint64(len(s.cells)) >> 32)
+}
+
+// find returns the position of key, or -1.
+func (s *segment) find(key uint64) int {
+	if s.used == 0 {
+		return -1
+	}
+	for i := s.home(key); ; {
+		switch s.cells[i].key {
+		case key:
+			return i
+		case 0:
+			return -1
+		}
+		if i++; i == len(s.cells) {
+			i = 0
+		}
+	}
+}
+
+// add records that slot holds key since tick, and returns whether the holder
+// is new.
+func (s *segment) add(key uint64, slot, tick uint32) bool {
+	i := s.find(key)
+	if i < 0 {
+		s.insert(cell{key: key, ref: slot, tick: tick})
+		return true
+	}
+	c := &s.cells[i]
+	if c.ref&manyFlag != 0 {
+		return s.addToSet(c.ref&^manyFlag, slot, tick)
+	}
+	if c.ref == slot {
+		c.tick = tick
+		return false
+	}
+	set := []holder{{c.ref, c.tick}, {slot, tick}}
+	if slot < c.ref {
+		set[0], set[1] = set[1], set[0]
+	}
+	c.ref = s.newSet(set) | manyFlag
+	return true
+}
+
+func (s *segment) addToSet(index, slot, tick uint32) bool {
+	set := s.sets[index]
+	at, found := searchSlot(set, slot)
+	if found {
+		set[at].tick = tick
+		return false
+	}
+	if len(set) == cap(set) {
+		// Growth by a quarter keeps the bytes per holder low.
+		set = slices.Grow(set, max(1, len(set)/4))
+	}
+	s.sets[index] = slices.Insert(set, at, holder{slot, tick})
+	return true
+}
+
+func (s *segment) newSet(set []holder) uint32 {
+	if n := len(s.free); n > 0 {
+		index := s.free[n-1]
+		s.free = s.free[:n-1]
+		s.sets[index] = set
+		return index
+	}
+	s.sets = append(s.sets, set)
+	return uint32(len(s.sets) - 1)
+}
+
+func searchSlot(set []holder, slot uint32) (int, bool) {
+	lo, hi := 0, len(set)
+	for lo < hi {
+		mid := int(uint(lo+hi) >> 1)
+		if set[mid].slot < slot {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	return lo, lo < len(set) && set[lo].slot == slot
+}
+
+// insert adds a cell whose key is not in the table.
+func (s *segment) insert(c cell) {
+	if (s.used+1)*maxLoadDen > len(s.cells)*maxLoadNum {
+		s.grow()
+	}
+	s.place(c)
+	s.used++
+}
+
+func (s *segment) place(c cell) {
+	i := s.home(c.key)
+	for s.cells[i].key != 0 {
+		if i++; i == len(s.cells) {
+			i = 0
+		}
+	}
+	s.cells[i] = c
+}
+
+func (s *segment) grow() {
+	old := s.cells
+	s.cells = make([]cell, max(minCells, len(old)*growNum/growDen))
+	for _, c := range old {
+		if c.key != 0 {
+			s.place(c)
+		}
+	}
+}
+
+// get returns the tick of slot's entry for key.
+func (s *segment) get(key uint64, slot uint32) (tick uint32, ok bool) {
+	i := s.find(key)
+	if i < 0 {
+		return 0, false
+	}
+	return s.cells[i].holding(s, slot)
+}
+
+func (c *cell) holding(s *segment, slot uint32) (tick uint32, ok bool) {
+	if c.ref&manyFlag == 0 {
+		return c.tick, c.ref == slot
+	}
+	set := s.sets[c.ref&^manyFlag]
+	at, found := searchSlot(set, slot)
+	if !found {
+		return 0, false
+	}
+	return set[at].tick, true
+}
+
+// remove deletes slot's entry for key and returns its tick.
+func (s *segment) remove(key uint64, slot uint32) (tick uint32, ok bool) {
+	i := s.find(key)
+	if i < 0 {
+		return 0, false
+	}
+	c := &s.cells[i]
+	if c.ref&manyFlag == 0 {
+		if c.ref != slot {
+			return 0, false
+		}
+		tick = c.tick
+		s.erase(i)
+		return tick, true
+	}
+	index := c.ref &^ manyFlag
+	at, found := searchSlot(s.sets[index], slot)
+	if !found {
+		return 0, false
+	}
+	tick = s.sets[index][at].tick
+	s.sets[index] = slices.Delete(s.sets[index], at, at+1)
+	s.inline(c)
+	return tick, true
+}
+
+// inline turns a set of one holder back into a plain cell.
+func (s *segment) inline(c *cell) {
+	index := c.ref &^ manyFlag
+	set := s.sets[index]
+	if len(set) > 1 {
+		return
+	}
+	c.ref, c.tick = set[0].slot, set[0].tick
+	s.sets[index] = nil
+	s.free = append(s.free, index)
+}
+
+// erase empties position i and moves later cells of the probe sequence back.
+func (s *segment) erase(i int) {
+	n := len(s.cells)
+	s.used--
+	for j := i; ; {
+		if j++; j == n {
+			j = 0
+		}
+		if s.cells[j].key == 0 {
+			break
+		}
+		h := s.home(s.cells[j].key)
+		if (j-h+n)%n >= (j-i+n)%n {
+			s.cells[i] = s.cells[j]
+			i = j
+		}
+	}
+	s.cells[i] = cell{}
+}
+
+// sweep removes holders that are dead from the cell at position i. It returns
+// the number removed and whether the cell at i was replaced by another one.
+func (s *segment) sweep(i int, dead func(slot uint32) bool) (removed int, replaced bool) {
+	c := &s.cells[i]
+	if c.key == 0 {
+		return 0, false
+	}
+	if c.ref&manyFlag == 0 {
+		if !dead(c.ref) {
+			return 0, false
+		}
+		s.erase(i)
+		return 1, true
+	}
+	index := c.ref &^ manyFlag
+	before := len(s.sets[index])
+	kept := slices.DeleteFunc(s.sets[index], func(h holder) bool { return dead(h.slot) })
+	s.sets[index] = kept
+	removed = before - len(kept)
+	if len(kept) > 0 {
+		s.inline(c)
+		return removed, false
+	}
+	s.sets[index] = nil
+	s.free = append(s.free, index)
+	s.erase(i)
+	return removed, true
+}
+
+// bytes returns the memory of the segment.
+func (s *segment) bytes() int {
+	n := len(s.cells)*16 + cap(s.sets)*24 + cap(s.free)*4
+	for _, set := range s.sets {
+		n += cap(set) * 8
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/pick/baseline.go
@@ -0,0 +1,132 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+)
+
+// RoundRobin takes upstreams in turn.
+type RoundRobin struct{ next int }
+
+// Name implements Policy.
+func (*RoundRobin) Name() string { return NameRoundRobin }
+
+// Pick implements Policy.
+func (p *RoundRobin) Pick(now time.Time, r *Request, s *Store, _ *rand.Rand) (Choice, Verdict) {
+	verdict := None
+	for range s.list {
+		p.next = (p.next + 1) % len(s.list)
+		u := s.list[p.next]
+		if !s.Selectable(now, u, r) {
+			continue
+		}
+		verdict = Busy
+		if s.Admits(now, u) {
+			return plain(u, r), Chosen
+		}
+	}
+	return Choice{}, verdict
+}
+
+// LeastInFlight takes the upstream with the fewest requests, from the report
+// and this instance's own requests since; ties are broken at random.
+type LeastInFlight struct{}
+
+// Name implements Policy.
+func (*LeastInFlight) Name() string { return NameLeastInFlight }
+
+// Pick implements Policy.
+func (*LeastInFlight) Pick(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
+	var best *Upstream
+	fewest, ties, verdict := 0, 0, None
+	for _, u := range s.list {
+		if !s.Selectable(now, u, r) {
+			continue
+		}
+		if verdict == None {
+			verdict = Busy
+		}
+		if !s.Admits(now, u) {
+			continue
+		}
+		n := u.Total()
+		switch {
+		case best == nil || n < fewest:
+			best, fewest, ties = u, n, 1
+		case n == fewest:
+			if ties++; rng.IntN(ties) == 0 {
+				best = u
+			}
+		}
+	}
+	if best == nil {
+		return Choice{}, verdict
+	}
+	return plain(best, r), Chosen
+}
+
+// boundFactor is the load bound of PrefixHash relative to the mean, the usual
+// value for consistent hashing with bounded loads.
+const boundFactor = 1.25
+
+// PrefixHash takes upstreams in the order of the rendezvous hash of the first
+// block and skips those above a bounded load.
+type PrefixHash struct{}
+
+// Name implements Policy.
+func (*PrefixHash) Name() string { return NamePrefixHash }
+
+// Pick implements Policy.
+func (p *PrefixHash) Pick(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
+	if len(r.Blocks) == 0 {
+		return (&LeastInFlight{}).Pick(now, r, s, rng)
+	}
+	verdict, total, count := None, 0, 0
+	for _, u := range s.list {
+		if s.Selectable(now, u, r) {
+			verdict = Busy
+			total += u.Total()
+			count++
+		}
+	}
+	var best *Upstream
+	var score uint64
+	for _, u := range s.list {
+		if !s.Selectable(now, u, r) || !s.Admits(now, u) {
+			continue
+		}
+		if float64(u.Total()) >= boundFactor*float64(total+1)/float64(count) {
+			continue
+		}
+		if v := rendezvous(r.Blocks[0], u); best == nil || v > score {
+			best, score = u, v
+		}
+	}
+	if best == nil {
+		if verdict == Busy {
+			return (&LeastInFlight{}).Pick(now, r, s, rng)
+		}
+		return Choice{}, verdict
+	}
+	return plain(best, r), Chosen
+}
+
+// rendezvous ranks upstreams for a block, equally on every instance.
+func rendezvous(h block.Hash, u *Upstream) uint64 {
+	return mix(uint64(h) ^ u.hash())
+}
+
+// mix is the finalizer of splitmix64.
+func mix(v uint64) uint64 {
+	v ^= v >> 30
+	v *= 0xbf58476d1ce4e5b9
+	v ^= v >> 27
+	v *= 0x94d049bb133111eb
+	return v ^ v>>31
+}
+
+func plain(u *Upstream, r *Request) Choice {
+	return Choice{Upstream: u, Uncached: r.Tokens}
+}
--- /dev/null
+++ b/pkg/pick/policy.go
@@ -0,0 +1,102 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/config"
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Tokens      int // prompt tokens
+	BlockTokens int // tokens per block
+	Blocks      []block.Hash
+	Domain      string // failure domain of this instance
+	Exclude     []string
+}
+
+// uncached returns the prompt tokens left when blocks blocks are cached.
+func (r *Request) uncached(blocks float64) float64 {
+	return max(float64(r.Tokens)-blocks*float64(r.BlockTokens), 1)
+}
+
+// Choice is the result of a policy.
+type Choice struct {
+	Upstream  *Upstream
+	HitTokens int           // prompt tokens expected to be cached
+	Uncached  int           // prompt tokens expected to be prefilled
+	Import    int           // blocks to import from the KV store before the prefill
+	Estimate  time.Duration // time to first token
+}
+
+// Verdict says why a policy returned no choice.
+type Verdict int
+
+// Verdicts of a policy.
+const (
+	Chosen Verdict = iota
+	Busy           // no slot, or waiting for a busy upstream is faster
+	None           // no upstream can take the request
+)
+
+// Policy chooses an upstream. Policies keep state and are not safe for
+// concurrent use. rng is the random source of this instance.
+type Policy interface {
+	Name() string
+	Pick(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict)
+}
+
+// Names of the policies.
+const (
+	NameFescuestep    = "fescuestep"
+	NameRoundRobin    = "round_robin"
+	NameLeastInFlight = "least_in_flight"
+	NamePrefixHash    = "prefix_hash"
+)
+
+// Names returns the names of all policies, the product's first.
+func Names() []string {
+	return []string{NameFescuestep, NameRoundRobin, NameLeastInFlight, NamePrefixHash}
+}
+
+// ForName returns a new policy. It returns an error for an unknown name.
+func ForName(name string, params Params) (Policy, error) {
+	switch name {
+	case NameFescuestep, "":
+		return NewEstimate(params), nil
+	case NameRoundRobin:
+		return &RoundRobin{}, nil
+	case NameLeastInFlight:
+		return &LeastInFlight{}, nil
+	case NamePrefixHash:
+		return &PrefixHash{}, nil
+	}
+	return nil, errors.Newf("unknown policy %q, have %v", name, Names())
+}
+
+// Params sets up the estimate of one pool.
+type Params struct {
+	Weights     Weights
+	OneWayDelay time.Duration // between failure domains
+	ImportRate  float64       // tokens per second from the KV store, 0 without one
+}
+
+// Weights are the scorer weights of a deployment's priority.
+type Weights struct {
+	Queue   float64 // of the queue wait
+	Prefill float64 // of the prefill time
+	Near    float64 // estimates within this share of the best count as equal
+}
+
+// WeightsFor returns the weights of a priority. cache_reuse counts prefill
+// more than waiting, so that a prefix is replicated later.
+func WeightsFor(p config.Priority) Weights {
+	if p == config.CacheReuse {
+		return Weights{Queue: 1, Prefill: 2, Near: 0.05}
+	}
+	return Weights{Queue: 1, Prefill: 1, Near: 0.05}
+}
--- /dev/null
+++ b/pkg/pick/store.go
@@ -0,0 +1,126 @@
+package pick
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/cacheindex"
+	"github.com/fescuestep/fescuestep/pkg/retry"
+)
+
+// Limits bounds the work sent to one upstream.
+type Limits struct {
+	Slots    int           // requests in flight, over all instances
+	MaxQueue time.Duration // estimated queue above which requests wait in the router; 0 disables
+	Outlier  retry.OutlierConfig
+}
+
+// Store is the datastore that policies choose from. It is not safe for
+// concurrent use.
+type Store struct {
+	Limits    Limits
+	Instances int    // router instances that share the upstreams
+	Weights   string // wanted weights version, empty for any
+	Index     *cacheindex.Index
+
+	origin   time.Time   // of index times
+	list     []*Upstream // listed upstreams, sorted by ID
+	byID     map[string]*Upstream
+	byEngine []*Upstream
+}
+
+// NewStore returns an empty store. Index times count from now.
+func NewStore(now time.Time, limits Limits) *Store {
+	return &Store{
+		Limits:    limits,
+		Instances: 1,
+		Index:     cacheindex.New(),
+		origin:    now,
+		byID:      map[string]*Upstream{},
+	}
+}
+
+// IndexTime converts now to the time base of the index.
+func (s *Store) IndexTime(now time.Time) time.Duration { return now.Sub(s.origin) }
+
+// Get returns the listed upstream with the ID, or nil.
+func (s *Store) Get(id string) *Upstream { return s.byID[id] }
+
+// List returns the listed upstreams sorted by ID. The caller does not modify it.
+func (s *Store) List() []*Upstream { return s.list }
+
+// Add lists an upstream that Get does not know.
+func (s *Store) Add(u *Upstream) {
+	u.Engine = s.Index.Engine(u.ID)
+	for len(s.byEngine) <= int(u.Engine) {
+		s.byEngine = append(s.byEngine, nil)
+	}
+	s.byEngine[u.Engine] = u
+	s.byID[u.ID] = u
+	at, _ := slices.BinarySearchFunc(s.list, u.ID, compareID)
+	s.list = slices.Insert(s.list, at, u)
+}
+
+// Remove takes an upstream off the list. Its flights end as usual.
+func (s *Store) Remove(id string) {
+	u := s.byID[id]
+	if u == nil {
+		return
+	}
+	u.Removed = true
+	delete(s.byID, id)
+	s.byEngine[u.Engine] = nil
+	at, _ := slices.BinarySearchFunc(s.list, id, compareID)
+	s.list = slices.Delete(s.list, at, at+1)
+	s.Index.Remove(id)
+}
+
+func compareID(u *Upstream, id string) int { return strings.Compare(u.ID, id) }
+
+// ofEngine returns the upstream of an index handle, or nil.
+func (s *Store) ofEngine(e cacheindex.Engine) *Upstream {
+	if int(e) >= len(s.byEngine) {
+		return nil
+	}
+	return s.byEngine[e]
+}
+
+// Admits reports whether the upstream has a free slot and a short queue.
+func (s *Store) Admits(now time.Time, u *Upstream) bool {
+	if !s.hasSlot(now, u) {
+		return false
+	}
+	return s.Limits.MaxQueue <= 0 || u.QueueWait(now, s.Instances) <= s.Limits.MaxQueue
+}
+
+// hasSlot reports whether a slot is free, fewer during a slow start.
+func (s *Store) hasSlot(now time.Time, u *Upstream) bool {
+	if s.Weights != "" && u.Weights != "" && u.Weights != s.Weights {
+		return false // being loaded; the engine would refuse the request
+	}
+	slots := s.Limits.Slots
+	if slots <= 0 {
+		return true
+	}
+	if share := u.Outlier.Capacity(now, &s.Limits.Outlier); share < 1 {
+		slots = max(1, int(share*float64(slots)))
+	}
+	return len(u.flights) < slots && u.Total() < slots
+}
+
+// Selectable is the filter of all policies: usable and not excluded.
+func (s *Store) Selectable(now time.Time, u *Upstream, r *Request) bool {
+	return u != nil && u.Usable(now) && !slices.Contains(r.Exclude, u.ID)
+}
+
+// AnySelectable reports whether the request could run on any upstream once
+// slots are free.
+func (s *Store) AnySelectable(now time.Time, r *Request) bool {
+	for _, u := range s.list {
+		if s.Selectable(now, u, r) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/pick/upstream.go
@@ -0,0 +1,203 @@
+// Package pick chooses the upstream of a request as filter, scorer and picker
+// over a datastore of upstream states.
+package pick
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/fescuestep/fescuestep/pkg/cacheindex"
+	"github.com/fescuestep/fescuestep/pkg/retry"
+)
+
+// Report is the last load report of an upstream.
+type Report struct {
+	Sampled      time.Time // on this instance's clock
+	Running      int
+	Waiting      int
+	QueuedTokens int // uncached prompt tokens waiting for prefill
+}
+
+// Flight is one request of this instance on an upstream.
+type Flight struct {
+	Upstream *Upstream
+	Sent     time.Time
+	Tokens   int // uncached prompt tokens expected at the choice
+
+	prefilled bool
+	index     int
+}
+
+// Upstream is the state of one upstream as this instance knows it.
+type Upstream struct {
+	ID          string
+	Addr        string
+	Domain      string
+	Incarnation string
+	Weights     string // version last reported
+	Engine      cacheindex.Engine
+	Outlier     retry.Outlier
+
+	// Evidence that it takes no work. Each is cleared only by newer evidence
+	// of its own kind.
+	ListedLeaving   bool
+	ReportedLeaving bool
+	PollFailed      bool
+	Removed         bool // no longer listed; flights may remain
+
+	PrefillPerSec float64 // tokens per second
+
+	flights   []*Flight
+	report    Report
+	doneSince int // flights sent before the report was sampled that ended after
+	rate      rateMeter
+	duration  time.Duration // running mean of a flight
+	idHash    uint64
+}
+
+// hash returns a hash of the ID that is equal on every instance.
+func (u *Upstream) hash() uint64 {
+	if u.idHash == 0 {
+		u.idHash = xxh3.HashString(u.ID)
+	}
+	return u.idHash
+}
+
+// Usable reports whether the upstream may take new work at all.
+func (u *Upstream) Usable(now time.Time) bool {
+	return !u.ListedLeaving && !u.ReportedLeaving && !u.PollFailed && !u.Removed && !u.Outlier.Ejected(now)
+}
+
+// Start records a request that is sent to the upstream now.
+func (u *Upstream) Start(now time.Time, uncached int) *Flight {
+	f := &Flight{Upstream: u, Sent: now, Tokens: uncached, index: len(u.flights)}
+	u.flights = append(u.flights, f)
+	u.rate.add(now, float64(uncached))
+	return f
+}
+
+// FirstToken records that the engine finished the prefill of f.
+func (u *Upstream) FirstToken(f *Flight) { f.prefilled = true }
+
+// durationGain is the weight of one flight in the running mean.
+const durationGain = 1.0 / 16
+
+// Finish records the end of f.
+func (u *Upstream) Finish(now time.Time, f *Flight) {
+	last := len(u.flights) - 1
+	u.flights[f.index] = u.flights[last]
+	u.flights[f.index].index = f.index
+	u.flights[last] = nil
+	u.flights = u.flights[:last]
+	if !f.Sent.After(u.report.Sampled) {
+		u.doneSince++
+	}
+	d := now.Sub(f.Sent)
+	if u.duration == 0 {
+		u.duration = d
+	}
+	u.duration += time.Duration(float64(d-u.duration) * durationGain)
+}
+
+// OnReport replaces the load report unless r is older than the present one.
+func (u *Upstream) OnReport(r Report) {
+	if r.Sampled.Before(u.report.Sampled) {
+		return
+	}
+	u.report = r
+	u.doneSince = 0
+}
+
+// Reset drops what was known of an earlier incarnation's load. Flights remain
+// until their holders notice that the connection broke.
+func (u *Upstream) Reset(now time.Time) {
+	u.report = Report{Sampled: now}
+	u.doneSince = 0
+}
+
+// LastReport returns the last load report.
+func (u *Upstream) LastReport() Report { return u.report }
+
+// InFlight returns this instance's requests on the upstream.
+func (u *Upstream) InFlight() int { return len(u.flights) }
+
+// Total estimates the requests of all instances on the upstream: the last
+// report corrected by this instance's own starts and ends since.
+func (u *Upstream) Total() int {
+	since := 0
+	for _, f := range u.flights {
+		if f.Sent.After(u.report.Sampled) {
+			since++
+		}
+	}
+	return max(len(u.flights), u.report.Running+u.report.Waiting-u.doneSince+since)
+}
+
+// QueueTokens estimates the uncached tokens that wait for prefill: the
+// reported queue, drained at the prefill rate since the sample, plus own
+// requests sent since, plus what the other instances sent if they behave as
+// this one does on average.
+func (u *Upstream) QueueTokens(now time.Time, instances int) float64 {
+	elapsed := max(now.Sub(u.report.Sampled), 0).Seconds()
+	if u.report.Sampled.IsZero() {
+		elapsed = 0
+	}
+	queued := float64(u.report.QueuedTokens) - elapsed*u.PrefillPerSec
+	if instances > 1 {
+		queued += float64(instances-1) * u.rate.perSecond(now) * min(elapsed, maxExtrapolation.Seconds())
+	}
+	queued = max(queued, 0)
+	for _, f := range u.flights {
+		if f.prefilled || !f.Sent.After(u.report.Sampled) {
+			continue
+		}
+		queued += float64(f.Tokens)
+	}
+	return queued
+}
+
+// maxExtrapolation bounds how long the other instances' arrivals are
+// extrapolated; without reports the estimate would grow without limit.
+const maxExtrapolation = time.Second
+
+// QueueWait estimates the time until a new request's prefill begins.
+func (u *Upstream) QueueWait(now time.Time, instances int) time.Duration {
+	if u.PrefillPerSec <= 0 {
+		return 0
+	}
+	return time.Duration(u.QueueTokens(now, instances) / u.PrefillPerSec * float64(time.Second))
+}
+
+// rateTime is the time constant of the arrival rate.
+const rateTime = 2 * time.Second
+
+// rateMeter is an exponentially decaying mean of tokens per second.
+type rateMeter struct {
+	value float64
+	last  time.Time
+}
+
+func (m *rateMeter) decay(now time.Time) {
+	if elapsed := now.Sub(m.last); elapsed > 0 && !m.last.IsZero() {
+		// First-order decay without exp: exact enough for short steps and
+		// never negative for long ones.
+		m.value /= 1 + float64(elapsed)/float64(rateTime)
+	}
+	m.last = now
+}
+
+func (m *rateMeter) add(now time.Time, tokens float64) {
+	m.decay(now)
+	m.value += tokens / rateTime.Seconds()
+}
+
+func (m *rateMeter) perSecond(now time.Time) float64 {
+	m.decay(now)
+	return m.value
+}
+
+// slotWait estimates the time until one of the upstream's slots is free.
+func (u *Upstream) slotWait() time.Duration {
+	return u.duration / time.Duration(max(1, u.Total()))
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,135 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/code"
+)
+
+// Backoff returns base doubled attempt times, at most limit.
+func Backoff(attempt int, base, limit time.Duration) time.Duration {
+	d := base
+	for ; attempt > 0 && d < limit; attempt-- {
+		d *= 2
+	}
+	return min(d, limit)
+}
+
+// Jittered returns a wait that is uniform between half of Backoff and all of it.
+func Jittered(attempt int, base, limit time.Duration, rng *rand.Rand) time.Duration {
+	d := Backoff(attempt, base, limit)
+	return d/2 + time.Duration(rng.Int64N(int64(d)/2+1))
+}
+
+// Budget limits retries to a share of requests plus a small constant rate, so
+// that retries cannot multiply the load of a failing fleet.
+type Budget struct {
+	Ratio     float64 // retries earned per request
+	PerSecond float64 // retries earned per second without requests
+	Burst     float64 // most that can be saved up
+
+	tokens float64
+	last   time.Time
+}
+
+// NewBudget returns a full budget of one retry per ten requests.
+func NewBudget() *Budget {
+	return &Budget{Ratio: 0.1, PerSecond: 1, Burst: 10, tokens: 10}
+}
+
+// Request earns a share of a retry.
+func (b *Budget) Request(now time.Time) {
+	b.refill(now)
+	b.tokens = min(b.Burst, b.tokens+b.Ratio)
+}
+
+// Available reports whether a retry may be spent.
+func (b *Budget) Available(now time.Time) bool {
+	b.refill(now)
+	return b.tokens >= 1
+}
+
+// Spend takes one retry.
+func (b *Budget) Spend() { b.tokens-- }
+
+func (b *Budget) refill(now time.Time) {
+	if !b.last.IsZero() && now.After(b.last) {
+		b.tokens = min(b.Burst, b.tokens+now.Sub(b.last).Seconds()*b.PerSecond)
+	}
+	if b.last.IsZero() || now.After(b.last) {
+		b.last = now
+	}
+}
+
+// Waits between attempts. The first is short because another upstream is used.
+const (
+	baseWait = 10 * time.Millisecond
+	maxWait  = 500 * time.Millisecond
+)
+
+// maxBudgets bounds remembered budgets; idle ones are full again after Burst
+// seconds, so that forgetting them changes nothing.
+const maxBudgets = 8192
+
+// Policy decides on retries with one budget per customer and per upstream. It
+// is not safe for concurrent use.
+type Policy struct {
+	customers map[string]*Budget
+	upstreams map[string]*Budget
+}
+
+// NewPolicy returns a policy without history.
+func NewPolicy() *Policy {
+	return &Policy{customers: map[string]*Budget{}, upstreams: map[string]*Budget{}}
+}
+
+// Request records a first attempt.
+func (p *Policy) Request(now time.Time, customer, upstream string) {
+	budget(p.customers, customer).Request(now)
+	budget(p.upstreams, upstream).Request(now)
+}
+
+// Attempt describes a failed attempt.
+type Attempt struct {
+	Customer   string
+	Upstream   string // that failed
+	Number     int    // 0 for the first
+	Run        code.Run
+	Idempotent bool
+	Started    bool // bytes of the answer reached the caller
+	Deadline   time.Time
+}
+
+// Retry reports whether to try again and after which wait. It refuses when the
+// request may have run and is not idempotent, when a budget is empty, or when
+// the wait would end after the deadline.
+func (p *Policy) Retry(now time.Time, a Attempt, rng *rand.Rand) (wait time.Duration, ok bool) {
+	if a.Started || (a.Run != code.NotRun && !a.Idempotent) {
+		return 0, false
+	}
+	wait = Jittered(a.Number, baseWait, maxWait, rng)
+	if !now.Add(wait).Before(a.Deadline) {
+		return 0, false
+	}
+	customer := budget(p.customers, a.Customer)
+	upstream := budget(p.upstreams, a.Upstream)
+	if !customer.Available(now) || !upstream.Available(now) {
+		return 0, false
+	}
+	customer.Spend()
+	upstream.Spend()
+	return wait, true
+}
+
+func budget(m map[string]*Budget, name string) *Budget {
+	b := m[name]
+	if b == nil {
+		if len(m) >= maxBudgets {
+			clear(m)
+		}
+		b = NewBudget()
+		m[name] = b
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/upstream/inputs.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/cacheindex"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/pick"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// OnList applies the platform's list; entries of other pools are skipped. An
+// upstream that is no longer listed takes no new work; its flights end as
+// usual.
+func (c *Core) OnList(now time.Time, instances []platform.Instance) {
+	listed := map[string]bool{}
+	for i := range instances {
+		in := &instances[i]
+		if in.Pool != c.set.Pool.Name {
+			continue
+		}
+		listed[in.ID] = true
+		c.list(now, in)
+	}
+	for _, u := range append([]*pick.Upstream(nil), c.store.List()...) {
+		if !listed[u.ID] {
+			c.store.Remove(u.ID)
+		}
+	}
+	c.Dispatch(now)
+}
+
+func (c *Core) list(now time.Time, in *platform.Instance) {
+	u := c.store.Get(in.ID)
+	if u != nil && u.Addr != in.Addr {
+		c.store.Remove(in.ID) // another process under the same ID
+		u = nil
+	}
+	if u == nil {
+		u = &pick.Upstream{ID: in.ID, Addr: in.Addr, PrefillPerSec: c.set.Pool.PrefillPerSec}
+		c.store.Add(u)
+	}
+	u.Domain = in.Domain
+	u.ListedLeaving = in.State != platform.Live
+}
+
+// OnReport applies a load report, which also proves that the upstream is
+// reachable.
+func (c *Core) OnReport(now time.Time, id string, r *engine.LoadReport) {
+	u := c.store.Get(id)
+	if u == nil {
+		return
+	}
+	c.sawIncarnation(now, u, r.Incarnation)
+	u.PollFailed = false
+	u.ReportedLeaving = r.Leaving
+	u.Weights = r.Weights
+	u.Outlier.Return(now)
+	u.OnReport(pick.Report{
+		Sampled:      now.Add(-r.Age),
+		Running:      r.Running,
+		Waiting:      r.Waiting,
+		QueuedTokens: r.QueuedTokens,
+	})
+	c.Dispatch(now)
+}
+
+// OnPollFailed records that a poll of the upstream got no answer. It takes no
+// new work until a poll succeeds.
+func (c *Core) OnPollFailed(id string) {
+	if u := c.store.Get(id); u != nil {
+		u.PollFailed = true
+	}
+}
+
+// OnEvents applies cache events.
+func (c *Core) OnEvents(now time.Time, id string, b *engine.EventBatch) cacheindex.Applied {
+	u := c.store.Get(id)
+	if u == nil {
+		return cacheindex.Ignored
+	}
+	applied := c.store.Index.Apply(c.store.IndexTime(now), u.Engine, b)
+	if applied != cacheindex.Ignored {
+		c.sawIncarnation(now, u, b.Incarnation)
+	}
+	return applied
+}
+
+// Position returns where the reader of an upstream's events stands.
+func (c *Core) Position(id string) engine.Position {
+	if u := c.store.Get(id); u != nil {
+		return c.store.Index.Position(u.Engine)
+	}
+	return engine.Position{}
+}
+
+// sawIncarnation notes the incarnation that an upstream answered with. A new
+// one is cold: its entries are dropped and it starts slowly.
+func (c *Core) sawIncarnation(now time.Time, u *pick.Upstream, incarnation string) {
+	if incarnation == "" || incarnation == u.Incarnation {
+		return
+	}
+	c.store.Index.Restarted(u.Engine, incarnation)
+	if c.store.Index.Incarnation(u.Engine) != incarnation {
+		return // an older one, answered late
+	}
+	if u.Incarnation != "" {
+		u.Outlier.Restarted(now)
+	}
+	u.Incarnation = incarnation
+	u.Reset(now)
+}
--- /dev/null
+++ b/pkg/upstream/pools.go
@@ -0,0 +1,231 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/fair"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// Options sets up Pools.
+type Options struct {
+	Seed   uint64 // of this instance's random source; instances use different ones
+	Policy string // name of the policy, empty for the product's
+}
+
+// Pools holds the pools of one router instance. It is safe for concurrent use.
+type Pools struct {
+	opts  Options
+	pools atomic.Pointer[map[string]*pool]
+
+	mu        sync.Mutex // serializes changes to pools and instances
+	instances []platform.Instance
+	members   int
+}
+
+// pool guards a Core and runs its timer.
+type pool struct {
+	mu    sync.Mutex
+	core  *Core
+	timer *time.Timer
+	armed bool
+	due   time.Time
+}
+
+// NewPools returns Pools without pools; OnSnapshot and OnList fill them.
+func NewPools(opts Options) *Pools {
+	p := &Pools{opts: opts, members: 1}
+	p.pools.Store(&map[string]*pool{})
+	return p
+}
+
+// with runs f under the pool's lock and arms the timer for the next tick.
+func (p *pool) with(f func(now time.Time, c *Core)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	f(now, p.core)
+	p.arm(now)
+}
+
+func (p *pool) arm(now time.Time) {
+	next, ok := p.core.NextTick(now)
+	if !ok || (p.armed && !next.Before(p.due)) {
+		return
+	}
+	p.armed, p.due = true, next
+	if p.timer == nil {
+		p.timer = time.AfterFunc(next.Sub(now), p.tick)
+		return
+	}
+	p.timer.Reset(next.Sub(now))
+}
+
+func (p *pool) tick() {
+	p.with(func(now time.Time, c *Core) {
+		p.armed = false
+		c.Tick(now)
+	})
+}
+
+// Acquire waits for a slot. It returns a *code.Error (queue full, deadline
+// unreachable, no upstream), always with run state not_run, or the error of
+// ctx when that ends first; nothing was sent in either case.
+func (p *Pools) Acquire(ctx context.Context, q Query) (*Slot, error) {
+	pl := (*p.pools.Load())[q.Pool]
+	if pl == nil {
+		return nil, code.New(code.NoUpstream, "pool %s is not configured", q.Pool).
+			WithRun(code.NotRun).WithRetryAfter(retryNoUpstream)
+	}
+	decided := make(chan struct{})
+	var w *Wait
+	pl.with(func(now time.Time, c *Core) {
+		w = c.Submit(now, &q, func(*Wait) { close(decided) })
+	})
+	if err := pl.await(ctx, w, decided); err != nil {
+		return nil, err
+	}
+	if w.Err != nil {
+		return nil, w.Err
+	}
+	u := w.Grant.flight.Upstream
+	return &Slot{pool: pl, grant: w.Grant, target: chain.Target{
+		ID:          u.ID,
+		Addr:        u.Addr,
+		Incarnation: w.Grant.incarnation,
+		HitTokens:   w.Grant.choice.HitTokens,
+	}}, nil
+}
+
+func (p *pool) await(ctx context.Context, w *Wait, decided <-chan struct{}) error {
+	select {
+	case <-decided:
+		return nil
+	default:
+	}
+	var deadline <-chan time.Time
+	if !w.query.Deadline.IsZero() {
+		timer := time.NewTimer(time.Until(w.query.Deadline))
+		defer timer.Stop()
+		deadline = timer.C
+	}
+	select {
+	case <-decided:
+		return nil
+	case <-deadline:
+		p.with(func(_ time.Time, c *Core) { c.Expire(w) })
+		<-decided
+		return nil
+	case <-ctx.Done():
+		return p.abandon(ctx, w)
+	}
+}
+
+// abandon withdraws w, or gives its slot back when it was granted meanwhile.
+func (p *pool) abandon(ctx context.Context, w *Wait) error {
+	p.with(func(now time.Time, c *Core) {
+		if !c.Cancel(w) && w.Grant != nil {
+			c.Done(now, w.Grant, Cancelled)
+		}
+	})
+	return ctx.Err()
+}
+
+// OnSnapshot adds, changes and removes pools. Slots of a removed pool stay
+// valid until Done.
+func (p *Pools) OnSnapshot(s *config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = max(1, len(s.Members.Members))
+	old, pools := *p.pools.Load(), map[string]*pool{}
+	for _, d := range s.Deployments {
+		for i := range d.Pools {
+			if d.Pools[i].Kind == config.KV {
+				continue
+			}
+			p.configure(pools, old, d, &d.Pools[i])
+		}
+	}
+	p.pools.Store(&pools)
+	p.applyList(pools)
+}
+
+func (p *Pools) configure(pools, old map[string]*pool, d *config.Deployment, c *config.Pool) {
+	set := Settings{
+		Pool:        *c,
+		Priority:    d.Priority,
+		OneWayDelay: d.OneWayDelay,
+		Policy:      p.opts.Policy,
+		Queue:       fair.DefaultLimits,
+		MaxQueue:    DefaultMaxQueue,
+		Coalesce:    true,
+		Seed:        p.opts.Seed,
+	}
+	pl := old[c.Name]
+	if pl == nil {
+		core, err := NewCore(time.Now(), set)
+		if err != nil {
+			return // only for an unknown policy, which settings reject
+		}
+		pl = &pool{core: core}
+	}
+	pl.with(func(_ time.Time, core *Core) {
+		core.Configure(set)
+		core.SetInstances(p.members)
+	})
+	pools[c.Name] = pl
+}
+
+// OnList applies the platform's list.
+func (p *Pools) OnList(instances []platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = append([]platform.Instance(nil), instances...)
+	p.applyList(*p.pools.Load())
+}
+
+func (p *Pools) applyList(pools map[string]*pool) {
+	for _, pl := range pools {
+		pl.with(func(now time.Time, c *Core) { c.OnList(now, p.instances) })
+	}
+}
+
+// each runs f on the pool that lists the upstream.
+func (p *Pools) each(upstreamID string, f func(now time.Time, c *Core)) {
+	for _, pl := range *p.pools.Load() {
+		pl.with(func(now time.Time, c *Core) {
+			if c.store.Get(upstreamID) != nil {
+				f(now, c)
+			}
+		})
+	}
+}
+
+// OnEvents applies cache events of an upstream.
+func (p *Pools) OnEvents(upstreamID string, batch engine.EventBatch) {
+	p.each(upstreamID, func(now time.Time, c *Core) { c.OnEvents(now, upstreamID, &batch) })
+}
+
+// OnReport applies a load report of an upstream.
+func (p *Pools) OnReport(upstreamID string, report engine.LoadReport) {
+	p.each(upstreamID, func(now time.Time, c *Core) { c.OnReport(now, upstreamID, &report) })
+}
+
+// OnPollFailed records that a poll of an upstream got no answer.
+func (p *Pools) OnPollFailed(upstreamID string) {
+	p.each(upstreamID, func(_ time.Time, c *Core) { c.OnPollFailed(upstreamID) })
+}
+
+// Position returns from where the upstream's cache events are read next.
+func (p *Pools) Position(upstreamID string) engine.Position {
+	var at engine.Position
+	p.each(upstreamID, func(_ time.Time, c *Core) { at = c.Position(upstreamID) })
+	return at
+}
--- /dev/null
+++ b/pkg/upstream/status.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/pick"
+)
+
+// State says whether and why an upstream takes new work.
+type State string
+
+// States of upstreams.
+const (
+	StateLive        State = "live"
+	StateLeaving     State = "leaving"
+	StateUnreachable State = "unreachable" // a poll failed
+	StateEjected     State = "ejected"     // refused connections or failed requests
+	StateLoading     State = "loading"     // serves another weights version than wanted
+)
+
+// Status describes one upstream for operators.
+type Status struct {
+	Pool        string        `json:"pool"`
+	ID          string        `json:"id"`
+	Addr        string        `json:"addr"`
+	Domain      string        `json:"domain"`
+	State       State         `json:"state"`
+	Incarnation string        `json:"incarnation,omitempty"`
+	Weights     string        `json:"weights,omitempty"`
+	InFlight    int           `json:"in_flight"` // of this instance
+	Total       int           `json:"total"`     // estimated over all instances
+	QueueWait   time.Duration `json:"queue_wait"`
+	Blocks      int           `json:"cached_blocks"`
+	Uncertain   bool          `json:"cache_uncertain"`
+	Survival    time.Duration `json:"cache_survival"`
+}
+
+// Status returns the state of every listed upstream, ordered by ID.
+func (c *Core) Status(now time.Time) []Status {
+	list := c.store.List()
+	out := make([]Status, 0, len(list))
+	for _, u := range list {
+		out = append(out, Status{
+			Pool:        c.set.Pool.Name,
+			ID:          u.ID,
+			Addr:        u.Addr,
+			Domain:      u.Domain,
+			State:       c.state(now, u),
+			Incarnation: u.Incarnation,
+			Weights:     u.Weights,
+			InFlight:    u.InFlight(),
+			Total:       u.Total(),
+			QueueWait:   u.QueueWait(now, c.store.Instances),
+			Blocks:      c.store.Index.Blocks(u.Engine),
+			Uncertain:   c.store.Index.Uncertain(u.Engine),
+			Survival:    c.store.Index.Survival(u.Engine),
+		})
+	}
+	return out
+}
+
+func (c *Core) state(now time.Time, u *pick.Upstream) State {
+	switch {
+	case u.ListedLeaving, u.ReportedLeaving:
+		return StateLeaving
+	case u.PollFailed:
+		return StateUnreachable
+	case u.Outlier.Ejected(now):
+		return StateEjected
+	case c.store.Weights != "" && u.Weights != "" && u.Weights != c.store.Weights:
+		return StateLoading
+	}
+	return StateLive
+}
+
+// Status returns the state of every listed upstream, ordered by pool and ID.
+func (p *Pools) Status() []Status {
+	var out []Status
+	for _, pl := range *p.pools.Load() {
+		pl.with(func(now time.Time, c *Core) { out = append(out, c.Status(now)...) })
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Pool < out[j].Pool })
+	return out
+}
--- /dev/null
+++ b/pkg/upstream/upstream.go
@@ -0,0 +1,75 @@
+// Package upstream owns the state of all upstreams of a router instance and
+// hands out slots on them: fair queue, endpoint choice, coalescing, cache
+// index and outlier state, behind one lock per pool.
+package upstream
+
+import (
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/pick"
+)
+
+// Query describes a request that needs a slot.
+type Query struct {
+	Pool, Customer string
+	Weight         float64      // of the customer
+	FromDomain     string       // failure domain of this instance
+	Priority       int          // lower is more urgent
+	Tokens         int          // prompt tokens
+	MaxOutput      int          // tokens
+	Blocks         []block.Hash // nil for services
+	Deadline       time.Time    // zero for none
+	Exclude        []string     // upstream IDs already tried
+}
+
+// Result is the end of a request on an upstream.
+type Result int
+
+// Results.
+const (
+	OK          Result = iota
+	Unreachable        // the connection was refused; nothing was sent
+	Failed             // the upstream failed after bytes may have been sent
+	Cancelled          // the caller or the router gave up; says nothing about the upstream
+)
+
+// Slot holds a chosen upstream until Done is called exactly once.
+type Slot struct {
+	pool   *pool
+	grant  *Grant
+	target chain.Target
+}
+
+// Target returns the chosen upstream.
+func (s *Slot) Target() chain.Target { return s.target }
+
+// ImportBlocks returns how many leading blocks of the prompt the choice
+// expects to be imported from the pool's KV store, 0 for none.
+func (s *Slot) ImportBlocks() int { return s.grant.choice.Import }
+
+// FirstToken records that the prefill is finished and how many prompt tokens
+// the engine found cached.
+func (s *Slot) FirstToken(cachedTokens int) {
+	s.pool.with(func(now time.Time, c *Core) { c.FirstToken(now, s.grant, cachedTokens) })
+}
+
+// Done releases the slot.
+func (s *Slot) Done(r Result) {
+	s.pool.with(func(now time.Time, c *Core) { c.Done(now, s.grant, r) })
+}
+
+// Grant is a slot in the state machine.
+type Grant struct {
+	flight      *pick.Flight
+	incarnation string
+	query       *Query
+	choice      pick.Choice
+	led         []block.Hash // blocks that others may wait for
+	first       bool
+	done        bool
+}
+
+// Choice returns the decision behind the grant.
+func (g *Grant) Choice() pick.Choice { return g.choice }
