--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -32,6 +32,7 @@
 	upstream *Upstream
 	blocks   float64 // expected cached blocks
 	imports  int     // blocks imported from the KV store
+	meeting  bool    // where other instances send the same cold block
 	admitted bool
 	estimate time.Duration // time to first token
 	score    time.Duration // weighted estimate
@@ -121,6 +122,9 @@
 	if levels < len(r.Blocks) {
 		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.list))
 		p.consider(now, r, s, s.list[at])
+		for i := range p.candidates {
+			p.candidates[i].meeting = p.candidates[i].upstream == s.list[at]
+		}
 	}
 	for range samples {
 		p.consider(now, r, s, s.list[rng.IntN(len(s.list))])
@@ -201,6 +205,9 @@
 func (p *Estimate) preferred(r *Request, cold int, near []int) int {
 	best, top := near[0], uint64(0)
 	for _, i := range near {
+		if p.candidates[i].meeting {
+			return i
+		}
 		if v := rendezvous(r.Blocks[cold], p.candidates[i].upstream); v >= top {
 			best, top = i, v
 		}
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -90,7 +90,7 @@
 	u.flights[f.index].index = f.index
 	u.flights[last] = nil
 	u.flights = u.flights[:last]
-	if !f.Sent.After(u.report.Sampled) {
+	if !u.sentSince(f) {
 		u.doneSince++
 	}
 	d := now.Sub(f.Sent)
@@ -127,40 +127,40 @@
 func (u *Upstream) Total() int {
 	since := 0
 	for _, f := range u.flights {
-		if f.Sent.After(u.report.Sampled) {
+		if u.sentSince(f) {
 			since++
 		}
 	}
 	return max(len(u.flights), u.report.Running+u.report.Waiting-u.doneSince+since)
 }
 
+// transit is the time after which a request that was sent is certainly part
+// of a report sampled at the engine; within it, counting a request twice is
+// better than not at all.
+const transit = 2 * time.Millisecond
+
+// sentSince reports whether f is not yet part of the load report.
+func (u *Upstream) sentSince(f *Flight) bool { return f.Sent.Add(transit).After(u.report.Sampled) }
+
 // QueueTokens estimates the uncached tokens that wait for prefill: the
-// reported queue, drained at the prefill rate since the sample, plus own
-// requests sent since, plus what the other instances sent if they behave as
-// this one does on average.
+// reported queue, drained since the sample, plus own requests sent since. The
+// other instances are taken to send what this one does on average, but no more
+// than the upstream can prefill: one instance's rate is too noisy for more.
 func (u *Upstream) QueueTokens(now time.Time, instances int) float64 {
-	elapsed := max(now.Sub(u.report.Sampled), 0).Seconds()
-	if u.report.Sampled.IsZero() {
-		elapsed = 0
+	queued := float64(u.report.QueuedTokens)
+	if queued > 0 {
+		others := min(float64(instances-1)*u.rate.perSecond(now), u.PrefillPerSec)
+		elapsed := max(now.Sub(u.report.Sampled), 0).Seconds()
+		queued = max(queued-elapsed*(u.PrefillPerSec-others), 0)
 	}
-	queued := float64(u.report.QueuedTokens) - elapsed*u.PrefillPerSec
-	if instances > 1 {
-		queued += float64(instances-1) * u.rate.perSecond(now) * min(elapsed, maxExtrapolation.Seconds())
-	}
-	queued = max(queued, 0)
 	for _, f := range u.flights {
-		if f.prefilled || !f.Sent.After(u.report.Sampled) {
-			continue
+		if !f.prefilled && u.sentSince(f) {
+			queued += float64(f.Tokens)
 		}
-		queued += float64(f.Tokens)
 	}
 	return queued
 }
 
-// maxExtrapolation bounds how long the other instances' arrivals are
-// extrapolated; without reports the estimate would grow without limit.
-const maxExtrapolation = time.Second
-
 // QueueWait estimates the time until a new request's prefill begins.
 func (u *Upstream) QueueWait(now time.Time, instances int) time.Duration {
 	if u.PrefillPerSec <= 0 {
