--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/code"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// TestRetryOnlyWhenSafe guards against a second run of a request that may have
+// run, and against retries after the deadline or into a started answer.
+func TestRetryOnlyWhenSafe(t *testing.T) {
+	deadline := t0.Add(time.Second)
+	cases := []struct {
+		a    Attempt
+		want bool
+	}{
+		{Attempt{Run: code.NotRun, Deadline: deadline}, true},
+		{Attempt{Run: code.MayHaveRun, Deadline: deadline}, false},
+		{Attempt{Run: code.Ran, Deadline: deadline}, false},
+		{Attempt{Run: code.MayHaveRun, Idempotent: true, Deadline: deadline}, true},
+		{Attempt{Run: code.MayHaveRun, Idempotent: true, Started: true, Deadline: deadline}, false},
+		{Attempt{Run: code.NotRun, Deadline: t0.Add(time.Millisecond)}, false},
+	}
+	for _, c := range cases {
+		if _, got := NewPolicy().Retry(t0, c.a, rng()); got != c.want {
+			t.Errorf("%+v: got %v", c.a, got)
+		}
+	}
+}
+
+// TestBudgets guards against retries that multiply the load of a failing fleet.
+func TestBudgets(t *testing.T) {
+	p, random, retries := NewPolicy(), rng(), 0
+	for range 1000 {
+		p.Request(t0, "c", "u")
+		if _, ok := p.Retry(t0, Attempt{Customer: "c", Upstream: "u", Run: code.NotRun, Deadline: t0.Add(time.Hour)}, random); ok {
+			retries++
+		}
+	}
+	if retries < 100 || retries > 111 {
+		t.Errorf("%d retries for 1000 failed requests, want 100 plus the burst of 10", retries)
+	}
+}
+
+// TestOutlier guards against work for an upstream that keeps failing, against
+// an ejection that never ends and against full load on a cold upstream.
+func TestOutlier(t *testing.T) {
+	var o Outlier
+	cfg, random := &DefaultOutlier, rng()
+	o.Failure(t0, cfg, random)
+	o.Failure(t0, cfg, random)
+	if o.Ejected(t0) {
+		t.Error("ejected after two failures")
+	}
+	o.Success()
+	o.Failure(t0, cfg, random)
+	if o.Ejected(t0) {
+		t.Error("a success does not reset the count")
+	}
+	o.Unreachable(t0, cfg, random)
+	first := o.Until().Sub(t0)
+	if !o.Ejected(t0) || first < cfg.Base || first > cfg.Base*5/4 {
+		t.Errorf("ejected for %s", first)
+	}
+	now := o.Until()
+	if o.Ejected(now) || o.Capacity(now, cfg) != slowStartFloor || o.Capacity(now.Add(cfg.SlowStart/2), cfg) != 0.5 || o.Capacity(now.Add(cfg.SlowStart), cfg) != 1 {
+		t.Error("no slow start after the ejection")
+	}
+	o.Unreachable(now, cfg, random)
+	if second := o.Until().Sub(now); second < 2*cfg.Base {
+		t.Errorf("second ejection lasts only %s", second)
+	}
+	o.Return(now)
+	if o.Ejected(now) || o.Capacity(now, cfg) == 1 {
+		t.Error("a successful poll must end the ejection with a slow start")
+	}
+}
