--- /dev/null
+++ b/pkg/member/hash.go
@@ -0,0 +1,95 @@
+// Package member decides who belongs to the group of router instances, which
+// of them are relays and which hold a customer's quota shares.
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+)
+
+// RelaysPerDomain is two so that a domain keeps a relay while one restarts.
+const RelaysPerDomain = 2
+
+// MaxHolders bounds the share holders per customer. More holders lose less
+// when one fails and cost more messages per large request.
+const MaxHolders = 8
+
+// Rank returns the n members with the highest rendezvous hash for key, best
+// first. Ties are broken by ID.
+func Rank(members []config.Member, key string, n int) []config.Member {
+	best := make([]ranked, 0, min(n, len(members))+1)
+	seed := xxh3.HashString(key)
+	for i := range members {
+		r := ranked{hash: xxh3.HashStringSeed(members[i].ID, seed), member: &members[i]}
+		at, _ := slices.BinarySearchFunc(best, r, compareRanked)
+		if at >= n {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(n, len(best))]
+	}
+	out := make([]config.Member, len(best))
+	for i, r := range best {
+		out[i] = *r.member
+	}
+	return out
+}
+
+type ranked struct {
+	hash   uint64
+	member *config.Member
+}
+
+func compareRanked(a, b ranked) int {
+	if c := cmp.Compare(b.hash, a.hash); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.member.ID, b.member.ID)
+}
+
+// Relays returns the relays of a failure domain, best first. Leaving members
+// are not chosen.
+func Relays(m config.Membership, domain string) []config.Member {
+	var local []config.Member
+	for _, x := range m.Members {
+		if x.Domain == domain && !x.Leaving {
+			local = append(local, x)
+		}
+	}
+	return Rank(local, "relay/"+domain, RelaysPerDomain)
+}
+
+// Domains returns the failure domains of the members in order.
+func Domains(m config.Membership) []string {
+	var out []string
+	for _, x := range m.Members {
+		if !slices.Contains(out, x.Domain) {
+			out = append(out, x.Domain)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Holders returns the share holders of a customer, best first. Leaving members
+// hold no shares.
+func Holders(m config.Membership, customer string) []config.Member {
+	staying := m.Members
+	if slices.ContainsFunc(staying, func(x config.Member) bool { return x.Leaving }) {
+		staying = slices.DeleteFunc(slices.Clone(staying), func(x config.Member) bool { return x.Leaving })
+	}
+	return Rank(staying, "quota/"+customer, MaxHolders)
+}
+
+// Find returns the member with the ID and incarnation.
+func Find(m config.Membership, id, incarnation string) (config.Member, bool) {
+	i := slices.IndexFunc(m.Members, func(x config.Member) bool { return x.ID == id })
+	if i < 0 || m.Members[i].Incarnation != incarnation {
+		return config.Member{}, false
+	}
+	return m.Members[i], true
+}
