--- /dev/null
+++ b/pkg/controller/configsync/accept.go
@@ -0,0 +1,210 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/fresh"
+	"github.com/fescuestep/fescuestep/pkg/member"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// Periods and bounds of the acceptor.
+const (
+	acceptCheck   = time.Second            // between looks for an unaccepted revision
+	acceptRank    = 2 * time.Second        // delay per rank, so that one acceptor works at a time
+	acceptors     = 3                      // members that advance the accepted revision
+	gatherPause   = 100 * time.Millisecond // between rounds of collecting acknowledgements
+	gatherTimeout = 300 * time.Millisecond
+	acceptTimeout = 30 * time.Second // then the memberships are read again
+	changeRows    = 4096             // change rows kept in the table, about a day's
+	compactBatch  = 200              // rows deleted per transaction
+)
+
+// acceptLoop advances the accepted revision: at once for own changes, and for
+// those of others when they stay unaccepted.
+func (c *Controller) acceptLoop(ctx context.Context) error {
+	ticker := time.NewTicker(acceptCheck)
+	defer ticker.Stop()
+	var since time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.accept:
+			c.tryAccept(ctx)
+			continue
+		case <-ticker.C:
+		}
+		rank := c.acceptorRank()
+		if rank < 0 || c.Accepted() >= c.Snapshot().Revision {
+			since = c.now()
+			continue
+		}
+		if c.now()-since >= acceptRank*time.Duration(rank+1) {
+			c.tryAccept(ctx)
+		}
+	}
+}
+
+// acceptorRank returns the position of the instance among the acceptors, or -1.
+func (c *Controller) acceptorRank() int {
+	ranked := member.Rank(c.Snapshot().Members.Members, "acceptor", acceptors)
+	return slices.IndexFunc(ranked, func(m config.Member) bool {
+		return m.ID == c.o.Self.ID && m.Incarnation == c.o.Self.Incarnation
+	})
+}
+
+func (c *Controller) tryAccept(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	if err := c.acceptNewest(ctx); err != nil {
+		c.o.Log.Debug("revision not accepted yet", "error", err)
+	}
+}
+
+// acceptNewest waits until the newest revision is accepted and records that.
+func (c *Controller) acceptNewest(ctx context.Context) error {
+	h, _, err := c.store.head(ctx)
+	if err != nil {
+		return err
+	}
+	c.raiseAccepted(h.Accepted)
+	if h.Accepted >= h.Revision {
+		return nil
+	}
+	electorates, last, err := c.store.memberships(ctx, h, h.Revision)
+	if err != nil {
+		return err
+	}
+	a := fresh.NewAcceptance(c.o.Params, h.Revision, electorates)
+	for !a.Accepted(c.now()) {
+		c.gather(ctx, a)
+		if a.Accepted(c.now()) {
+			break
+		}
+		if err := pause(ctx, gatherPause); err != nil {
+			return errors.Wrapf(err, "revision %d waits for %v", h.Revision, a.Pending())
+		}
+	}
+	return c.recordAccepted(ctx, h.Revision, last)
+}
+
+// recordAccepted raises the accepted revision in the head row.
+func (c *Controller) recordAccepted(ctx context.Context, revision, members uint64) error {
+	for {
+		h, row, err := c.store.head(ctx)
+		if err != nil {
+			return err
+		}
+		if h.Accepted >= revision {
+			c.raiseAccepted(h.Accepted)
+			return nil
+		}
+		h.Accepted, h.Members = revision, members
+		err = c.writeHead(ctx, row, h, c.outdated(ctx, h)...)
+		if err == nil {
+			c.raiseAccepted(revision)
+			return nil
+		}
+		// After a conflict or a lost answer the head tells what happened.
+		c.o.Log.Debug("accepted revision not recorded", "revision", revision, "error", err)
+		if err := pause(ctx, c.jitter(conflictPause)); err != nil {
+			return err
+		}
+	}
+}
+
+// outdated returns deletions of change rows that nobody needs: instances that
+// are further behind load the state rows.
+func (c *Controller) outdated(ctx context.Context, h head) []platform.Write {
+	if h.Revision <= changeRows {
+		return nil
+	}
+	limit := min(h.Revision-changeRows, h.Accepted)
+	rows, err := c.store.table.Scan(ctx, changePrefix, "", compactBatch)
+	if err != nil {
+		return nil
+	}
+	var out []platform.Write
+	for _, row := range rows {
+		revision, err := changeRevision(row.Key)
+		if err == nil && revision < limit && revision != h.Members {
+			out = append(out, platform.Write{Key: row.Key, Delete: true})
+		}
+	}
+	return out
+}
+
+// gather collects acknowledgements, first those that the relays hold, then from
+// the members that are missing. A member that is behind learns by the request
+// that there is news.
+func (c *Controller) gather(ctx context.Context, a *fresh.Acceptance) {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	c.fromRelays(ctx, a)
+	members := c.Snapshot().Members.Members
+	var missing []config.Member
+	for _, id := range a.Unsettled() {
+		i := slices.IndexFunc(members, func(m config.Member) bool { return m.ID == id })
+		if i >= 0 && id != c.o.Self.ID {
+			missing = append(missing, members[i])
+		}
+	}
+	votes := c.askAll(ctx, missing)
+	for range missing {
+		v := <-votes
+		if v.statement.Member {
+			a.Acknowledge(c.now(), v.id, v.incarnation, v.statement.Revision, v.statement.Clear)
+		}
+	}
+}
+
+func (c *Controller) fromRelays(ctx context.Context, a *fresh.Acceptance) {
+	s := c.Snapshot()
+	own, _ := c.Acknowledgements(ctx, nil)
+	for _, x := range own.Acknowledgements {
+		a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
+	}
+	for _, domain := range member.Domains(s.Members) {
+		for _, relay := range member.Relays(s.Members, domain) {
+			if relay.ID == c.o.Self.ID {
+				continue
+			}
+			resp, err := c.o.Peers.Peer(relay.PeerAddr).Acknowledgements(ctx, nil)
+			if err != nil {
+				continue
+			}
+			for _, x := range resp.Acknowledgements {
+				a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
+			}
+		}
+	}
+}
+
+// Progress reports whether a revision is accepted and, if not, which members
+// have not acknowledged it.
+func (c *Controller) Progress(ctx context.Context, revision uint64) (accepted bool, pending []string, err error) {
+	if c.Accepted() >= revision {
+		return true, nil, nil
+	}
+	h, _, err := c.store.head(ctx)
+	if err != nil {
+		return false, nil, err
+	}
+	c.raiseAccepted(h.Accepted)
+	if h.Accepted >= revision {
+		return true, nil, nil
+	}
+	electorates, _, err := c.store.memberships(ctx, h, min(revision, h.Revision))
+	if err != nil {
+		return false, nil, err
+	}
+	a := fresh.NewAcceptance(c.o.Params, revision, electorates)
+	c.gather(ctx, a)
+	return false, a.Pending(), nil
+}
--- a/pkg/fresh/acceptance.go
+++ b/pkg/fresh/acceptance.go
@@ -94,10 +94,21 @@
 // Pending returns the IDs of members that have not acknowledged the revision,
 // in order.
 func (a *Acceptance) Pending() []string {
+	return a.ids(func(acked, _ bool) bool { return !acked })
+}
+
+// Unsettled returns the IDs of members that have not acknowledged the revision
+// or whose acknowledgement is not clear yet, in order.
+func (a *Acceptance) Unsettled() []string {
+	return a.ids(func(acked, clear bool) bool { return !acked || !clear })
+}
+
+func (a *Acceptance) ids(want func(acked, clear bool) bool) []string {
 	var out []string
 	for _, e := range a.electorates {
 		for key := range e {
-			if _, ok := a.acked[key]; !ok {
+			clear, acked := a.acked[key]
+			if want(acked, clear) {
 				out = append(out, key.id)
 			}
 		}
--- a/pkg/fresh/window.go
+++ b/pkg/fresh/window.go
@@ -93,13 +93,16 @@
 }
 
 // learn uses evidence about the held revision and keeps evidence about a newer
-// one. Evidence about an older one proves nothing: the instance may have left
-// the membership since, so that nobody waits for it.
+// one. Evidence about an older one counts only for members of the held
+// revision: whoever accepts the next revision waits for them.
 func (t *Tracker) learn(e evidence) {
 	switch {
 	case t.hasState && e.revision == t.revision:
 		t.use(e)
-	case !t.hasState || e.revision > t.revision:
+	case t.hasState && e.revision < t.revision:
+		e.memberBy = true
+		t.use(e)
+	default:
 		if !t.pending.valid || e.revision > t.pending.revision || e.base > t.pending.base {
 			t.pending = e
 		}
