--- a/pkg/controller/configsync/propose.go
+++ b/pkg/controller/configsync/propose.go
@@ -13,9 +13,6 @@
 	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
-// ErrNoChange is returned by a build function to end Propose without a commit.
-var ErrNoChange = errors.New("no change needed")
-
 // Bounds of Propose.
 const (
 	proposeTries  = 16
@@ -23,7 +20,8 @@
 )
 
 // Propose reads the newest snapshot, calls build, commits the change that it
-// returns and installs it. build is called again after a conflict. The error is
+// returns and installs it. build is called again after a conflict; an error of
+// build ends the call and is returned. The error is
 // platform.ErrUnavailable when nothing was written and
 // platform.ErrOutcomeUnknown when the change may take effect.
 func (c *Controller) Propose(ctx context.Context, build func(*config.Snapshot) (config.Change, error)) (uint64, error) {
