--- /dev/null
+++ b/pkg/quota/bucket.go
@@ -0,0 +1,146 @@
+// Package quota divides each customer's rate and burst among share holders and
+// charges requests against grants. docs/decisions-state.md explains why the sum
+// of what is admitted never exceeds rate times time plus burst.
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// Lease is how long a grant may be spent, on the clock of the instance that
+// asked for it from before it asked, and on the holder's clock from the grant.
+const Lease = time.Second
+
+// Share is one holder's part of a customer's quota.
+type Share struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// bucket is one holder's token bucket for one customer. It maintains
+// level + outstanding <= burst, where outstanding are granted tokens that may
+// not have been spent yet.
+type bucket struct {
+	share       Share
+	level       float64
+	outstanding float64
+	at          time.Duration // level is as of this time
+	grants      []grant       // outstanding, oldest first
+	history     headroom
+}
+
+type grant struct {
+	number  uint64
+	left    float64 // tokens that may be unspent
+	expires time.Duration
+}
+
+// advance refills the bucket up to now and ends the leases that expired.
+func (b *bucket) advance(now time.Duration) {
+	for len(b.grants) > 0 && b.grants[0].expires <= now {
+		end := b.grants[0].expires
+		b.refill(end)
+		// The minimum since the end of a lease must not include the time when
+		// the grant was still outstanding.
+		b.history.add(end-1, b.headroom())
+		b.expire(end)
+		b.history.add(end, b.headroom())
+	}
+	b.refill(now)
+	b.history.add(now, b.headroom())
+}
+
+func (b *bucket) expire(end time.Duration) {
+	n := 0
+	for n < len(b.grants) && b.grants[n].expires <= end {
+		b.outstanding -= b.grants[n].left
+		n++
+	}
+	b.grants = slices.Delete(b.grants, 0, n)
+	if len(b.grants) == 0 {
+		b.outstanding = 0 // drops rounding errors
+	}
+}
+
+func (b *bucket) refill(now time.Duration) {
+	if now <= b.at {
+		return
+	}
+	b.level += b.share.Rate * (now - b.at).Seconds()
+	b.at = now
+	b.clamp()
+}
+
+func (b *bucket) clamp() {
+	b.level = max(0, min(b.level, b.share.Burst-b.outstanding))
+}
+
+func (b *bucket) headroom() float64 { return b.share.Burst - b.level - b.outstanding }
+
+// setShare changes the share from now on.
+func (b *bucket) setShare(now time.Duration, s Share) {
+	if s == b.share {
+		return
+	}
+	b.advance(now)
+	b.share = s
+	b.clamp()
+	b.history.add(now, b.headroom())
+}
+
+// take deducts up to want tokens, whole tokens only.
+func (b *bucket) take(now time.Duration, want int) int {
+	b.advance(now)
+	got := min(want, int(b.level))
+	if got <= 0 {
+		return 0
+	}
+	b.level -= float64(got)
+	return got
+}
+
+// lend deducts up to want tokens and tracks them as outstanding.
+func (b *bucket) lend(now time.Duration, want int, number uint64, lease time.Duration) int {
+	got := b.take(now, want)
+	if got > 0 {
+		b.outstanding += float64(got)
+		b.grants = append(b.grants, grant{number, float64(got), now + lease})
+	}
+	return got
+}
+
+// settle ends the outstanding state of a part of a grant: unused tokens go back
+// to the level, spent ones do not. It reports the unused tokens that were not
+// outstanding any more.
+func (b *bucket) settle(now time.Duration, number uint64, unused, spent float64) (rest float64) {
+	b.advance(now)
+	i, ok := slices.BinarySearchFunc(b.grants, number, func(g grant, n uint64) int {
+		if g.number < n {
+			return -1
+		}
+		return int(min(g.number-n, 1))
+	})
+	if !ok {
+		return unused
+	}
+	g := &b.grants[i]
+	back := min(unused, g.left)
+	gone := min(spent, g.left-back)
+	g.left -= back + gone
+	b.outstanding -= back + gone
+	b.level += back
+	b.clamp()
+	b.history.add(now, b.headroom())
+	return unused - back
+}
+
+// credit gives back tokens that stopped being outstanding at since. More than
+// the smallest headroom since then would have overflowed the bucket, had they
+// been there all the time.
+func (b *bucket) credit(now, since time.Duration, tokens float64) {
+	b.advance(now)
+	b.level += min(tokens, b.history.since(since))
+	b.clamp()
+	b.history.add(now, b.headroom())
+}
