Use the single-attempt client, the upstream choice and the retry policy

Change: endpoint acquires slots of pkg/upstream and spends the budgets of pkg/retry; relay reads streams through pkg/engine. Conclusion: same tests pass; the fake engine now honours X-Resume-After, as repeated events are no longer skipped but end the stream.

--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -2,9 +2,10 @@
 //
 // For each attempt it acquires a slot, sets Request.Target and calls the relay.
 // An attempt is repeated at another upstream only while nothing was written to
-// the caller, the deadline has not passed, and either the request certainly was
-// not sent or the call is idempotent. Model requests are idempotent. Between
-// attempts it waits with jittered exponential backoff.
+// the caller, the deadline has not passed, the retry budgets of customer and
+// upstream allow it, and either the request certainly was not sent or the call
+// is idempotent. Model requests are idempotent. Between attempts it waits with
+// jittered exponential backoff.
 //
 // Outcome.Sent stays set once any attempt may have reached an upstream, and the
 // final error then never says "not run".
@@ -13,86 +14,70 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/retry"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
-// Query describes the wanted slot. It has the fields of upstream.Query.
-type Query struct {
-	Pool       string
-	Customer   string
-	Weight     float64 // of the customer
-	FromDomain string  // failure domain of this instance
-	Priority   int
-	Tokens     int          // prompt tokens
-	MaxOutput  int          // tokens
-	Blocks     []block.Hash // nil for services
-	Deadline   time.Time
-	Exclude    []string // upstream IDs already tried
-}
-
-// Result is how an attempt ended.
-type Result int
-
-// Results of an attempt.
-const (
-	OK          Result = iota
-	Unreachable        // no byte was sent
-	Failed
-	Cancelled // by the caller or by the router
-)
+// MaxAttempts bounds the attempts of one request, including the first. More
+// would not fit into the 1.6 s target for the first token.
+const MaxAttempts = 3
 
 // Slot holds a chosen target until Done is called exactly once.
 type Slot interface {
 	Target() chain.Target
 	FirstToken(cachedTokens int)
-	Done(r Result)
+	Done(r upstream.Result)
 }
 
 // Pools chooses upstreams.
 type Pools interface {
-	// Acquire waits for a slot; it returns a *code.Error with run state not_run.
-	Acquire(ctx context.Context, q Query) (Slot, error)
+	// Acquire waits for a slot; it returns a *code.Error with run state not_run
+	// or the error of ctx.
+	Acquire(ctx context.Context, q upstream.Query) (Slot, error)
 }
 
-// Budget bounds repeats so that failing upstreams are not flooded.
-type Budget interface {
-	// Spend reports whether one more attempt is allowed.
-	Spend(customer, upstream string) bool
-	// Earn credits a successful attempt.
-	Earn(customer, upstream string)
-}
+// Of adapts *upstream.Pools, whose Acquire returns a concrete slot.
+func Of(p *upstream.Pools) Pools { return adapter{p} }
 
-// Policy of repeats.
-type Policy struct {
-	Attempts    int // including the first
-	BackoffBase time.Duration
-	BackoffMax  time.Duration
-}
+type adapter struct{ pools *upstream.Pools }
 
-// DefaultPolicy keeps all repeats within the 1.6 s target for the first token.
-func DefaultPolicy() Policy {
-	return Policy{Attempts: 3, BackoffBase: 20 * time.Millisecond, BackoffMax: 250 * time.Millisecond}
+func (a adapter) Acquire(ctx context.Context, q upstream.Query) (Slot, error) {
+	slot, err := a.pools.Acquire(ctx, q)
+	if err != nil {
+		return nil, err // a nil *upstream.Slot would be a Slot that is not nil
+	}
+	return slot, nil
 }
 
 // Filter chooses upstreams.
 type Filter struct {
 	pools  Pools
-	budget Budget
-	policy Policy
 	domain string
+	now    func() time.Time
+
+	mu     sync.Mutex
+	policy *retry.Policy
+	rng    *rand.Rand
 }
 
-// New returns the filter for an instance of the failure domain. budget may be
-// nil for no bound besides Policy.Attempts.
-func New(pools Pools, budget Budget, policy Policy, domain string) *Filter {
-	return &Filter{pools: pools, budget: budget, policy: policy, domain: domain}
+// New returns the filter for an instance of the failure domain. seed differs
+// between instances, so that their repeats do not coincide.
+func New(pools Pools, domain string, seed uint64, now func() time.Time) *Filter {
+	return &Filter{
+		pools:  pools,
+		domain: domain,
+		now:    now,
+		policy: retry.NewPolicy(),
+		rng:    rand.New(rand.NewPCG(seed, 0)),
+	}
 }
 
 // Name implements chain.Filter.
@@ -104,8 +89,8 @@
 		q := f.query(r)
 		sent := false
 		var last error
-		for attempt := 1; ; attempt++ {
-			err := f.attempt(ctx, r, q, next)
+		for number := range MaxAttempts {
+			err := f.attempt(ctx, r, q, number, next)
 			sent = sent || r.Outcome.Sent
 			if err == nil {
 				r.Outcome.Sent = sent
@@ -115,13 +100,10 @@
 			if !noSlot || last == nil || ctx.Err() != nil {
 				last = err // otherwise the failed attempt says more
 			}
-			if noSlot || attempt >= f.policy.Attempts || !f.mayRepeat(ctx, r) {
+			if noSlot || !f.waitToRepeat(ctx, r, number) {
 				break
 			}
 			q.Exclude = append(q.Exclude, r.Target.ID)
-			if !sleep(ctx, f.backoff(attempt)) {
-				break
-			}
 		}
 		r.Outcome.Sent = sent
 		return truthful(last, sent)
@@ -131,50 +113,58 @@
 // errNoSlot marks errors of Acquire.
 var errNoSlot = errors.New("no slot")
 
-func (f *Filter) attempt(ctx context.Context, r *chain.Request, q Query, next chain.Handler) error {
+func (f *Filter) attempt(ctx context.Context, r *chain.Request, q upstream.Query, number int, next chain.Handler) error {
 	r.Outcome.Sent = false
 	slot, err := f.pools.Acquire(ctx, q)
 	if err != nil {
 		return errors.Mark(refused(ctx, err), errNoSlot)
 	}
-	result := Failed
+	result := upstream.Failed
 	defer func() { slot.Done(result) }()
 	r.Target = slot.Target()
 	r.OnFirstToken = slot.FirstToken
+	if number == 0 {
+		f.countRequest(r)
+	}
 	err = next(ctx, r)
 	result = resultOf(ctx, r, err)
-	if err == nil && f.budget != nil {
-		f.budget.Earn(q.Customer, r.Target.ID)
-	}
 	return err
 }
 
-// refused prefers the reason for which ctx was cancelled over the error of
-// Acquire.
+// refused maps an error of Acquire; a cancelled context has its own reasons.
 func refused(ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
 	var e *code.Error
-	if errors.As(context.Cause(ctx), &e) {
+	switch {
+	case errors.As(cause, &e):
 		c := *e
 		return c.WithRun(code.NotRun)
+	case errors.As(err, &e):
+		return err
+	case errors.Is(cause, context.DeadlineExceeded):
+		return code.New(code.DeadlineUnreachable, "no upstream was free before the deadline").
+			WithRetryAfter(time.Second)
+	case cause != nil:
+		return code.New(code.BodyReadTimeout, "the caller broke off").WithCause(cause)
 	}
-	return err
+	return code.New(code.NoUpstream, "no upstream takes work").WithCause(err)
 }
 
-func resultOf(ctx context.Context, r *chain.Request, err error) Result {
+func resultOf(ctx context.Context, r *chain.Request, err error) upstream.Result {
 	switch {
 	case err == nil:
-		return OK
+		return upstream.OK
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return Cancelled
+		return upstream.Cancelled
 	case !r.Outcome.Sent:
-		return Unreachable
+		return upstream.Unreachable
 	default:
-		return Failed
+		return upstream.Failed
 	}
 }
 
-func (f *Filter) query(r *chain.Request) Query {
-	q := Query{
+func (f *Filter) query(r *chain.Request) upstream.Query {
+	q := upstream.Query{
 		Pool:       r.Pool.Name,
 		Weight:     1,
 		FromDomain: f.domain,
@@ -195,14 +185,37 @@
 	return q
 }
 
-func (f *Filter) mayRepeat(ctx context.Context, r *chain.Request) bool {
-	if ctx.Err() != nil || r.Outcome.Started {
+func (f *Filter) countRequest(r *chain.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.policy.Request(f.now(), customerID(r), r.Target.ID)
+}
+
+// waitToRepeat reports whether the attempt may be repeated, after the backoff.
+func (f *Filter) waitToRepeat(ctx context.Context, r *chain.Request, number int) bool {
+	if ctx.Err() != nil || number+1 >= MaxAttempts {
 		return false
 	}
-	if r.Outcome.Sent && !Idempotent(r.Application, r.Route) {
-		return false
+	wait, ok := f.decide(r, number)
+	return ok && sleep(ctx, wait)
+}
+
+func (f *Filter) decide(r *chain.Request, number int) (time.Duration, bool) {
+	run := code.NotRun
+	if r.Outcome.Sent {
+		run = code.MayHaveRun
 	}
-	return f.budget == nil || f.budget.Spend(customerID(r), r.Target.ID)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.policy.Retry(f.now(), retry.Attempt{
+		Customer:   customerID(r),
+		Upstream:   r.Target.ID,
+		Number:     number,
+		Run:        run,
+		Idempotent: Idempotent(r.Application, r.Route),
+		Started:    r.Outcome.Started,
+		Deadline:   r.Deadline,
+	}, f.rng)
 }
 
 // Idempotent reports whether a call may run more than once.
@@ -220,12 +233,6 @@
 	return r.Customer.ID
 }
 
-// backoff returns a random time up to the exponential bound.
-func (f *Filter) backoff(attempt int) time.Duration {
-	bound := min(f.policy.BackoffBase<<(attempt-1), f.policy.BackoffMax)
-	return time.Duration(rand.Int64N(int64(bound) + 1))
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/filter/relay/relay.go
+++ b/pkg/filter/relay/relay.go
@@ -30,37 +30,34 @@
 
 // Client sends one request to one upstream and never sends it again.
 type Client interface {
-	// Do returns an error for which NotSent is true only if no byte of the
-	// request can have reached the upstream.
+	// Do returns an error for which engine.NotSent is true only if no byte of
+	// the request can have reached the upstream.
 	Do(ctx context.Context, addr string, req *http.Request) (*http.Response, error)
 }
 
 // Limits of one relayed answer.
 type Limits struct {
 	MaxAnswer  int64         // bytes of an answer that is not a stream
-	MaxEvent   int           // bytes of one event
 	Resumes    int           // per stream
 	WriteGrace time.Duration // for the last event to a caller that reads slowly
 }
 
 // DefaultLimits bound the memory of one answer to a few MB and of one stream to
-// one event.
+// one event of at most engine.MaxStreamEventBytes.
 func DefaultLimits() Limits {
-	return Limits{MaxAnswer: 8 << 20, MaxEvent: 256 << 10, Resumes: 3, WriteGrace: time.Second}
+	return Limits{MaxAnswer: 8 << 20, Resumes: 3, WriteGrace: time.Second}
 }
 
 // Relay makes attempts.
 type Relay struct {
-	client  Client
-	notSent func(error) bool
-	limits  Limits
-	now     func() time.Time
+	client Client
+	limits Limits
+	now    func() time.Time
 }
 
-// New returns a relay. notSent reports whether an error of the client proves
-// that nothing was sent; now is the clock that set Request.Arrived.
-func New(client Client, notSent func(error) bool, limits Limits, now func() time.Time) *Relay {
-	return &Relay{client: client, notSent: notSent, limits: limits, now: now}
+// New returns a relay. now is the clock that set Request.Arrived.
+func New(client Client, limits Limits, now func() time.Time) *Relay {
+	return &Relay{client: client, limits: limits, now: now}
 }
 
 // Handle is the last handler of the chain.
@@ -106,15 +103,14 @@
 	a.r.Outcome.Sent = true
 	resp, err := a.relay.client.Do(ctx, a.r.Target.Addr, req)
 	if err != nil {
-		if after == "" && a.relay.notSent(err) {
+		if after == "" && engine.NotSent(err) {
 			a.r.Outcome.Sent = false
 		}
 		return nil, a.failure(ctx, err)
 	}
-	if got := resp.Header.Get(engine.HeaderRequestID); got != a.id {
+	if err := engine.CheckHeader(resp, a.id); err != nil {
 		_ = resp.Body.Close()
-		return nil, code.New(code.AnswerMismatch, "the upstream answered for another request").
-			WithCause(errors.Newf("want identifier %q, got %q", a.id, got))
+		return nil, code.New(code.AnswerMismatch, "the upstream answered for another request").WithCause(err)
 	}
 	return resp, nil
 }
@@ -202,11 +198,13 @@
 	if err != nil {
 		return err
 	}
-	parsed := parseEvent(body)
-	if resp.StatusCode == http.StatusOK && parsed.ID != a.id {
-		return code.New(code.AnswerMismatch, "the engine's answer carries another identifier")
+	if resp.StatusCode == http.StatusOK {
+		usage, err := engine.ParseAnswer(body, a.id)
+		if err != nil {
+			return code.New(code.AnswerMismatch, "the engine's answer belongs to another request").WithCause(err)
+		}
+		a.usage(usage)
 	}
-	a.usage(parsed)
 	a.r.Writer.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
 	return a.writeWhole(resp, body)
 }
--- a/pkg/filter/relay/stream.go
+++ b/pkg/filter/relay/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,45 +9,18 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tmaxmax/go-sse"
 
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 )
 
-// endMarker is the data of the last event of a complete stream.
-const endMarker = "[DONE]"
-
-// errCut means that the stream ended without its end marker.
-var errCut = errors.New("the stream ended without its end marker")
-
-// event holds the fields of an event that the router reads.
-type event struct {
-	ID    string `json:"id"`
-	Usage *struct {
-		PromptTokens     int `json:"prompt_tokens"`
-		CompletionTokens int `json:"completion_tokens"`
-		Details          struct {
-			CachedTokens int `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	} `json:"usage"`
-}
-
-func parseEvent(data []byte) event {
-	var e event
-	if err := json.Unmarshal(data, &e); err != nil {
-		return event{} // an event without identifier is rejected
-	}
-	return e
-}
-
-func (a *attempt) usage(e event) {
-	if e.Usage == nil {
+func (a *attempt) usage(u *engine.Usage) {
+	if u == nil {
 		return
 	}
-	a.r.Outcome.PromptTokens = e.Usage.PromptTokens
-	a.r.Outcome.OutputTokens = e.Usage.CompletionTokens
-	a.r.Outcome.CachedTokens = e.Usage.Details.CachedTokens
+	a.r.Outcome.PromptTokens = u.PromptTokens
+	a.r.Outcome.OutputTokens = u.CompletionTokens
+	a.r.Outcome.CachedTokens = u.Details.CachedTokens
 }
 
 // relayStream relays events until the end marker and resumes a stream that was
@@ -57,13 +29,13 @@
 	a.limitWrites(a.r.Deadline)
 	stop := context.AfterFunc(ctx, func() { a.limitWrites(time.Now()) })
 	defer stop()
-	err := a.copyEvents(ctx, resp.Body)
+	err := a.copyEvents(resp.Body)
 	for resumes := 0; err != nil && resumable(ctx, err) && resumes < a.relay.limits.Resumes; resumes++ {
 		resumed, resumeErr := a.resume(ctx)
 		if resumeErr != nil {
 			break // the cut is what the caller is told
 		}
-		err = a.copyEvents(ctx, resumed.Body)
+		err = a.copyEvents(resumed.Body)
 		_ = resumed.Body.Close()
 	}
 	if err == nil {
@@ -73,14 +45,16 @@
 	return a.end(ctx, err)
 }
 
+// resumable reports whether the stream lacks events that a resumed stream can
+// bring.
 func resumable(ctx context.Context, err error) bool {
-	return ctx.Err() == nil && errors.Is(err, errCut)
+	return ctx.Err() == nil && (errors.Is(err, engine.ErrTruncated) || errors.Is(err, engine.ErrSequence))
 }
 
 // resume continues the stream at the same upstream and incarnation.
 func (a *attempt) resume(ctx context.Context) (*http.Response, error) {
 	if a.incarnation == "" || a.lastSeq == 0 {
-		return nil, errCut
+		return nil, engine.ErrTruncated
 	}
 	resp, err := a.send(ctx, strconv.FormatUint(a.lastSeq, 10))
 	if err != nil {
@@ -88,62 +62,32 @@
 	}
 	if resp.StatusCode != http.StatusOK || resp.Header.Get(engine.HeaderIncarnation) != a.incarnation {
 		_ = resp.Body.Close()
-		return nil, errCut
+		return nil, engine.ErrTruncated
 	}
 	return resp, nil
 }
 
-// copyEvents relays events up to the end marker. It returns errCut when the
-// stream ends before, and a *code.Error for everything else.
-func (a *attempt) copyEvents(ctx context.Context, body io.Reader) error {
-	cfg := &sse.ReadConfig{MaxEventSize: a.relay.limits.MaxEvent}
-	for e, err := range sse.Read(body, cfg) {
-		if err != nil {
-			return errors.Mark(err, errCut)
-		}
-		if e.Data == endMarker {
-			return a.write(endMarker)
-		}
-		skip, err := a.check(e)
+// copyEvents relays events up to the end marker. It returns an error of
+// engine.ReadStream, or a *code.Error when the caller is gone.
+func (a *attempt) copyEvents(body io.Reader) error {
+	check := engine.StreamCheck{RequestID: a.id, After: a.lastSeq}
+	for e, err := range engine.ReadStream(body, check) {
 		if err != nil {
 			return err
 		}
-		if skip {
-			continue
+		if a.lastSeq == 0 && !e.Done {
+			a.firstToken(e)
 		}
+		a.lastSeq = e.Seq
+		a.usage(e.Usage)
 		if err := a.write(e.Data); err != nil {
 			return err
 		}
 	}
-	return errCut
-}
-
-// check accepts the next event of this request. Events already relayed are
-// skipped: a resumed stream may repeat them.
-func (a *attempt) check(e sse.Event) (skip bool, err error) {
-	parsed := parseEvent([]byte(e.Data))
-	if parsed.ID != a.id {
-		return false, code.New(code.AnswerMismatch, "an event of the stream carries another identifier")
-	}
-	seq, err := strconv.ParseUint(e.LastEventID, 10, 64)
-	if err != nil {
-		return false, code.New(code.AnswerMismatch, "an event of the stream has no sequence number")
-	}
-	if seq <= a.lastSeq {
-		return true, nil
-	}
-	if seq != a.lastSeq+1 {
-		return false, errors.Mark(errors.Newf("event %d follows event %d", seq, a.lastSeq), errCut)
-	}
-	a.lastSeq = seq
-	a.usage(parsed)
-	if seq == 1 {
-		a.firstToken(parsed)
-	}
-	return false, nil
+	return nil
 }
 
-func (a *attempt) firstToken(e event) {
+func (a *attempt) firstToken(e engine.StreamEvent) {
 	a.r.Outcome.FirstToken = a.relay.now().Sub(a.r.Arrived)
 	if a.r.OnFirstToken == nil {
 		return
@@ -197,10 +141,12 @@
 		return e
 	}
 	var e *code.Error
-	if errors.As(err, &e) {
+	switch {
+	case errors.As(err, &e):
 		return e
-	}
-	if !a.r.Outcome.Started {
+	case errors.Is(err, engine.ErrMismatch):
+		return code.New(code.AnswerMismatch, "an event of the stream belongs to another request").WithCause(err)
+	case !a.r.Outcome.Started:
 		return code.New(code.UpstreamFailed, "the stream ended before its first event").WithCause(err)
 	}
 	return code.New(code.StreamTruncated, "the stream ended without its end marker and could not be resumed").
--- a/pkg/router/badinput_test.go
+++ b/pkg/router/badinput_test.go
@@ -29,8 +29,27 @@
 	header                  http.Header
 }
 
-// do sends a call and returns status, error code (0 for none) and body.
+// do sends a call and returns response, error and body.
 func (in *instance) do(t testing.TB, c call) (*http.Response, code.Body, string) {
+	t.Helper()
+	resp := in.send(t, c)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var body code.Body
+	_ = json.Unmarshal(data, &body)
+	return resp, body, string(data)
+}
+
+// open sends a call and returns the body to be read.
+func (in *instance) open(t testing.TB, c call) io.ReadCloser {
+	t.Helper()
+	return in.send(t, c).Body
+}
+
+func (in *instance) send(t testing.TB, c call) *http.Response {
 	t.Helper()
 	req, err := http.NewRequest(c.method, in.url+c.path, strings.NewReader(c.body))
 	if err != nil {
@@ -47,14 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var body code.Body
-	_ = json.Unmarshal(data, &body)
-	return resp, body, string(data)
+	return resp
 }
 
 // TestRefusals guards against bad input that is answered with another code than
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -8,12 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
@@ -24,6 +24,7 @@
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/order"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
 const (
@@ -117,7 +118,7 @@
 	mu      sync.Mutex
 	targets map[string][]chain.Target
 	open    atomic.Int64 // slots not yet done
-	queries []endpoint.Query
+	queries []upstream.Query
 }
 
 type slot struct {
@@ -125,7 +126,7 @@
 	t chain.Target
 }
 
-func (p *pools) Acquire(_ context.Context, q endpoint.Query) (endpoint.Slot, error) {
+func (p *pools) Acquire(_ context.Context, q upstream.Query) (endpoint.Slot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.queries = append(p.queries, q)
@@ -140,7 +141,7 @@
 
 func (s slot) Target() chain.Target { return s.t }
 func (s slot) FirstToken(int)       {}
-func (s slot) Done(endpoint.Result) { s.p.open.Add(-1) }
+func (s slot) Done(upstream.Result) { s.p.open.Add(-1) }
 
 // metrics keeps the result codes.
 type metrics struct {
@@ -158,18 +159,6 @@
 
 func (m *metrics) Observe(accounting.Histogram, accounting.Labels, time.Duration) {}
 
-// client is a plain client whose dial errors prove that nothing was sent.
-type client struct{ transport *http.Transport }
-
-func (c client) Do(_ context.Context, _ string, req *http.Request) (*http.Response, error) {
-	return c.transport.RoundTrip(req)
-}
-
-func dialFailed(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // directOrders sends orders without a table.
 type directOrders struct{}
 
@@ -203,10 +192,10 @@
 			in.pools.targets[pool] = append(in.pools.targets[pool], target)
 		}
 	}
-	transport := &http.Transport{DisableCompression: true}
+	client := engine.NewClient(engine.Options{})
 	p := Parts{
-		State: in.state, Limiter: in.limiter, Pools: in.pools, Orders: directOrders{}, Client: client{transport},
-		NotSent: dialFailed, Metrics: in.metrics, Log: hclog.NewNullLogger(),
+		State: in.state, Limiter: in.limiter, Pools: in.pools, Orders: directOrders{}, Client: client,
+		Metrics: in.metrics, Log: hclog.NewNullLogger(),
 	}
 	o := DefaultOptions("rennes")
 	o.Listener.DrainDelay = 0
@@ -224,7 +213,7 @@
 	in.stop = sync.OnceValue(func() error {
 		cancel()
 		err := <-result
-		transport.CloseIdleConnections()
+		client.Close()
 		return err
 	})
 	t.Cleanup(func() { _ = in.stop() })
@@ -254,13 +243,14 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for seq := 1; seq <= e.words+1; seq++ {
+	after, _ := strconv.Atoi(req.Header.Get(engine.HeaderResumeAfter))
+	for seq := after + 1; seq <= e.words+1; seq++ {
 		if e.event != nil {
 			e.event(seq, id)
 		}
 		line := fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w%d \"}}]}\n\n", seq, id, seq)
 		if seq == e.words+1 {
-			line = fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", seq, id, e.words)
+			line = fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":%d}}\n\nid: %d\ndata: [DONE]\n\n", seq, id, e.words, seq+1)
 		}
 		if e.edit != nil {
 			line = e.edit(seq, line)
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -34,10 +35,8 @@
 	State   auth.State
 	Limiter ratelimit.Limiter
 	Pools   endpoint.Pools
-	Budget  endpoint.Budget // nil: only the attempts of a request are bounded
 	Orders  idempotency.Orders
 	Client  relay.Client
-	NotSent func(error) bool // about errors of Client
 	Metrics accounting.Metrics
 	Log     hclog.Logger
 
@@ -56,7 +55,7 @@
 type Options struct {
 	Domain      string // failure domain
 	Body        route.Limits
-	Repeat      endpoint.Policy
+	Seed        uint64 // of random waits; differs between instances
 	Answer      relay.Limits
 	Listener    listener.Options
 	StopTimeout time.Duration // for running requests and OnStopped at a shutdown
@@ -68,7 +67,7 @@
 	return Options{
 		Domain:      domain,
 		Body:        route.DefaultLimits(),
-		Repeat:      endpoint.DefaultPolicy(),
+		Seed:        rand.Uint64(),
 		Answer:      relay.DefaultLimits(),
 		Listener:    listener.DefaultOptions(),
 		StopTimeout: 10 * time.Minute,
@@ -79,7 +78,7 @@
 // Chain returns the filter chain. Every request passes the filters in this
 // order; accounting sees all of them but the identifier.
 func Chain(p Parts, o Options) chain.Handler {
-	last := relay.New(p.Client, p.NotSent, o.Answer, o.Now)
+	last := relay.New(p.Client, o.Answer, o.Now)
 	return chain.Build(last.Handle,
 		requestid.Filter{},
 		accounting.New(p.Metrics, o.Now),
@@ -87,7 +86,7 @@
 		route.New(o.Body),
 		ratelimit.New(p.Limiter),
 		idempotency.New(p.Orders),
-		endpoint.New(p.Pools, p.Budget, o.Repeat, o.Domain),
+		endpoint.New(p.Pools, o.Domain, o.Seed, o.Now),
 	)
 }
 
--- a/pkg/router/stream_test.go
+++ b/pkg/router/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -41,7 +42,7 @@
 			return line
 		}, code.StreamTruncated, true},
 		"ends early": {func(seq int, line string) string {
-			return strings.ReplaceAll(line, "data: [DONE]\n\n", "")
+			return strings.Split(line, "id: 10\n")[0]
 		}, code.StreamTruncated, true},
 		"event lost": {func(seq int, line string) string {
 			if seq == 4 {
@@ -148,23 +149,27 @@
 // TestRevokedDuringStream guards against an open stream that outlives its key
 // and against an end that does not say why.
 func TestRevokedDuringStream(t *testing.T) {
-	var running atomic.Pointer[instance]
-	gone := make(chan struct{})
-	fake := &engineFake{words: 8}
-	fake.event = func(seq int, _ string) {
-		if seq == 4 {
-			running.Load().state.revoke(testKey)
-			<-gone
-		}
-	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		go func() { <-r.Context().Done(); close(gone) }()
+		fake := &engineFake{words: 8, event: func(seq int, _ string) {
+			if seq == 4 {
+				<-r.Context().Done()
+			}
+		}}
 		fake.ServeHTTP(w, r)
 	})
 	in := start(t, map[string][]http.Handler{"plume": {handler}}, nil)
-	running.Store(in)
-	_, _, data := in.do(t, streamCall)
-	if e := last(t, data); e.ResultCode != code.KeyRevoked || e.Run != code.Ran {
+	stream := in.open(t, streamCall)
+	defer func() { _ = stream.Close() }()
+	begin := make([]byte, 64) // the stream has begun
+	if _, err := io.ReadFull(stream, begin); err != nil {
+		t.Fatal(err)
+	}
+	in.state.revoke(testKey)
+	rest, err := io.ReadAll(stream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e := last(t, string(rest)); e.ResultCode != code.KeyRevoked || e.Run != code.Ran {
 		t.Errorf("last event %+v", e)
 	}
 	if _, body, _ := in.do(t, streamCall); body.Error.ResultCode != code.KeyRevoked || body.Error.Run != code.NotRun {
