--- a/pkg/controller/orders/orders.go
+++ b/pkg/controller/orders/orders.go
@@ -151,7 +151,7 @@
 		time.Sleep(a.Delay)
 		return call.Waited(s.options.Now())
 	case order.Send:
-		return call.Sent(s.options.Now(), s.send(ctx, a.Until, send))
+		return call.Sent(s.options.Now(), s.send(ctx, a, send))
 	case order.Store:
 		return call.Stored(s.options.Now(), s.store(ctx, a.Object, a.Data))
 	default: // order.Fetch
@@ -160,9 +160,12 @@
 	}
 }
 
-func (s *Service) send(ctx context.Context, until time.Time, send func(context.Context) order.Outcome) order.Outcome {
-	// The remaining time is taken on the service's clock.
-	ctx, cancel := context.WithTimeout(ctx, until.Sub(s.options.Now()))
+func (s *Service) send(ctx context.Context, a order.Action, send func(context.Context) order.Outcome) order.Outcome {
+	now := s.options.Now()
+	if o, late := a.TooLate(now); late {
+		return o
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Until.Sub(now))
 	defer cancel()
 	return send(ctx)
 }
--- a/pkg/order/action.go
+++ b/pkg/order/action.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/platform"
@@ -36,6 +38,18 @@
 	Cleanup   *Cleanup
 }
 
+// TooLate returns the outcome of a Send that was not begun by its time, for
+// example because the instance was paused. An operator may have resolved the
+// order since.
+func (a Action) TooLate(now time.Time) (Outcome, bool) {
+	if now.Before(a.Until) {
+		return Outcome{}, false
+	}
+	return Outcome{NotSent: true, Err: storeDown(errPaused)}, true
+}
+
+var errPaused = errors.New("the instance was paused between claim and sending")
+
 // Limits of a call.
 type Limits struct {
 	ClaimWindow time.Duration // from the start of the claim to the start of sending
