--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -21,7 +21,8 @@
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("20261204")
-		_ = flag.Set("rapid.checks", "1000")
+		_ = flag.Set("rapid.checks", "2500")
+		_ = flag.Set("rapid.steps", "120") // several faults in one order need long runs
 	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
@@ -41,20 +42,19 @@
 	ran     map[string][]int // executions per key, by call
 	time    int64            // logical time of the history
 	history []porcupine.Operation
-	commits int // requests for a commit, of any outcome
+	down    bool // table and object store are in an outage
 }
 
 type simCall struct {
 	*Call
-	id     int
-	key    string
-	body   int
-	next   Action
-	lost   *Outcome // of an execution that has not been reported yet
-	start  int64
-	ended  bool
-	sends  int
-	starts int // commits asked for
+	id    int
+	key   string
+	body  int
+	next  Action
+	lost  *Outcome // of an execution that has not been reported yet
+	start int64
+	ended bool
+	sends int
 }
 
 var errLost = errors.Mark(errors.New("lost"), platform.ErrOutcomeUnknown)
@@ -93,7 +93,9 @@
 
 // commit applies a commit with a drawn fault.
 func (w *world) commit(a Action) (uint64, error) {
-	w.commits++
+	if w.down {
+		return 0, platform.ErrUnavailable
+	}
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "down", "answer lost", "late", "never"}).Draw(w.t, "commit") {
 	case "down":
 		return 0, platform.ErrUnavailable
@@ -110,7 +112,7 @@
 }
 
 func (w *world) fails(what string) error {
-	if rapid.IntRange(0, 4).Draw(w.t, what) == 0 {
+	if w.down || rapid.IntRange(0, 4).Draw(w.t, what) == 0 {
 		return platform.ErrUnavailable
 	}
 	return nil
@@ -120,7 +122,6 @@
 	a := c.next
 	switch a.Kind {
 	case Commit:
-		c.starts++
 		version, err := w.commit(a)
 		c.next = c.Committed(w.now, version, err)
 	case Read:
@@ -265,14 +266,15 @@
 }
 
 func (w *world) actions() map[string]func(*rapid.T) {
+	step := func(t *rapid.T) {
+		if live := w.live(); len(live) > 0 {
+			w.step(live[rapid.IntRange(0, len(live)-1).Draw(t, "call")])
+		}
+	}
 	return map[string]func(*rapid.T){
 		"":        w.check,
 		"request": func(*rapid.T) { w.request() },
-		"step": func(t *rapid.T) {
-			if live := w.live(); len(live) > 0 {
-				w.step(live[rapid.IntRange(0, len(live)-1).Draw(t, "call")])
-			}
-		},
+		"step 1":  step, "step 2": step, "step 3": step, "step 4": step, "step 5": step, // steps are the most frequent
 		"crash": func(t *rapid.T) {
 			if live := w.live(); len(live) > 0 && rapid.IntRange(0, 3).Draw(t, "really") == 0 {
 				w.crash(live[rapid.IntRange(0, len(live)-1).Draw(t, "call")])
@@ -293,6 +295,7 @@
 		"time": func(t *rapid.T) {
 			w.now = w.now.Add(rapid.SampledFrom([]time.Duration{time.Millisecond, 6 * time.Second, 2 * time.Minute}).Draw(t, "by"))
 		},
+		"outage":  func(*rapid.T) { w.down = !w.down },
 		"resolve": func(t *rapid.T) { w.resolve(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")) },
 	}
 }
@@ -304,6 +307,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		t.Repeat(w.actions())
+		w.down = false
 		for _, c := range w.live() {
 			for range 1000 {
 				if c.ended {
