Add the questionnaire and key commands and useful help

Commands are listed one per line in main.go. The dispatcher parses flags and variables with pkg/settings, so usage errors are reported together, one line each, with exit status 2. A flag with an unreadable value gets its default back: the flag package sets it to zero, which its check then reported a second time.

--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -3,34 +3,24 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
 	"os"
-
-	"github.com/google/subcommands"
+	"os/signal"
+	"syscall"
 )
 
-func main() {
-	os.Exit(run(context.Background()))
-}
-
-func run(ctx context.Context) int {
-	commander := subcommands.NewCommander(flag.CommandLine, "fescuestep")
-	commander.Register(commander.HelpCommand(), "")
-	commander.Register(&versionCmd{}, "")
-	flag.Usage = func() { commander.Explain(os.Stderr) }
-	flag.Parse()
-	if name := flag.Arg(0); name != "" && !registered(commander, name) {
-		fmt.Fprintf(os.Stderr, "fescuestep: unknown command %q; run 'fescuestep help' for the list\n", name)
-		return int(subcommands.ExitUsageError)
+// commands lists all subcommands, one per line. Each has its own file.
+func commands(s streams) []entry {
+	return []entry{
+		{"configuration", newQuestionnaireGroup(s)},
+		{"configuration", newKeyGroup(s)},
+		{"other", &versionCmd{}},
 	}
-	return int(commander.Execute(ctx))
 }
 
-func registered(c *subcommands.Commander, name string) bool {
-	found := false
-	c.VisitCommands(func(_ *subcommands.CommandGroup, cmd subcommands.Command) {
-		found = found || cmd.Name() == name
-	})
-	return found
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	s := streams{os.Stdin, os.Stdout, os.Stderr}
+	status := run(ctx, commands(s), os.Args[1:], s)
+	stop()
+	os.Exit(status)
 }
--- a/pkg/settings/parse.go
+++ b/pkg/settings/parse.go
@@ -67,6 +67,7 @@
 type collector struct {
 	flag.Value
 	name  string
+	start string // default, restored after an error so that checks don't report it again
 	wrong *Errors
 }
 
@@ -74,6 +75,7 @@
 func (c *collector) Set(text string) error {
 	if err := c.Value.Set(text); err != nil {
 		*c.wrong = append(*c.wrong, errors.Newf("-%s (%s): %q: %v", c.name, EnvName(c.name), text, err))
+		_ = c.Value.Set(c.start)
 	}
 	return nil
 }
@@ -92,7 +94,7 @@
 	before := map[*flag.Flag]flag.Value{}
 	fs.VisitAll(func(f *flag.Flag) {
 		before[f] = f.Value
-		f.Value = &collector{f.Value, f.Name, wrong}
+		f.Value = &collector{f.Value, f.Name, f.DefValue, wrong}
 	})
 	return func() {
 		for f, value := range before {
@@ -141,9 +143,9 @@
 	return errors.Newf("unknown flag -%s; 'fescuestep help %s' lists the flags", name, fs.Name())
 }
 
-// maxMisspelling is the largest edit distance at which a variable counts as
-// misspelt. Others are ignored: platforms inject variables such as
-// FESCUESTEP_PORT for a service of that name.
+// A variable counts as misspelt at an edit distance of up to maxMisspelling
+// and a quarter of its name. Others are ignored: platforms inject variables
+// such as FESCUESTEP_PORT for a service of that name.
 const maxMisspelling = 2
 
 // Misspelt reports environment variables with the prefix that are almost, but
@@ -161,7 +163,8 @@
 		if !strings.HasPrefix(name, EnvPrefix+"_") || set[name] {
 			continue
 		}
-		if meant := suggest.Within(name, known, maxMisspelling); meant != "" {
+		most := min(maxMisspelling, (len(name)-len(EnvPrefix)-1)/4)
+		if meant := suggest.Within(name, known, most); meant != "" {
 			wrong = append(wrong, errors.Newf("unknown variable %s; did you mean %s?", name, meant))
 		}
 	}
