--- /dev/null
+++ b/pkg/metrics/definitions.go
@@ -0,0 +1,100 @@
+// Package metrics counts and times what one instance does and serves the
+// figures at a scrape endpoint. Callers use typed functions, so that names and
+// labels stand only in this package.
+package metrics
+
+// Kind is the type of a metric.
+type Kind string
+
+// Kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram" // in seconds
+)
+
+// Definition describes one metric.
+type Definition struct {
+	Name    string
+	Kind    Kind
+	Labels  []string
+	Meaning string
+}
+
+// Prefix stands before the names of all metrics.
+const Prefix = "fescuestep_"
+
+var definitions []Definition
+
+// Definitions returns all metrics. docs/metrics.md is tested against it.
+func Definitions() []Definition { return append([]Definition(nil), definitions...) }
+
+func define(kind Kind, name, meaning string, labels ...string) Definition {
+	d := Definition{Prefix + name, kind, labels, meaning}
+	definitions = append(definitions, d)
+	return d
+}
+
+// Requests.
+var (
+	defFirstToken    = define(Histogram, "first_token_seconds", "Time from the arrival of a request to its first token.", "customer", "class")
+	defTokenGap      = define(Histogram, "token_gap_seconds", "Time between two tokens of a stream.", "customer", "class")
+	defRequest       = define(Histogram, "request_seconds", "Time of a whole request.", "customer", "class")
+	defResults       = define(Counter, "results_total", "Requests by result: ok or the name of a result code.", "class", "result")
+	defPromptTokens  = define(Counter, "prompt_tokens_total", "Prompt tokens of completed requests.", "customer", "class")
+	defCachedTokens  = define(Counter, "cached_tokens_total", "Prompt tokens that the engine had cached.", "customer", "class")
+	defOutputTokens  = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
+	defWastedTokens  = define(Counter, "wasted_tokens_total", "Prompt tokens computed although some engine of the pool had them cached.", "pool")
+	defOpenStreams   = define(Gauge, "open_streams", "Streams in progress.")
+	defStreamResumes = define(Counter, "stream_resumes_total", "Truncated streams by outcome: resumed or failed.", "outcome")
+)
+
+// Configuration and membership.
+var (
+	defRevision     = define(Gauge, "revision", "Revision of the configuration held.")
+	defFresh        = define(Gauge, "fresh", "1 when keyed requests are served, otherwise 0.")
+	defStateAge     = define(Gauge, "state_age_seconds", "Age of the last confirmation that the configuration is current.")
+	defSyncs        = define(Counter, "syncs_total", "Reads of the configuration by source (table, relay, peers) and outcome (ok or failed).", "source", "outcome")
+	defMembers      = define(Gauge, "members", "Instances in the membership record.")
+	defAdminChanges = define(Counter, "admin_changes_total", "Changes by operators through this instance by kind (apply, create_key, revoke_key, resolve_order) and outcome.", "change", "outcome")
+)
+
+// Quota.
+var (
+	defQuotaWait       = define(Histogram, "quota_wait_seconds", "Time a request waited for tokens.")
+	defGrantedTokens   = define(Counter, "granted_tokens_total", "Tokens granted as share holder.")
+	defReturnedTokens  = define(Counter, "returned_tokens_total", "Granted tokens that came back unused.")
+	defGrantRequests   = define(Counter, "grant_requests_total", "Requests to share holders by outcome: granted, partial, refused or failed.", "outcome")
+	defRefusedInRate   = define(Counter, "refused_within_rate_total", "Requests refused although the customer was within its rate.")
+	defCustomerStarved = define(Counter, "rate_refusals_total", "Requests refused because the customer used up its rate.", "customer", "class")
+)
+
+// Upstreams.
+var (
+	defUpstreams    = define(Gauge, "upstreams", "Upstreams by state: live, leaving, ejected or slow_start.", "pool", "state")
+	defInFlight     = define(Gauge, "in_flight", "Requests of this instance at upstreams.", "pool")
+	defQueued       = define(Gauge, "queued", "Requests waiting for an upstream slot.", "pool")
+	defQueueWait    = define(Histogram, "queue_wait_seconds", "Time a request waited for an upstream slot.", "pool")
+	defAttempts     = define(Counter, "upstream_attempts_total", "Attempts by outcome: ok, unreachable, failed or cancelled.", "pool", "outcome")
+	defRetries      = define(Counter, "retries_total", "Second and later attempts by outcome: allowed or over_budget.", "pool", "outcome")
+	defEjections    = define(Counter, "ejections_total", "Upstreams taken out because of failures.", "pool")
+	defCoalesced    = define(Counter, "coalesced_requests_total", "Requests held while another computed the same prefix.", "pool")
+	defExpectedHits = define(Counter, "expected_cached_tokens_total", "Prompt tokens expected to be cached at the chosen engine.", "pool")
+	defCacheEvents  = define(Counter, "cache_events_total", "Cache events read.", "pool")
+	defEventGaps    = define(Counter, "cache_event_gaps_total", "Jumps in an engine's event sequence.", "pool")
+	defResyncs      = define(Counter, "cache_resyncs_total", "Snapshots of an engine's cache read.", "pool")
+	defCachedBlocks = define(Gauge, "cached_blocks", "Blocks in the cache index.", "pool")
+	defReportAge    = define(Gauge, "report_age_seconds", "Age of the oldest load report of a live upstream.", "pool")
+)
+
+// Orders, control commands and the platform.
+var (
+	defOrders        = define(Counter, "orders_total", "Orders by outcome: done, replayed, running, reused, unknown, released or refused.", "outcome")
+	defUnresolved    = define(Gauge, "unresolved_orders", "Orders whose outcome is unknown, as last listed.")
+	defLeader        = define(Gauge, "control_leader", "1 when this instance holds the lease for control commands, otherwise 0.")
+	defCommands      = define(Counter, "control_commands_total", "Control commands by outcome: done, stale or failed.", "pool", "outcome")
+	defWeightLoads   = define(Gauge, "weight_loads", "Weight loads running on this instance's command.")
+	defPlatformCalls = define(Counter, "platform_calls_total", "Calls to the platform by service (table, objects, list, weights) and outcome (ok, conflict, unavailable, unknown).", "service", "outcome")
+	defPlatformTime  = define(Histogram, "platform_seconds", "Time of calls to the platform.", "service")
+	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call and outcome (ok or failed).", "call", "outcome")
+)
--- /dev/null
+++ b/pkg/metrics/pool.go
@@ -0,0 +1,84 @@
+package metrics
+
+import (
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+)
+
+// Pool records what happens at the upstreams of one pool.
+type Pool struct {
+	m       *Metrics
+	name    string
+	events  tally.Counter
+	wait    tally.Histogram
+	hits    tally.Counter
+	wasted  tally.Counter
+	flights tally.Gauge
+	queued  tally.Gauge
+}
+
+// Pool returns the recorder for a pool. Callers keep it.
+func (m *Metrics) Pool(name string) *Pool {
+	name = m.pools.value(name)
+	return &Pool{
+		m:       m,
+		name:    name,
+		events:  m.counter(defCacheEvents, name),
+		wait:    m.histogram(defQueueWait, name),
+		hits:    m.counter(defExpectedHits, name),
+		wasted:  m.counter(defWastedTokens, name),
+		flights: m.gauge(defInFlight, name),
+		queued:  m.gauge(defQueued, name),
+	}
+}
+
+// Upstreams sets the number of upstreams in a state.
+func (p *Pool) Upstreams(s UpstreamState, n int) {
+	p.m.gauge(defUpstreams, p.name, string(s)).Update(float64(n))
+}
+
+// Load sets the numbers of requests at upstreams and waiting for a slot.
+func (p *Pool) Load(inFlight, queued int) {
+	p.flights.Update(float64(inFlight))
+	p.queued.Update(float64(queued))
+}
+
+// QueueWait records the time a request waited for a slot.
+func (p *Pool) QueueWait(d time.Duration) { p.wait.RecordDuration(d) }
+
+// Attempt counts an attempt: OK, Unreachable, Failure or Cancelled.
+func (p *Pool) Attempt(o Outcome) { p.m.counter(defAttempts, p.name, string(o)).Inc(1) }
+
+// Retry counts a wish to try again: Allowed or OverBudget.
+func (p *Pool) Retry(o Outcome) { p.m.counter(defRetries, p.name, string(o)).Inc(1) }
+
+// Ejection counts an upstream taken out because of failures.
+func (p *Pool) Ejection() { p.m.counter(defEjections, p.name).Inc(1) }
+
+// Coalesced counts a request held while another computed the same prefix.
+func (p *Pool) Coalesced() { p.m.counter(defCoalesced, p.name).Inc(1) }
+
+// ExpectedHit counts prompt tokens expected to be cached.
+func (p *Pool) ExpectedHit(tokens int) { p.hits.Inc(int64(tokens)) }
+
+// Wasted counts tokens computed although some engine had them cached.
+func (p *Pool) Wasted(tokens int) { p.wasted.Inc(int64(tokens)) }
+
+// CacheEvents counts cache events read.
+func (p *Pool) CacheEvents(n int) { p.events.Inc(int64(n)) }
+
+// CacheEventGap counts a jump in an engine's event sequence.
+func (p *Pool) CacheEventGap() { p.m.counter(defEventGaps, p.name).Inc(1) }
+
+// CacheResync counts a snapshot of an engine's cache.
+func (p *Pool) CacheResync() { p.m.counter(defResyncs, p.name).Inc(1) }
+
+// CachedBlocks sets the number of blocks in the cache index.
+func (p *Pool) CachedBlocks(n int) { p.m.gauge(defCachedBlocks, p.name).Update(float64(n)) }
+
+// ReportAge sets the age of the oldest load report of a live upstream.
+func (p *Pool) ReportAge(d time.Duration) { p.m.gauge(defReportAge, p.name).Update(d.Seconds()) }
+
+// Command counts a control command: Finished, Stale or Failure.
+func (p *Pool) Command(o Outcome) { p.m.counter(defCommands, p.name, string(o)).Inc(1) }
