--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -17,6 +17,7 @@
 func run(ctx context.Context) int {
 	commander := subcommands.NewCommander(flag.CommandLine, "fescuestep")
 	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&standinCmd{}, "")
 	commander.Register(&versionCmd{}, "")
 	flag.Usage = func() { commander.Explain(os.Stderr) }
 	flag.Parse()
--- a/pkg/engine/wire.go
+++ b/pkg/engine/wire.go
@@ -20,6 +20,7 @@
 	HeaderFencingToken   = "X-Fencing-Token"   // of control commands
 	HeaderResumeAfter    = "X-Resume-After"    // sequence number of the last event received
 	HeaderIncarnation    = "X-Incarnation"     // in answers: the engine's incarnation
+	HeaderCachedTokens   = "X-Cached-Tokens"   // in answers, optional: prompt tokens found in the cache
 )
 
 // EventKind is the kind of a cache event.
--- a/pkg/standin/host/host.go
+++ b/pkg/standin/host/host.go
@@ -20,12 +20,15 @@
 // Loopback is the default listen address of stand-ins.
 const Loopback = "127.0.0.1:0"
 
-// Server serves one handler until it is closed. It may be closed and started
-// again on the same address.
+// Server serves one handler until it is closed.
 type Server struct {
-	addr string
-	srv  *http.Server
-	done chan struct{}
+	addr     string
+	srv      *http.Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+	mu       sync.Mutex
+	closed   bool
+	handlers sync.WaitGroup
 }
 
 // Serve listens on addr; an empty addr means Loopback.
@@ -37,10 +40,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "stand-in cannot listen")
 	}
-	s := &Server{
-		addr: listener.Addr().String(),
-		srv:  &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second},
-		done: make(chan struct{}),
+	s := &Server{addr: listener.Addr().String(), done: make(chan struct{})}
+	base, cancel := context.WithCancel(context.Background())
+	base = context.WithValue(base, lifetimeKey{}, base)
+	s.cancel = cancel
+	s.srv = &http.Server{
+		Handler:           s.track(handler),
+		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return base },
 	}
 	go func() {
 		defer close(s.done)
@@ -49,13 +56,45 @@
 	return s, nil
 }
 
+// track counts running handlers so that Close can wait for them.
+func (s *Server) track(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if s.closed {
+			s.mu.Unlock()
+			Drop()
+		}
+		s.handlers.Add(1)
+		s.mu.Unlock()
+		defer s.handlers.Done()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Addr returns the listen address (IP:port).
 func (s *Server) Addr() string { return s.addr }
 
-// Close closes the listener and all connections at once, as a crash would.
+// Close closes the listener and all connections at once, as a crash would,
+// and waits for running handlers, whose contexts have ended.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
 	_ = s.srv.Close()
 	<-s.done
+	s.handlers.Wait()
+}
+
+type lifetimeKey struct{}
+
+// Lifetime returns the context of the server that handles a request. It
+// outlives the request and ends when the server closes.
+func Lifetime(ctx context.Context) context.Context {
+	if base, ok := ctx.Value(lifetimeKey{}).(context.Context); ok {
+		return base
+	}
+	return ctx
 }
 
 // NewEcho returns a router without banner that answers errors as JSON.
