--- /dev/null
+++ b/pkg/load/measure.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Timings is the outcome of one request as its sender saw it.
+type Timings struct {
+	TTFT         time.Duration // from the arrival at the router
+	Total        time.Duration
+	PromptTokens int
+	CachedTokens int
+	Refused      bool // answered with "not run"
+	RateLimited  bool // refused because the customer's rate was used up
+	Truncated    bool // the stream ended without its end marker
+	Failed       bool // an error after the request may have run
+	Unanswered   bool // nothing was answered before the deadline
+}
+
+// Result is the measurement of one policy.
+type Result struct {
+	Name                   string  `json:"name"`
+	PrefixHitRate          float64 `json:"prefix_hit_rate"`
+	HitRateBound           float64 `json:"hit_rate_bound"`
+	TTFTP50                float64 `json:"ttft_p50_ms"`
+	TTFTP99                float64 `json:"ttft_p99_ms"`
+	WastedTokens           int     `json:"wasted_tokens"`
+	WorstCustomerTTFTP99   float64 `json:"worst_customer_ttft_p99_ms"`
+	RefusedWithinRate      int     `json:"refused_within_rate"`
+	Requests               int     `json:"requests"`
+	OvershootTokens        int     `json:"overshoot_tokens"`
+	TruncatedStreams       int     `json:"truncated_streams"`
+	DuplicateOrders        int     `json:"duplicate_orders"`
+	Unanswered             int     `json:"unanswered"`
+	WorstCustomerWithout   float64 `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
+	ShortTTFTP99           float64 `json:"short_ttft_p99_ms"`
+	RefusedOfOverloader    int     `json:"refused_of_overloader"`
+	PrefilledTokens        int     `json:"prefilled_tokens"`
+	FailedAfterStart       int     `json:"failed"`
+	RefusedWithinRateShare float64 `json:"refused_within_rate_share"`
+}
+
+// Range of the histograms in microseconds: a request may wait for its whole
+// deadline.
+const (
+	histogramMin    = 1
+	histogramMax    = 120_000_000
+	histogramDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+}
+
+// window is one second of a run, for the plots.
+type window struct {
+	ttft   *hdrhistogram.Histogram
+	prompt int
+	cached int
+}
+
+// Recorder collects the outcomes of one policy. It is safe for concurrent use.
+type Recorder struct {
+	mu        sync.Mutex
+	profile   *Profile
+	all       *hdrhistogram.Histogram
+	short     *hdrhistogram.Histogram
+	customers []*hdrhistogram.Histogram
+	windows   []window
+	prompt    int
+	cached    int
+	result    Result
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder(p *Profile, policy string) *Recorder {
+	r := &Recorder{profile: p, all: newHistogram(), short: newHistogram()}
+	for range p.Customers {
+		r.customers = append(r.customers, newHistogram())
+	}
+	r.result.Name = policy
+	return r
+}
+
+// Record adds the outcome of one arrival.
+func (r *Recorder) Record(a *Arrival, t Timings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Requests++
+	if t.Refused {
+		r.refused(a)
+		return
+	}
+	switch {
+	case t.Unanswered:
+		r.result.Unanswered++
+	case t.Truncated:
+		r.result.TruncatedStreams++
+	case t.Failed:
+		r.result.FailedAfterStart++
+	}
+	if t.TTFT <= 0 {
+		return
+	}
+	r.answered(a, t)
+}
+
+func (r *Recorder) refused(a *Arrival) {
+	if a.Customer == r.profile.Overloader && r.overloaded(a) {
+		r.result.RefusedOfOverloader++
+		return
+	}
+	r.result.RefusedWithinRate++
+}
+
+// overloaded reports whether the overloader is above its rate; without excess
+// arrivals the recorder never sees any.
+func (r *Recorder) overloaded(a *Arrival) bool { return a.Excess || r.result.RefusedOfOverloader > 0 }
+
+func (r *Recorder) answered(a *Arrival, t Timings) {
+	us := t.TTFT.Microseconds()
+	w := r.window(a.At)
+	_ = r.all.RecordValue(us)
+	_ = w.ttft.RecordValue(us)
+	_ = r.customers[a.Customer].RecordValue(us)
+	if a.Short {
+		_ = r.short.RecordValue(us)
+	}
+	r.prompt += t.PromptTokens
+	r.cached += t.CachedTokens
+	w.prompt += t.PromptTokens
+	w.cached += t.CachedTokens
+}
+
+func (r *Recorder) window(at time.Duration) *window {
+	i := int(at / time.Second)
+	for len(r.windows) <= i {
+		r.windows = append(r.windows, window{ttft: newHistogram()})
+	}
+	return &r.windows[i]
+}
+
+// Result returns the measurement. The fleet's own counters are filled in by
+// the caller.
+func (r *Recorder) Result() Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.result
+	if r.prompt > 0 {
+		out.PrefixHitRate = float64(r.cached) / float64(r.prompt)
+	}
+	out.TTFTP50 = quantile(r.all, 50)
+	out.TTFTP99 = quantile(r.all, 99)
+	out.ShortTTFTP99 = quantile(r.short, 99)
+	out.WorstCustomerTTFTP99 = r.worst()
+	if out.Requests > 0 {
+		out.RefusedWithinRateShare = float64(out.RefusedWithinRate) / float64(out.Requests)
+	}
+	return out
+}
+
+// worst returns the highest p99 of the customers that keep to their rate.
+func (r *Recorder) worst() float64 {
+	worst := 0.0
+	for i, h := range r.customers {
+		if i != r.profile.Overloader {
+			worst = max(worst, quantile(h, 99))
+		}
+	}
+	return worst
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -318,3 +318,6 @@
 	c.endHolds(now)
 	c.Dispatch(now)
 }
+
+// Customer returns the customer that the request belongs to.
+func (w *Wait) Customer() string { return w.query.Customer }
