--- /dev/null
+++ b/pkg/load/bucket.go
@@ -0,0 +1,47 @@
+package load
+
+import "time"
+
+// Contract of a customer in both profiles, relative to its usual traffic. The
+// margin covers the variance of open-loop traffic; the overloader exceeds it.
+const (
+	rateMargin  = 1.5
+	burstLength = 6 * time.Second // of the contracted rate
+)
+
+// bucket is a token bucket: the model's stand-in for the router's quota.
+type bucket struct {
+	rate  float64 // tokens per second
+	burst float64
+	level float64
+	last  time.Duration
+}
+
+// buckets returns the quota of every customer, from the mean cost of the
+// arrivals within their usual rate.
+func buckets(p *Profile, arrivals []Arrival, duration time.Duration) []bucket {
+	out := make([]bucket, len(p.Customers))
+	for i := range arrivals {
+		if a := &arrivals[i]; !a.Excess {
+			out[a.Customer].rate += rateMargin * a.charge() / duration.Seconds()
+		}
+	}
+	for i := range out {
+		out[i].burst = out[i].rate * burstLength.Seconds()
+		out[i].level = out[i].burst
+	}
+	return out
+}
+
+func (a *Arrival) charge() float64 { return float64(a.Tokens + a.MaxOutput) }
+
+// take spends tokens if there are enough.
+func (b *bucket) take(now time.Duration, tokens float64) bool {
+	b.level = min(b.burst, b.level+(now-b.last).Seconds()*b.rate)
+	b.last = now
+	if b.level < tokens {
+		return false
+	}
+	b.level -= tokens
+	return true
+}
--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -153,6 +153,10 @@
 		in = v.instances[(in.number+1)%len(v.instances)]
 	}
 	r := &request{in: in, arrival: a, start: in.starts}
+	if !v.options.NoQuota && !v.quota[a.Customer].take(v.clock.now, a.charge()) {
+		r.end(Timings{Refused: true, RateLimited: true})
+		return
+	}
 	v.clock.at(a.At+a.Timeout, r.timeout)
 	r.submit()
 }
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -37,7 +37,8 @@
 	Unanswered             int     `json:"unanswered"`
 	WorstCustomerWithout   float64 `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
 	ShortTTFTP99           float64 `json:"short_ttft_p99_ms"`
-	RefusedOfOverloader    int     `json:"refused_of_overloader"`
+	RateLimited            int     `json:"rate_limited"`
+	RefusedExcess          int     `json:"refused_above_rate"`
 	PrefilledTokens        int     `json:"prefilled_tokens"`
 	FailedAfterStart       int     `json:"failed"`
 	RefusedWithinRateShare float64 `json:"refused_within_rate_share"`
@@ -90,11 +91,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Requests++
-	if t.Refused {
-		r.refused(a)
-		return
-	}
 	switch {
+	case t.RateLimited:
+		r.result.RateLimited++
+	case t.Refused && a.Excess:
+		r.result.RefusedExcess++
+	case t.Refused:
+		r.result.RefusedWithinRate++
 	case t.Unanswered:
 		r.result.Unanswered++
 	case t.Truncated:
@@ -102,24 +105,11 @@
 	case t.Failed:
 		r.result.FailedAfterStart++
 	}
-	if t.TTFT <= 0 {
-		return
+	if !t.Refused && t.TTFT > 0 {
+		r.answered(a, t)
 	}
-	r.answered(a, t)
 }
 
-func (r *Recorder) refused(a *Arrival) {
-	if a.Customer == r.profile.Overloader && r.overloaded(a) {
-		r.result.RefusedOfOverloader++
-		return
-	}
-	r.result.RefusedWithinRate++
-}
-
-// overloaded reports whether the overloader is above its rate; without excess
-// arrivals the recorder never sees any.
-func (r *Recorder) overloaded(a *Arrival) bool { return a.Excess || r.result.RefusedOfOverloader > 0 }
-
 func (r *Recorder) answered(a *Arrival, t Timings) {
 	us := t.TTFT.Microseconds()
 	w := r.window(a.At)
--- a/pkg/load/virtual.go
+++ b/pkg/load/virtual.go
@@ -25,7 +25,8 @@
 	Duration time.Duration
 	Policies []string
 	Faults   []Fault
-	Overload bool
+	Overload bool // one customer sends several times its rate
+	NoQuota  bool // leave the overload to the fair queue alone
 	Progress io.Writer
 	Adjust   func(*upstream.Settings) // changes the settings of a trial, may be nil
 }
@@ -64,6 +65,7 @@
 	fleet     *fleet
 	instances []*instance
 	recorder  *Recorder
+	quota     []bucket
 	listed    []platform.Instance // as the list shows them
 }
 
@@ -71,6 +73,7 @@
 	c := newClock()
 	v := &virtualRun{options: o, clock: c, recorder: NewRecorder(o.Profile, policy)}
 	v.fleet = newFleet(c, o.Profile)
+	v.quota = buckets(o.Profile, arrivals, o.Duration)
 	v.listed = v.list()
 	for i := range o.Profile.Instances {
 		in, err := v.newInstance(i, policy)
