Test the state controllers as a cluster in virtual time

Cause: configsync and members had no tests; a relay that is cut off used up the whole time of a round of collecting acknowledgements, so that a revision was never accepted. Change: acknowledgements are collected from all relays at the same time; tests with table outage, lost and late commits, cut-off instances, herd restart.

--- /dev/null
+++ b/pkg/controller/cluster_test.go
@@ -0,0 +1,202 @@
+// Package controller_test runs the state controllers of several instances
+// against an in-memory table and network in virtual time.
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
+	"github.com/fescuestep/fescuestep/pkg/controller/members"
+	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/peer"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+	rpc "github.com/fescuestep/fescuestep/rpc/peer"
+)
+
+type cluster struct {
+	t     *testing.T
+	table *fakeTable
+	net   *fakeNet
+	list  *fakeList
+	nodes []*node
+}
+
+type node struct {
+	c       *cluster
+	self    config.Member
+	sync    *configsync.Controller
+	members *members.Controller
+	limiter *quotasync.Limiter
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	starts  int
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{
+		t:     t,
+		table: newFakeTable(),
+		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, rand: rand.New(rand.NewPCG(1, 2))},
+		list:  &fakeList{instances: map[string]platform.Instance{}},
+	}
+	domains := []string{"rennes", "brest", "vannes", "quimper"}
+	for i := range n {
+		c.nodes = append(c.nodes, &node{c: c, self: config.Member{
+			ID: fmt.Sprintf("r%d", i), PeerAddr: fmt.Sprintf("127.0.0.1:%d", 7000+i), Domain: domains[i%len(domains)],
+		}})
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+// started returns a cluster whose instances are all members and fresh.
+func started(t *testing.T, n int) *cluster {
+	c := newCluster(t, n)
+	for _, x := range c.nodes {
+		x.start()
+	}
+	c.until("all instances are fresh members", 10*time.Second, func() bool { return c.allFresh() && c.allKnow(n) })
+	return c
+}
+
+func (c *cluster) stop() {
+	for _, x := range c.nodes {
+		x.crash()
+	}
+	time.Sleep(5 * time.Second) // lets timers and calls end inside the bubble
+}
+
+func (c *cluster) allFresh() bool {
+	for _, x := range c.nodes {
+		if self, _ := x.sync.IsMember(); !self || !x.sync.Fresh() {
+			return false
+		}
+	}
+	return true
+}
+
+// allKnow reports whether every instance knows n members and their acceptance.
+func (c *cluster) allKnow(n int) bool {
+	for _, x := range c.nodes {
+		s := x.sync.Snapshot()
+		if len(s.Members.Members) != n || x.sync.Accepted() < s.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// until waits in virtual time for a condition and returns how long it took.
+func (c *cluster) until(what string, limit time.Duration, cond func() bool) time.Duration {
+	c.t.Helper()
+	start := time.Now()
+	for !cond() {
+		if time.Since(start) > limit {
+			c.t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (n *node) start() {
+	n.starts++
+	n.self.Incarnation = fmt.Sprintf("%s-%d", n.self.ID, n.starts)
+	n.c.list.put(platform.Instance{ID: n.self.ID, Addr: n.self.PeerAddr, Pool: platform.RouterPool, Domain: n.self.Domain, State: platform.Live}, true)
+	peers := n.c.net.from(n.self.PeerAddr)
+	var seed uint64
+	for _, b := range []byte(n.self.Incarnation) {
+		seed = seed*31 + uint64(b)
+	}
+	table := &cutTable{n.c.table, n.c.net, n.self.PeerAddr}
+	n.sync = configsync.New(configsync.Options{Self: n.self, Table: table, Peers: peers, List: n.c.list, Rand: rand.New(rand.NewPCG(seed, 1))})
+	n.members = members.New(members.Options{Self: n.self, Sync: n.sync, Peers: peers, List: n.c.list})
+	n.limiter = quotasync.New(quotasync.Options{Self: n.self, State: n.sync, Peers: peers})
+	n.c.net.mu.Lock()
+	n.c.net.nodes[n.self.PeerAddr] = peer.Services{Syncer: n.sync, Joiner: n.members, Holder: n.limiter}
+	n.c.net.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	for _, run := range []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run} {
+		n.done.Go(func() { _ = run(ctx) })
+	}
+}
+
+// crash ends the instance without a trace except in the platform's list, which
+// lags.
+func (n *node) crash() {
+	if n.cancel == nil {
+		return
+	}
+	n.c.net.mu.Lock()
+	delete(n.c.net.nodes, n.self.PeerAddr)
+	n.c.net.mu.Unlock()
+	n.cancel()
+	n.cancel = nil
+	n.done.Wait()
+}
+
+// cutTable is the table as seen by an instance that may be cut off.
+type cutTable struct {
+	*fakeTable
+	net  *fakeNet
+	addr string
+}
+
+func (t *cutTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if t.net.isCut(t.addr) {
+		return nil, platform.ErrUnavailable
+	}
+	return t.fakeTable.Get(ctx, keys...)
+}
+
+func (t *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if t.net.isCut(t.addr) {
+		return nil, platform.ErrUnavailable
+	}
+	return t.fakeTable.Scan(ctx, prefix, after, limit)
+}
+
+func (t *cutTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if t.net.isCut(t.addr) {
+		return 0, platform.ErrUnavailable
+	}
+	return t.fakeTable.Commit(ctx, txn)
+}
+
+// putKey commits a key through an instance.
+func (n *node) putKey(secret string, revoked bool) uint64 {
+	n.c.t.Helper()
+	revision, err := n.propose(secret, revoked)
+	if err != nil {
+		n.c.t.Fatalf("propose key: %v", err)
+	}
+	return revision
+}
+
+func (n *node) propose(secret string, revoked bool) (uint64, error) {
+	return n.sync.Propose(context.Background(), func(*config.Snapshot) (config.Change, error) {
+		k := &config.Key{ID: secret, Digest: config.DigestOf(secret), Customer: "guild", Revoked: revoked}
+		return config.Change{Key: k}, nil
+	})
+}
+
+// honours reports whether the instance would serve a request with the key.
+func (n *node) honours(secret string) bool {
+	if !n.sync.Fresh() {
+		return false
+	}
+	k := n.sync.Snapshot().Keys[config.DigestOf(secret)]
+	return k != nil && !k.Revoked
+}
+
+func (n *node) accepted(revision uint64) bool {
+	ok, _, err := n.sync.Progress(context.Background(), revision)
+	return err == nil && ok
+}
--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -11,6 +11,7 @@
 	"github.com/fescuestep/fescuestep/pkg/fresh"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/platform"
+	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
 // Periods and bounds of the acceptor.
@@ -146,6 +147,10 @@
 func (c *Controller) gather(ctx context.Context, a *fresh.Acceptance) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
+	own, _ := c.Acknowledgements(ctx, nil) // holds the own one although this may be no relay
+	for _, x := range own.GetAcknowledgements() {
+		a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
+	}
 	c.fromRelays(ctx, a)
 	members := c.Snapshot().Members.Members
 	var missing []config.Member
@@ -164,28 +169,37 @@
 	}
 }
 
+// fromRelays collects what the relays of all domains hold, all at the same time
+// because one that is cut off answers only with a timeout.
 func (c *Controller) fromRelays(ctx context.Context, a *fresh.Acceptance) {
+	var relays []config.Member
 	s := c.Snapshot()
-	own, _ := c.Acknowledgements(ctx, nil)
-	for _, x := range own.Acknowledgements {
-		a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
-	}
 	for _, domain := range member.Domains(s.Members) {
-		for _, relay := range member.Relays(s.Members, domain) {
-			if relay.ID == c.o.Self.ID {
-				continue
-			}
-			resp, err := c.o.Peers.Peer(relay.PeerAddr).Acknowledgements(ctx, nil)
-			if err != nil {
-				continue
-			}
-			for _, x := range resp.Acknowledgements {
-				a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
-			}
+		relays = append(relays, member.Relays(s.Members, domain)...)
+	}
+	answers := make(chan *rpc.AcknowledgementsResponse, len(relays))
+	for _, relay := range relays {
+		go func() {
+			resp, _ := c.acknowledgementsOf(ctx, relay)
+			answers <- resp
+		}()
+	}
+	for range relays {
+		for _, x := range (<-answers).GetAcknowledgements() {
+			a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
 		}
 	}
 }
 
+func (c *Controller) acknowledgementsOf(ctx context.Context, m config.Member) (*rpc.AcknowledgementsResponse, error) {
+	if m.ID == c.o.Self.ID {
+		return c.Acknowledgements(ctx, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout/2)
+	defer cancel()
+	return c.o.Peers.Peer(m.PeerAddr).Acknowledgements(ctx, &rpc.AcknowledgementsRequest{})
+}
+
 // Progress reports whether a revision is accepted and, if not, which members
 // have not acknowledged it.
 func (c *Controller) Progress(ctx context.Context, revision uint64) (accepted bool, pending []string, err error) {
--- a/pkg/controller/quotasync/limiter.go
+++ b/pkg/controller/quotasync/limiter.go
@@ -71,7 +71,7 @@
 	// sequence is the highest one used in any outbox; a recreated outbox
 	// continues there, so that a holder never takes its messages for repeats.
 	sequence uint64
-	pending []*charge          // charges with parts not reported as spent
+	pending  []*charge // charges with parts not reported as spent
 }
 
 // entry is what this instance knows of one customer.
