Repeat a table read once when its connection broke

Cause: the service closes a kept connection after a fault, and a read that reuses it at that moment fails with a reset; the single-attempt transport does not repeat it, so a healthy table looked unavailable. Change: reads are tried once more when the connection broke, commits never.

--- a/Makefile
+++ b/Makefile
@@ -7,4 +7,4 @@
 	.ci/run
 
 generate:
-	find rpc -name '*.proto' -print0 | PATH="$$(go env GOPATH)/bin:$$PATH" xargs -0 protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative
+	find rpc -name '*.proto' -print0 | PATH="$$(go env GOPATH)/bin:$$PATH" xargs -0 -n 1 protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative
--- a/pkg/platform/tableclient.go
+++ b/pkg/platform/tableclient.go
@@ -60,7 +60,7 @@
 func (c *TableClient) Get(ctx context.Context, keys ...string) ([]Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	resp, err := c.rpc.Get(ctx, &rpc.GetRequest{Keys: keys})
+	resp, err := read(ctx, c.rpc.Get, &rpc.GetRequest{Keys: keys})
 	if err != nil {
 		return nil, classify(ErrUnavailable, err)
 	}
@@ -74,13 +74,24 @@
 func (c *TableClient) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	resp, err := c.rpc.Scan(ctx, &rpc.ScanRequest{Prefix: prefix, After: after, Limit: uint32(max(0, limit))})
+	resp, err := read(ctx, c.rpc.Scan, &rpc.ScanRequest{Prefix: prefix, After: after, Limit: uint32(max(0, limit))})
 	if err != nil {
 		return nil, classify(ErrUnavailable, err)
 	}
 	return fromRows(resp.Rows), nil
 }
 
+// read calls a read once more when its connection broke: the service may close
+// a kept connection at the moment of its reuse, and a read has no effect that
+// a second one could repeat. Errors that the service answers are final.
+func read[Q, A any](ctx context.Context, call func(context.Context, *Q) (*A, error), req *Q) (*A, error) {
+	resp, err := call(ctx, req)
+	if transport.Broken(err) && ctx.Err() == nil {
+		return call(ctx, req)
+	}
+	return resp, err
+}
+
 // Commit implements Table. It fails with ErrUnavailable or ErrConflict when
 // nothing was written and with ErrOutcomeUnknown in all other cases.
 func (c *TableClient) Commit(ctx context.Context, txn Txn) (uint64, error) {
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -46,6 +46,13 @@
 	return errors.As(err, &failure) && !failure.Sent
 }
 
+// Broken reports whether err is a failure of the connection rather than an
+// answer.
+func Broken(err error) bool {
+	var failure *Error
+	return errors.As(err, &failure)
+}
+
 // Options configure a Client. Zero values take the defaults.
 type Options struct {
 	DialTimeout time.Duration
