Assemble one instance and add the serve command

Cause: the filters and controllers exist but nothing connects them. Change: pkg/instance builds an instance from its settings; pollers for the list, load reports and cache events; gaps between tokens are measured; peers over TLS reload their certificate.

--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -13,6 +13,7 @@
 	return []entry{
 		{"configuration", newQuestionnaireGroup(s)},
 		{"configuration", newKeyGroup(s)},
+		{"running", &serveCmd{streams: s}},
 		{"testing", &standinCmd{}},
 		{"other", &versionCmd{}},
 	}
--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -43,6 +43,9 @@
 	// OnFirstToken is called by relay when the first event of a model's answer
 	// arrives; nil when nobody listens.
 	OnFirstToken func(cachedTokens int)
+	// OnTokenGap is called by relay with the time between two events of a
+	// model's answer; nil when nobody listens.
+	OnTokenGap func(gap time.Duration)
 
 	// Set by relay, read by accounting, idempotency and ratelimit.
 	Outcome Outcome
--- /dev/null
+++ b/pkg/controller/poll/poll.go
@@ -0,0 +1,99 @@
+// Package poll calls a set of targets periodically, spread evenly over the
+// interval and with bounded concurrency.
+package poll
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Target is something that is polled.
+type Target struct {
+	ID   string
+	Addr string // IP:port
+}
+
+// Loop polls targets until its context ends.
+type Loop struct {
+	Interval    time.Duration // between two polls of one target
+	Timeout     time.Duration // of one poll
+	Concurrency int           // polls that run at a time
+	Rand        *rand.Rand    // order of the targets; used by Run only
+	Targets     func() []Target
+	Poll        func(ctx context.Context, t Target)
+}
+
+// Run polls until ctx ends and waits for polls under way. A target whose last
+// poll still runs is passed over.
+func (l *Loop) Run(ctx context.Context) error {
+	slots := make(chan struct{}, l.Concurrency)
+	running := &busy{ids: map[string]bool{}}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		targets := l.Targets()
+		l.Rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		pause := l.Interval / time.Duration(max(1, len(targets)))
+		if len(targets) == 0 {
+			wait(ctx, pause)
+			continue
+		}
+		for _, t := range targets {
+			if !wait(ctx, pause) {
+				return nil
+			}
+			if !running.start(t.ID) {
+				continue
+			}
+			slots <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				defer running.end(t.ID)
+				l.one(ctx, t)
+			})
+		}
+	}
+	return nil
+}
+
+func (l *Loop) one(ctx context.Context, t Target) {
+	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
+	defer cancel()
+	l.Poll(ctx, t)
+}
+
+// wait pauses for d and reports whether ctx is still valid.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// busy is the set of targets whose poll is under way.
+type busy struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (b *busy) start(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ids[id] {
+		return false
+	}
+	b.ids[id] = true
+	return true
+}
+
+func (b *busy) end(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.ids, id)
+}
--- a/pkg/filter/accounting/accounting.go
+++ b/pkg/filter/accounting/accounting.go
@@ -30,9 +30,10 @@
 // Histogram names a histogram of durations.
 type Histogram string
 
-// Histograms of times since arrival.
+// Histograms of times since arrival and, for TokenGap, since the token before.
 const (
 	FirstToken Histogram = "first_token"
+	TokenGap   Histogram = "token_gap"
 	Total      Histogram = "total"
 )
 
@@ -67,6 +68,7 @@
 // Wrap implements chain.Filter.
 func (f *Filter) Wrap(next chain.Handler) chain.Handler {
 	return func(ctx context.Context, r *chain.Request) error {
+		r.OnTokenGap = func(gap time.Duration) { f.metrics.Observe(TokenGap, labels(r, nil), gap) }
 		err := next(ctx, r)
 		r.Outcome.Total = f.now().Sub(r.Arrived)
 		f.report(r, err)
--- a/pkg/filter/relay/relay.go
+++ b/pkg/filter/relay/relay.go
@@ -89,6 +89,7 @@
 	id          string // X-Request-Id of this attempt
 	incarnation string // of the engine that answered
 	lastSeq     uint64 // of the last event relayed
+	lastToken   time.Time
 }
 
 // send makes the upstream request and checks that the answer belongs to it.
--- a/pkg/filter/relay/stream.go
+++ b/pkg/filter/relay/stream.go
@@ -75,8 +75,8 @@
 		if err != nil {
 			return err
 		}
-		if a.lastSeq == 0 && !e.Done {
-			a.firstToken(e)
+		if !e.Done {
+			a.observeToken(e)
 		}
 		a.lastSeq = e.Seq
 		a.usage(e.Usage)
@@ -87,6 +87,17 @@
 	return nil
 }
 
+// observeToken reports the first token or the gap since the token before.
+func (a *attempt) observeToken(e engine.StreamEvent) {
+	now := a.relay.now()
+	if a.lastSeq == 0 {
+		a.firstToken(e)
+	} else if a.r.OnTokenGap != nil {
+		a.r.OnTokenGap(now.Sub(a.lastToken))
+	}
+	a.lastToken = now
+}
+
 func (a *attempt) firstToken(e engine.StreamEvent) {
 	a.r.Outcome.FirstToken = a.relay.now().Sub(a.r.Arrived)
 	if a.r.OnFirstToken == nil {
--- /dev/null
+++ b/pkg/instance/adapters.go
@@ -0,0 +1,152 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/admin"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/orders"
+	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
+	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/order"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
+)
+
+// limiter adapts the quota controller to the filter's interface.
+type limiter struct{ limiter *quotasync.Limiter }
+
+// Take implements ratelimit.Limiter.
+func (l limiter) Take(ctx context.Context, customer *config.Customer, tokens int) (ratelimit.Charge, error) {
+	return l.limiter.Take(ctx, customer, tokens)
+}
+
+// accountingMetrics records what the accounting filter reports.
+type accountingMetrics struct{ metrics *metrics.Metrics }
+
+func (a accountingMetrics) customer(l accounting.Labels) *metrics.Customer {
+	if l.Customer == "" {
+		return a.metrics.Customer(nil)
+	}
+	return a.metrics.Customer(&config.Customer{ID: l.Customer, Class: l.Class})
+}
+
+// Count implements accounting.Metrics. Requests are counted with their time by
+// Observe.
+func (a accountingMetrics) Count(c accounting.Counter, l accounting.Labels, n int64) {
+	switch c {
+	case accounting.PromptTokens:
+		a.customer(l).Tokens(int(n), 0, 0)
+	case accounting.CachedTokens:
+		a.customer(l).Tokens(0, int(n), 0)
+	case accounting.OutputTokens:
+		a.customer(l).Tokens(0, 0, int(n))
+	}
+}
+
+// Observe implements accounting.Metrics.
+func (a accountingMetrics) Observe(h accounting.Histogram, l accounting.Labels, d time.Duration) {
+	c := a.customer(l)
+	switch {
+	case h == accounting.FirstToken:
+		c.FirstToken(d)
+	case h == accounting.TokenGap:
+		c.TokenGap(d)
+	case h == accounting.Total && l.Code == 0:
+		c.Done(d)
+	case h == accounting.Total:
+		c.Failed(d, l.Code)
+	}
+}
+
+// observePools sets the gauges of all pools from their status.
+func (i *Instance) observePools() {
+	type pool struct {
+		states   map[upstream.State]int
+		inFlight int
+		blocks   int
+	}
+	pools := map[string]*pool{}
+	for _, u := range i.pools.Status() {
+		p := pools[u.Pool]
+		if p == nil {
+			p = &pool{states: map[upstream.State]int{}}
+			pools[u.Pool] = p
+		}
+		p.states[u.State]++
+		p.inFlight += u.InFlight
+		p.blocks += u.Blocks
+	}
+	for name, p := range pools {
+		m := i.metrics.Pool(name)
+		m.Upstreams(metrics.Live, p.states[upstream.StateLive])
+		m.Upstreams(metrics.Leaving, p.states[upstream.StateLeaving])
+		m.Upstreams(metrics.Ejected, p.states[upstream.StateEjected]+p.states[upstream.StateUnreachable])
+		m.Load(p.inFlight, 0)
+		m.CachedBlocks(p.blocks)
+	}
+}
+
+// upstreamStatus adapts the pools to the administration service.
+type upstreamStatus struct{ pools *upstream.Pools }
+
+// UpstreamStatus implements admin.UpstreamStatus.
+func (u upstreamStatus) UpstreamStatus() []admin.Upstream {
+	var out []admin.Upstream
+	for _, s := range u.pools.Status() {
+		out = append(out, admin.Upstream{
+			ID:           s.ID,
+			Pool:         s.Pool,
+			Addr:         s.Addr,
+			Domain:       s.Domain,
+			State:        string(s.State),
+			Incarnation:  s.Incarnation,
+			Weights:      s.Weights,
+			InFlight:     s.InFlight,
+			Running:      s.Total,
+			CachedBlocks: s.Blocks,
+			ReportAge:    -1,
+		})
+	}
+	return out
+}
+
+// maxUnresolved bounds one reading of unresolved orders.
+const maxUnresolved = 10_000
+
+// adminOrders adapts the order service to the administration service.
+type adminOrders struct{ orders *orders.Service }
+
+// Unresolved implements admin.Orders.
+func (a adminOrders) Unresolved(ctx context.Context, after string, limit int) ([]admin.Order, error) {
+	list, err := a.orders.Unresolved(ctx, maxUnresolved)
+	if err != nil {
+		return nil, err
+	}
+	var out []admin.Order
+	for _, u := range list {
+		if u.Reference <= after {
+			continue
+		}
+		if len(out) == limit {
+			break
+		}
+		out = append(out, admin.Order{Reference: u.Reference, Owner: u.Owner, Claimed: u.Claimed})
+	}
+	return out, nil
+}
+
+// Resolve implements admin.Orders.
+func (a adminOrders) Resolve(ctx context.Context, reference string, ran bool, note string) error {
+	err := a.orders.Resolve(ctx, reference, ran, "operator", note)
+	for _, known := range []error{orders.ErrUnknownReference, order.ErrNotUnresolved, order.ErrStillRunning} {
+		if errors.Is(err, known) {
+			return errors.Mark(err, admin.ErrNotUnresolved)
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/instance/instance.go
@@ -0,0 +1,289 @@
+// Package instance builds one router instance from its settings: it binds the
+// listeners, connects the controllers with the filter chain and runs them.
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
+	"github.com/fescuestep/fescuestep/pkg/controller/members"
+	"github.com/fescuestep/fescuestep/pkg/controller/orders"
+	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
+	"github.com/fescuestep/fescuestep/pkg/filter/requestid"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/peer"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/router"
+	"github.com/fescuestep/fescuestep/pkg/router/listener"
+	"github.com/fescuestep/fescuestep/pkg/settings"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
+)
+
+// Options select what is not a setting of the command.
+type Options struct {
+	Policy string // of endpoint choice; empty for the product's
+	Log    hclog.Logger
+}
+
+// Instance is one router instance.
+type Instance struct {
+	settings  *settings.Serve
+	log       hclog.Logger
+	self      config.Member
+	listeners listeners
+	tls       tlsConfigs
+
+	table   *platform.TableClient
+	objects *platform.ObjectClient
+	list    *platform.ListClient
+	engines *engine.Client
+	peers   *peer.Client
+
+	metrics *metrics.Metrics
+	sync    *configsync.Controller
+	members *members.Controller
+	limiter *quotasync.Limiter
+	pools   *upstream.Pools
+	orders  *orders.Service
+	router  *router.Router
+}
+
+// New binds the listeners and builds an instance. Run must be called to
+// release them.
+func New(s *settings.Serve, o Options) (*Instance, error) {
+	i := &Instance{settings: s, log: o.Log}
+	var err error
+	if i.tls, err = loadTLS(s, o.Log); err != nil {
+		return nil, err
+	}
+	if i.listeners, err = bind(s, i.tls); err != nil {
+		return nil, err
+	}
+	i.self = config.Member{
+		ID:          s.InstanceID,
+		Incarnation: requestid.New(),
+		PeerAddr:    i.advertised(),
+		Domain:      s.Domain,
+	}
+	i.connect()
+	i.build(o)
+	return i, nil
+}
+
+// advertised returns the peer address of the membership record. A listener on
+// port 0 is reached under the port that it got.
+func (i *Instance) advertised() string {
+	addr, err := netip.ParseAddrPort(i.settings.Advertise)
+	if err != nil || addr.Port() == 0 {
+		return i.listeners.peers.Addr().String()
+	}
+	return i.settings.Advertise
+}
+
+func (i *Instance) connect() {
+	s := i.settings
+	i.table = platform.NewTableClient(s.Table, s.PlatformTimeout)
+	i.objects = platform.NewObjectClient(s.Objects, s.PlatformTimeout)
+	i.list = platform.NewListClient(s.List, s.PlatformTimeout)
+	i.engines = engine.NewClient(engine.Options{})
+	i.peers = peer.NewClient(string(s.PeerCredential), i.tls.peerClient, nil)
+}
+
+func (i *Instance) build(o Options) {
+	seed := seedOf(i.self)
+	i.metrics = metrics.New()
+	i.sync = configsync.New(configsync.Options{
+		Self:  i.self,
+		Table: i.table,
+		Peers: i.peers,
+		List:  i.list,
+		Log:   i.log.Named("config"),
+		Rand:  rand.New(rand.NewPCG(seed, 1)),
+	})
+	i.members = members.New(members.Options{
+		Self:  i.self,
+		Sync:  i.sync,
+		Peers: i.peers,
+		List:  i.list,
+		Log:   i.log.Named("members"),
+	})
+	i.limiter = quotasync.New(quotasync.Options{
+		Self:  i.self,
+		State: i.sync,
+		Peers: i.peers,
+		Log:   i.log.Named("quota"),
+	})
+	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy})
+	i.orders = orders.New(i.table, i.objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
+	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
+		i.pools.OnSnapshot(snapshot)
+		i.metrics.OnSnapshot(snapshot)
+	})
+	i.router = router.New(i.parts(seed), i.routerOptions(seed))
+}
+
+func (i *Instance) parts(seed uint64) router.Parts {
+	return router.Parts{
+		State:   i.sync,
+		Limiter: limiter{i.limiter},
+		Pools:   endpoint.Of(i.pools),
+		Orders:  i.orders,
+		Client:  i.engines,
+		Metrics: accountingMetrics{i.metrics},
+		Log:     i.log,
+		Background: []router.Background{
+			i.sync,
+			i.members,
+			i.limiter,
+			upstreams.New(upstreams.Options{
+				List:     i.list,
+				Pools:    i.pools,
+				Client:   i.engines,
+				Snapshot: i.sync.Snapshot,
+				Seed:     seed,
+				Log:      i.log.Named("upstreams"),
+			}),
+			background(i.servePeers),
+			background(i.serveAdmin),
+			background(i.serveMetrics),
+			background(i.observe),
+			background(i.sweepOrders),
+		},
+		OnStopped: i.onStopped,
+	}
+}
+
+func (i *Instance) routerOptions(seed uint64) router.Options {
+	s := i.settings
+	o := router.DefaultOptions(s.Domain)
+	o.Seed = seed
+	o.Body.MaxBody = int64(s.BodyLimit)
+	o.Body.ReadTimeout = s.BodyTimeout
+	o.StopTimeout = s.DrainDelay + s.ShutdownTimeout
+	o.Listener = listener.DefaultOptions()
+	o.Listener.DrainDelay = s.DrainDelay
+	o.Listener.HeaderTimeout = s.HeaderTimeout
+	o.Listener.IdleTimeout = s.IdleTimeout
+	return o
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	defer i.close()
+	i.log.Info("instance started", "id", i.self.ID, "incarnation", i.self.Incarnation,
+		"failure_domain", i.self.Domain, "callers", i.listeners.callers.Addr().String())
+	err := i.router.Serve(ctx, i.listeners.callers)
+	i.log.Info("instance stopped", "id", i.self.ID, "error", err)
+	return err
+}
+
+// onStopped runs after the last request: it finishes the records of orders and
+// leaves the membership, so that nothing is left for others to clean up.
+func (i *Instance) onStopped(ctx context.Context) {
+	i.orders.Close(ctx)
+	if err := i.members.Leave(ctx); err != nil {
+		i.log.Warn("membership not left, the others remove this instance later", "error", err)
+	}
+}
+
+func (i *Instance) close() {
+	i.listeners.close()
+	i.engines.Close()
+	i.peers.Close()
+	i.table.Close()
+	i.objects.Close()
+	i.list.Close()
+	if err := i.metrics.Close(); err != nil {
+		i.log.Debug("metrics not closed", "error", err)
+	}
+}
+
+// Fresh reports whether keyed requests are served.
+func (i *Instance) Fresh() bool { return i.sync.Fresh() }
+
+// Member returns the instance's entry of the membership record.
+func (i *Instance) Member() config.Member { return i.self }
+
+// Addrs returns the addresses that the instance listens on.
+func (i *Instance) Addrs() Addrs { return i.listeners.addrs() }
+
+// seedOf derives the seed of random choices. Instances differ, so that they do
+// not prefer the same upstreams.
+func seedOf(m config.Member) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s/%s", m.ID, m.Incarnation)
+	return h.Sum64()
+}
+
+// background adapts a function to router.Background.
+type background func(ctx context.Context) error
+
+// Run implements router.Background.
+func (b background) Run(ctx context.Context) error { return b(ctx) }
+
+// listeners are the bound listeners; admin and metrics may be nil.
+type listeners struct {
+	callers, peers, admin, metrics net.Listener
+}
+
+// Addrs are the addresses (IP:port) of the listeners, empty where not started.
+type Addrs struct {
+	Callers, Peers, Admin, Metrics string
+}
+
+// bind opens all listeners or none and reports every one that failed.
+func bind(s *settings.Serve, t tlsConfigs) (l listeners, err error) {
+	open := func(name, addr string, config *tls.Config) net.Listener {
+		if addr == "" {
+			return nil
+		}
+		ln, listenErr := net.Listen("tcp", addr)
+		if listenErr != nil {
+			err = errors.CombineErrors(err, errors.Wrapf(listenErr, "-listen-%s", name))
+			return nil
+		}
+		if config != nil {
+			ln = tls.NewListener(ln, config)
+		}
+		return ln
+	}
+	l.callers = open("callers", s.Callers.Addr, t.callers)
+	l.peers = open("peers", s.Peers.Addr, nil) // peer.Serve adds TLS
+	l.admin = open("admin", s.Admin.Addr, t.admin)
+	l.metrics = open("metrics", s.Metrics.Addr, t.metrics)
+	if err != nil {
+		l.close()
+	}
+	return l, err
+}
+
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.peers, l.admin, l.metrics} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+func (l listeners) addrs() Addrs {
+	addr := func(ln net.Listener) string {
+		if ln == nil {
+			return ""
+		}
+		return ln.Addr().String()
+	}
+	return Addrs{Callers: addr(l.callers), Peers: addr(l.peers), Admin: addr(l.admin), Metrics: addr(l.metrics)}
+}
--- /dev/null
+++ b/pkg/instance/services.go
@@ -0,0 +1,142 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/admin"
+	"github.com/fescuestep/fescuestep/pkg/member"
+	"github.com/fescuestep/fescuestep/pkg/peer"
+	"github.com/fescuestep/fescuestep/pkg/settings"
+	"github.com/fescuestep/fescuestep/pkg/tlsconf"
+)
+
+const (
+	observeInterval = time.Second
+	headerTimeout   = 5 * time.Second
+	stopTimeout     = 3 * time.Second // for calls under way when a listener stops
+)
+
+// tlsConfigs are the TLS configurations of the listeners, nil without TLS.
+type tlsConfigs struct {
+	callers, peers, peerClient, admin, metrics *tls.Config
+}
+
+func loadTLS(s *settings.Serve, log hclog.Logger) (t tlsConfigs, err error) {
+	load := func(name string, f settings.TLSFiles) *tlsconf.Reloader {
+		if !f.Enabled() {
+			return nil
+		}
+		r, loadErr := tlsconf.Load(tlsconf.Files{Cert: f.Cert, Key: f.Key, ClientCA: f.ClientCA}, func(err error) {
+			log.Info("TLS files read again", "listener", name, "error", err)
+		})
+		if loadErr != nil {
+			err = errors.CombineErrors(err, errors.Wrapf(loadErr, "TLS of the %s listener", name))
+			return nil
+		}
+		return r
+	}
+	server := func(r *tlsconf.Reloader) *tls.Config {
+		if r == nil {
+			return nil
+		}
+		return r.Server()
+	}
+	peers := load("peers", s.Peers.TLS)
+	t.callers = server(load("callers", s.Callers.TLS))
+	t.peers = server(peers)
+	t.admin = server(load("admin", s.Admin.TLS))
+	t.metrics = server(load("metrics", s.Metrics.TLS))
+	if peers != nil {
+		t.peerClient = peers.Client()
+	}
+	return t, err
+}
+
+// peerService joins the parts that answer the peer service.
+func (i *Instance) servePeers(ctx context.Context) error {
+	services := peer.Services{Syncer: i.sync, Joiner: i.members, Holder: i.limiter}
+	server := peer.NewServer(services, string(i.settings.PeerCredential), i.tls.peers)
+	return serveUntil(ctx, server, func() error { return peer.Serve(server, i.listeners.peers) })
+}
+
+func (i *Instance) serveAdmin(ctx context.Context) error {
+	if i.listeners.admin == nil {
+		return nil
+	}
+	service := admin.New(admin.Options{
+		State:     i.sync,
+		Publisher: i.sync,
+		Upstreams: upstreamStatus{i.pools},
+		Orders:    adminOrders{i.orders},
+		Wait:      admin.DefaultWait,
+		Log:       i.log.Named("admin"),
+	})
+	return serveHTTP(ctx, i.listeners.admin, admin.Handler(service, string(i.settings.AdminCredential)))
+}
+
+func (i *Instance) serveMetrics(ctx context.Context) error {
+	if i.listeners.metrics == nil {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", i.metrics.Handler())
+	return serveHTTP(ctx, i.listeners.metrics, mux)
+}
+
+func serveHTTP(ctx context.Context, ln net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	return serveUntil(ctx, server, func() error { return server.Serve(ln) })
+}
+
+// serveUntil runs serve until ctx ends and then shuts the server down.
+func serveUntil(ctx context.Context, server *http.Server, serve func() error) error {
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
+	err := serve()
+	if !stop() {
+		<-stopped
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// observe sets the gauges that no event updates.
+func (i *Instance) observe(ctx context.Context) error {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		fresh, age := i.sync.Freshness()
+		i.metrics.Fresh(fresh, age)
+		i.observePools()
+	}
+}
+
+// sweepOrders removes old orders on one instance of the fleet.
+func (i *Instance) sweepOrders(ctx context.Context) error {
+	i.orders.RunSweep(ctx, func() bool {
+		first := member.Rank(i.sync.Snapshot().Members.Members, "sweeper", 1)
+		return len(first) == 1 && first[0].ID == i.self.ID
+	})
+	return nil
+}
--- a/pkg/tlsconf/tlsconf.go
+++ b/pkg/tlsconf/tlsconf.go
@@ -143,3 +143,17 @@
 	}
 	return stamps
 }
+
+// Client returns a configuration for clients that present the certificate and,
+// with ClientCA, trust only its authorities. A renewed certificate is used from
+// the next handshake on; changed authorities need a restart of the process.
+func (r *Reloader) Client() *tls.Config {
+	_, client := r.current(time.Now())
+	client = client.Clone()
+	client.Certificates = nil
+	client.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		_, now := r.current(time.Now())
+		return &now.Certificates[0], nil
+	}
+	return client
+}
