--- a/pkg/filter/auth/auth.go
+++ b/pkg/filter/auth/auth.go
@@ -15,12 +15,14 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/keys"
 )
 
 // RetryNotFresh is the Retry-After of a refusal on an instance that is not
@@ -54,14 +56,15 @@
 // Wrap implements chain.Filter.
 func (f *Filter) Wrap(next chain.Handler) chain.Handler {
 	return func(ctx context.Context, r *chain.Request) error {
-		// The channel is taken before the snapshot, so that no change between
-		// the two is missed.
+		// The channel is taken first, so that no change is missed, and freshness
+		// before the snapshot, which is then at least as new as it refers to.
 		changed := f.state.Changed()
+		fresh := f.state.Fresh()
 		r.Snapshot = f.state.Snapshot()
 		if f.open(r.Snapshot, r.HTTP) {
 			return next(ctx, r)
 		}
-		if err := f.admit(r); err != nil {
+		if err := admit(r, fresh); err != nil {
 			return err
 		}
 		ctx, cancel := context.WithCancelCause(ctx)
@@ -71,16 +74,16 @@
 	}
 }
 
-func (f *Filter) admit(r *chain.Request) error {
+func admit(r *chain.Request, fresh bool) error {
 	if len(r.Snapshot.Deployments) == 0 {
 		return code.New(code.ConfigurationAbsent, "this instance has no configuration yet").
 			WithRetryAfter(RetryNotFresh)
 	}
-	secret, ok := Bearer(r.HTTP.Header)
-	if !ok {
-		return code.New(code.KeyMissing, "send a key as Authorization: Bearer <key>")
+	key, customer, err := keys.Authenticate(r.Snapshot, r.HTTP.Header)
+	if !fresh && needsFresh(customer, err) {
+		return code.New(code.NotFresh, "this instance cannot confirm that its keys are current").
+			WithRetryAfter(RetryNotFresh)
 	}
-	key, customer, err := f.lookup(r.Snapshot, config.DigestOf(secret))
 	if err != nil {
 		return err
 	}
@@ -89,26 +92,15 @@
 	return nil
 }
 
-func (f *Filter) lookup(s *config.Snapshot, digest config.Digest) (*config.Key, *config.Customer, error) {
-	key := s.Keys[digest]
-	var customer *config.Customer
-	if key != nil {
-		customer = s.Customer(key.Customer)
-	}
-	// Freshness comes first: an unknown key may be known to a newer revision.
-	if !f.state.Fresh() && (customer == nil || customer.WhenUnconfirmed != config.ServeLastKnown) {
-		return nil, nil, code.New(code.NotFresh, "this instance cannot confirm that its keys are current").
-			WithRetryAfter(RetryNotFresh)
+// needsFresh reports whether the decision depends on keys being current. A key
+// that is unknown here may be known to a newer revision; a request without key
+// is refused by any, and revocations are final.
+func needsFresh(customer *config.Customer, err error) bool {
+	var e *code.Error
+	if errors.As(err, &e) {
+		return e.Code == code.KeyUnknown
 	}
-	switch {
-	case key == nil:
-		return nil, nil, code.New(code.KeyUnknown, "the key is not known")
-	case key.Revoked:
-		return nil, nil, code.New(code.KeyRevoked, "the key has been revoked")
-	case customer == nil:
-		return nil, nil, code.New(code.KeyUnknown, "the key's customer is not configured")
-	}
-	return key, customer, nil
+	return customer.WhenUnconfirmed != config.ServeLastKnown
 }
 
 // watch cancels ctx once the key is revoked. It ends with ctx.
@@ -127,13 +119,3 @@
 		}
 	}
 }
-
-// Bearer returns the secret of the Authorization header.
-func Bearer(h http.Header) (string, bool) {
-	scheme, secret, ok := strings.Cut(h.Get("Authorization"), " ")
-	if !ok || !strings.EqualFold(scheme, "Bearer") {
-		return "", false
-	}
-	secret = strings.TrimSpace(secret)
-	return secret, secret != ""
-}
--- a/pkg/filter/relay/headers.go
+++ b/pkg/filter/relay/headers.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/filter/auth"
+	"github.com/fescuestep/fescuestep/pkg/keys"
 )
 
 // hopByHop headers concern one connection only (RFC 9110, section 7.6.1).
@@ -35,7 +35,7 @@
 	for _, name := range internal {
 		out.Del(name)
 	}
-	if secret, ok := auth.Bearer(in); ok {
+	if secret, ok := keys.ParseBearer(in.Get("Authorization")); ok {
 		dropContaining(out, secret)
 	}
 	return out
--- a/pkg/router/badinput_test.go
+++ b/pkg/router/badinput_test.go
@@ -49,6 +49,13 @@
 	return in.send(t, c).Body
 }
 
+// readAll returns what can be read of a body.
+func readAll(resp *http.Response) string {
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	return string(data)
+}
+
 func (in *instance) send(t testing.TB, c call) *http.Response {
 	t.Helper()
 	req, err := http.NewRequest(c.method, in.url+c.path, strings.NewReader(c.body))
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -23,13 +23,15 @@
 	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
+	"github.com/fescuestep/fescuestep/pkg/keys"
 	"github.com/fescuestep/fescuestep/pkg/order"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
-const (
-	testKey  = "secret-of-mairie"
-	otherKey = "secret-of-other"
+// Secrets of the two customers.
+var (
+	testKey, mairieKey = keys.Create("mairie", "", time.Unix(0, 0))
+	otherKey, otherRow = keys.Create("other", "", time.Unix(0, 0))
 )
 
 func deployment() *config.Deployment {
@@ -63,11 +65,7 @@
 }
 
 func newState() *state {
-	keys := []*config.Key{
-		{ID: "k1", Digest: config.DigestOf(testKey), Customer: "mairie"},
-		{ID: "k2", Digest: config.DigestOf(otherKey), Customer: "other"},
-	}
-	snap := config.Restore(1, []*config.Deployment{deployment()}, keys, config.Membership{})
+	snap := config.Restore(1, []*config.Deployment{deployment()}, []*config.Key{&mairieKey, &otherRow}, config.Membership{})
 	return &state{snap: snap, changed: make(chan struct{})}
 }
 
--- a/pkg/router/listener/listener.go
+++ b/pkg/router/listener/listener.go
@@ -91,10 +91,13 @@
 	return err
 }
 
+// StartDrain makes the listener report not ready; it goes on serving.
+func (l *Listener) StartDrain() { l.draining.Store(true) }
+
 // Shutdown drains and stops the listener. It returns the error of ctx if
 // requests were still running when ctx ended; their connections are then cut.
 func (l *Listener) Shutdown(ctx context.Context) error {
-	l.draining.Store(true)
+	l.StartDrain()
 	timer := time.NewTimer(l.options.DrainDelay)
 	defer timer.Stop()
 	select {
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -139,6 +139,7 @@
 	r.parts.Log.Info("shutting down", "running", r.listener.Running())
 	ctx, cancel := context.WithTimeout(ctx, r.options.StopTimeout)
 	defer cancel()
+	r.listener.StartDrain()
 	if r.parts.OnDrain != nil {
 		r.parts.OnDrain(ctx)
 	}
