Measure the overhead of a call and parse prompts once

Cause: a prompt of 8,000 tokens passed through encoding/json seven times. Change: content is decoded with the body; the engine's body is rebuilt by copying values (gjson); bodies of known length are read into one buffer. Duplicate fields are refused, as engines may take the first. Benchmark of a call through listener and chain against a direct call in the same run, and a test of the memory of open streams.

--- a/pkg/filter/route/body.go
+++ b/pkg/filter/route/body.go
@@ -16,8 +16,13 @@
 // received, the rendered prompt and the body for the upstream.
 const bodyCopies = 3
 
-// firstRead is the initial buffer for a body of unknown length, in bytes.
-const firstRead = 16 << 10
+// Bounds of the first buffer in bytes. A body of known length is read without
+// copies up to maxFirst; beyond it memory is taken only as bytes arrive, so that
+// callers that announce long bodies and send nothing don't use up the budget.
+const (
+	minFirst = 16 << 10
+	maxFirst = 256 << 10
+)
 
 // budget bounds the memory that all request bodies of the instance take.
 type budget struct {
@@ -47,7 +52,7 @@
 	// Servers without deadline support (tests with a recorder) read unbounded.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(f.limits.ReadTimeout))
-	body, held, err = f.readChunks(w, req.Body)
+	body, held, err = f.readChunks(w, req)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, held, nil
@@ -57,10 +62,11 @@
 	return nil, held, err
 }
 
-func (f *Filter) readChunks(w http.ResponseWriter, r io.Reader) (body []byte, held int64, err error) {
+func (f *Filter) readChunks(w http.ResponseWriter, req *http.Request) (body []byte, held int64, err error) {
+	first := min(max(minFirst, req.ContentLength+1), maxFirst) // one more, to see the end without growing
 	for {
 		if len(body) == cap(body) {
-			grow := int64(max(firstRead, cap(body)))
+			grow := max(first, int64(cap(body)))
 			if !f.budget.take(grow * bodyCopies) {
 				return nil, held, code.New(code.QueueFull, "the instance has no memory for another request body").
 					WithRetryAfter(time.Second)
@@ -68,7 +74,7 @@
 			held += grow * bodyCopies
 			body = append(make([]byte, 0, int64(cap(body))+grow), body...)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
+		n, err := req.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > f.limits.MaxBody {
 			return nil, held, f.tooLarge(w)
--- a/pkg/filter/route/rebuild.go
+++ b/pkg/filter/route/rebuild.go
@@ -1,43 +1,65 @@
 package route
 
 import (
-	"encoding/json"
 	"strconv"
 	"strings"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/prompt"
 )
 
 // Fields that the router reads or sets. encoding/json matches names without
-// regard to case, engines do not; a variant would be charged by one rule and
-// run by another.
+// regard to case and takes the last of several, engines may not; such a field
+// would be charged by one rule and run by another.
 var guarded = []string{"model", "stream", "max_tokens", "max_completion_tokens", "messages", "prompt", "n", "best_of"}
 
-// rebuild returns the body for the engine.
-func rebuild(p *prompt.Prompt, data []byte) ([]byte, error) {
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(data, &fields); err != nil {
-		return nil, code.New(code.BadRequest, "the body is not a JSON object")
-	}
-	for name := range fields {
-		for _, g := range guarded {
-			if name != g && strings.EqualFold(name, g) {
-				return nil, code.New(code.BadRequest, "the field %q must be written %q", name, g)
-			}
+// replaced fields are written anew from the parsed prompt.
+var replaced = map[string]bool{"stream": true, "max_tokens": true, "max_completion_tokens": true}
+
+// rebuild returns the body for the engine. data has been parsed, so it is valid
+// JSON. Values are copied as they are: parsing long prompts again would double
+// the overhead of the request.
+func rebuild(p *prompt.Prompt, data []byte) (out []byte, err error) {
+	out = make([]byte, 0, len(data)+64) // room for the replaced fields
+	out = append(out, `{"stream":`...)
+	out = strconv.AppendBool(out, p.Stream)
+	out = append(out, `,"max_tokens":`...)
+	out = strconv.AppendInt(out, int64(p.MaxTokens), 10)
+	seen := map[string]bool{}
+	gjson.ParseBytes(data).ForEach(func(key, value gjson.Result) bool {
+		name := key.String()
+		if err = checkField(name, value, seen); err != nil {
+			return false
 		}
-	}
-	for _, name := range []string{"n", "best_of"} {
-		if raw, ok := fields[name]; ok && string(raw) != "1" && string(raw) != "null" {
-			return nil, code.New(code.BadRequest, "the field %s must be 1", name)
+		if !replaced[name] {
+			out = append(out, ',')
+			out = append(out, key.Raw...)
+			out = append(out, ':')
+			out = append(out, value.Raw...)
+		}
+		return true
+	})
+	return append(out, '}'), err
+}
+
+func checkField(name string, value gjson.Result, seen map[string]bool) error {
+	for _, g := range guarded {
+		if !strings.EqualFold(name, g) {
+			continue
+		}
+		if name != g {
+			return code.New(code.BadRequest, "the field %q must be written %q", name, g)
+		}
+		if seen[g] {
+			return code.New(code.BadRequest, "the field %q stands twice", name)
 		}
+		seen[g] = true
 	}
-	delete(fields, "max_completion_tokens")
-	fields["max_tokens"] = json.RawMessage(strconv.Itoa(p.MaxTokens))
-	fields["stream"] = json.RawMessage(strconv.FormatBool(p.Stream))
-	out, err := json.Marshal(fields)
-	if err != nil {
-		return nil, code.New(code.BadRequest, "the body cannot be encoded")
+	several := name == "n" || name == "best_of"
+	if several && value.Raw != "1" && value.Raw != "null" {
+		return code.New(code.BadRequest, "the field %s must be 1", name)
 	}
-	return out, nil
+	return nil
 }
--- a/pkg/prompt/prompt.go
+++ b/pkg/prompt/prompt.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -40,22 +41,19 @@
 }
 
 type body struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           *int            `json:"max_tokens"`
-	MaxCompletionTokens *int            `json:"max_completion_tokens"`
-	Messages            []message       `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	Model               string    `json:"model"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           *int      `json:"max_tokens"`
+	MaxCompletionTokens *int      `json:"max_completion_tokens"`
+	Messages            []message `json:"messages"`
+	Prompt              any       `json:"prompt"`
 }
 
+// Content is a string or a list of parts. It is decoded together with the body:
+// a second pass over long prompts would be a large part of their overhead.
 type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
-type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
+	Role    string `json:"role"`
+	Content any    `json:"content"`
 }
 
 // Parse reads a request body. Its errors are fit to be shown to the caller.
@@ -107,27 +105,41 @@
 	return out.Bytes(), nil
 }
 
-func contentText(raw json.RawMessage) (string, error) {
-	var s string
-	if len(raw) == 0 || json.Unmarshal(raw, &s) == nil {
-		return s, nil
-	}
-	var parts []contentPart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", errors.New("message content must be a string or a list of text parts")
+func contentText(content any) (string, error) {
+	switch c := content.(type) {
+	case nil:
+		return "", nil
+	case string:
+		return c, nil
+	case []any:
+		return partsText(c)
 	}
+	return "", errContent
+}
+
+var errContent = errors.New("message content must be a string or a list of text parts")
+
+func partsText(parts []any) (string, error) {
+	var out strings.Builder
 	for _, part := range parts {
-		if part.Type != "text" {
-			return "", errors.Newf("content parts of type %q are not supported", part.Type)
+		fields, ok := part.(map[string]any)
+		if !ok {
+			return "", errContent
+		}
+		if fields["type"] != "text" {
+			return "", errors.Newf("content parts of type %q are not supported", fields["type"])
 		}
-		s += part.Text
+		text, ok := fields["text"].(string)
+		if !ok {
+			return "", errContent
+		}
+		out.WriteString(text)
 	}
-	return s, nil
+	return out.String(), nil
 }
 
-func renderPrompt(raw json.RawMessage) ([]byte, error) {
-	var s string
-	if json.Unmarshal(raw, &s) == nil && s != "" {
+func renderPrompt(p any) ([]byte, error) {
+	if s, ok := p.(string); ok && s != "" {
 		return []byte(s), nil
 	}
 	return nil, errors.New("the field prompt must be a non-empty string")
--- /dev/null
+++ b/pkg/router/bench_test.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/filter/route"
+)
+
+// longBody is a request with a prompt of about 8,000 tokens in 4 blocks.
+var longBody = strings.Replace(goodBody, "a greeting", strings.Repeat("family history ", 2133)+"a greeting", 1)
+
+func post(b testing.TB, c *http.Client, url, body string) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, url+route.ChatPath, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(engine.HeaderRequestID, "direct")
+	resp, err := c.Do(req)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		b.Fatal(resp, err)
+	}
+	return resp
+}
+
+// BenchmarkOverhead measures a call through listener and chain and a direct
+// call to the same upstream in turn. The differences of the medians and of the
+// 99th percentiles are the overhead.
+func BenchmarkOverhead(b *testing.B) {
+	for name, body := range map[string]string{"short": goodBody, "8k_tokens": longBody} {
+		b.Run(name, func(b *testing.B) {
+			direct := httptest.NewServer(&engineFake{})
+			defer direct.Close()
+			in := start(b, map[string][]http.Handler{"plume": {&engineFake{}}}, func(p *Parts, _ *Options) {
+				p.State.(*state).snap.Pool("plume").BlockTokens = 2000
+			})
+			c := &http.Client{Transport: &http.Transport{}}
+			defer c.CloseIdleConnections()
+			var through, without []time.Duration
+			measure := func(url string) time.Duration {
+				begin := time.Now()
+				resp := post(b, c, url, body)
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				return time.Since(begin)
+			}
+			for b.Loop() {
+				through = append(through, measure(in.url))
+				without = append(without, measure(direct.URL))
+			}
+			slices.Sort(through)
+			slices.Sort(without)
+			at := func(d []time.Duration, p int) float64 { return float64(d[len(d)*p/100].Microseconds()) }
+			b.ReportMetric(at(without, 50), "direct-p50-us")
+			b.ReportMetric(at(through, 50)-at(without, 50), "overhead-p50-us")
+			b.ReportMetric(at(through, 99)-at(without, 99), "overhead-p99-us")
+		})
+	}
+}
+
+// TestStreamMemory guards against buffers that grow with the number of open
+// streams: it compares the heap and stacks of streams through the router with
+// those of as many direct streams. The bound leaves room for two connections
+// with their goroutines and buffers.
+func TestStreamMemory(t *testing.T) {
+	const streams, bound = 200, 160 << 10
+	hold := make(chan struct{})
+	upstream := &engineFake{words: 2, event: func(seq int, _ string) {
+		if seq == 2 {
+			<-hold
+		}
+	}}
+	direct := httptest.NewServer(upstream)
+	defer direct.Close()
+	in := start(t, map[string][]http.Handler{"plume": {upstream}}, nil)
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	used := func(url string) int64 {
+		before := memory()
+		for range streams {
+			resp := post(t, c, url, streamBody)
+			defer func() { _ = resp.Body.Close() }()
+			if _, err := io.ReadFull(resp.Body, make([]byte, 8)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return (memory() - before) / streams
+	}
+	defer close(hold)
+	without := used(direct.URL)
+	through := used(in.url)
+	t.Logf("per stream: %d KiB direct, %d KiB more through the router", without>>10, (through-without)>>10)
+	if through-without > bound {
+		t.Errorf("a stream takes %d bytes in the router, more than %d", through-without, bound)
+	}
+}
+
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// BenchmarkChain measures the filters alone, without network: bytes allocated
+// and time from the parsed request to the upstream request.
+func BenchmarkChain(b *testing.B) {
+	in := newState()
+	client := answering{}
+	p := Parts{
+		State: in, Limiter: &limiter{}, Orders: directOrders{}, Client: client, Metrics: &metrics{},
+		Pools: &pools{targets: map[string][]chain.Target{"plume": {{ID: "e"}}}},
+	}
+	handler := Chain(p, DefaultOptions("rennes"))
+	b.ReportAllocs()
+	b.SetBytes(int64(len(longBody)))
+	for b.Loop() {
+		req := httptest.NewRequest(http.MethodPost, route.ChatPath, bytes.NewReader([]byte(longBody)))
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		r := &chain.Request{HTTP: req, Writer: httptest.NewRecorder(), Arrived: time.Now()}
+		if err := handler(context.Background(), r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// answering answers every request at once.
+type answering struct{}
+
+func (answering) Do(_ context.Context, _ string, req *http.Request) (*http.Response, error) {
+	id := req.Header.Get(engine.HeaderRequestID)
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{engine.HeaderRequestID: {id}},
+		Body:       io.NopCloser(strings.NewReader(`{"id":"` + id + `"}`)),
+	}, nil
+}
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -116,7 +116,6 @@
 	mu      sync.Mutex
 	targets map[string][]chain.Target
 	open    atomic.Int64 // slots not yet done
-	queries []upstream.Query
 }
 
 type slot struct {
@@ -127,7 +126,6 @@
 func (p *pools) Acquire(_ context.Context, q upstream.Query) (endpoint.Slot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queries = append(p.queries, q)
 	for _, t := range p.targets[q.Pool] {
 		if !slices.Contains(q.Exclude, t.ID) {
 			p.open.Add(1)
