--- /dev/null
+++ b/pkg/control/lease.go
@@ -0,0 +1,237 @@
+// Package control decides who sends control commands (the leader lease with
+// its fencing token) and which commands to send (the rollout plan). It does no
+// I/O; times are durations since the start of the process on its monotonic
+// clock.
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// LeaseKey is the table row of the leader lease.
+const LeaseKey = "lease/control"
+
+// LeaseConfig holds the times of the lease. Clocks of instances need not
+// agree, only run at about the same speed.
+type LeaseConfig struct {
+	TTL            time.Duration // validity after a write was sent
+	RenewEvery     time.Duration // at least twice per TTL, so that one lost write does no harm
+	CommandTimeout time.Duration // of one control command
+	Drift          time.Duration // margin for clocks that run at different speeds
+	ReadEvery      time.Duration // by candidates that do not hold the lease
+	RetryAfter     time.Duration // after a failed table call, jittered up to twice this
+}
+
+// DefaultLeaseConfig returns the times used in production: a leader is
+// replaced about 4.2 s after it crashed.
+func DefaultLeaseConfig() LeaseConfig {
+	return LeaseConfig{
+		TTL: 3 * time.Second, RenewEvery: time.Second, CommandTimeout: time.Second,
+		Drift: 100 * time.Millisecond, ReadEvery: 500 * time.Millisecond, RetryAfter: 200 * time.Millisecond,
+	}
+}
+
+// LeaseRow is the value of the lease row. Sent is on the holder's clock: only
+// the holder, whose name is unique per process start, may interpret it.
+type LeaseRow struct {
+	Holder   string        `json:"holder"`
+	Token    uint64        `json:"token"` // increases at every takeover
+	Sent     time.Duration `json:"sent"`  // ns, before the write was sent
+	Released bool          `json:"released,omitempty"`
+}
+
+// DecodeLease parses a lease row. A missing row gives the zero value.
+func DecodeLease(row platform.Row) (LeaseRow, error) {
+	var out LeaseRow
+	if row.Version == 0 {
+		return out, nil
+	}
+	if err := json.Unmarshal(row.Value, &out); err != nil {
+		return LeaseRow{}, errors.Wrap(err, "lease row is not valid")
+	}
+	if out.Holder == "" || out.Token == 0 {
+		return LeaseRow{}, errors.New("lease row has no holder or no token")
+	}
+	return out, nil
+}
+
+// LeaseStepKind says what to do with the table.
+type LeaseStepKind int
+
+// Kinds of lease steps.
+const (
+	LeaseIdle   LeaseStepKind = iota
+	LeaseRead                 // read LeaseKey, then call ReadDone
+	LeaseCommit               // commit Txn, then call CommitDone
+)
+
+// LeaseStep is the next table call of a lease.
+type LeaseStep struct {
+	Kind LeaseStepKind
+	Txn  platform.Txn
+}
+
+// Lease is one candidate's view of the leader lease. At most one table call is
+// under way at a time.
+type Lease struct {
+	cfg  LeaseConfig
+	self string
+
+	known   bool // the fields below were read
+	version uint64
+	row     LeaseRow
+	seenAt  time.Duration // when this version was first seen
+	readAt  time.Duration
+	err     error // of the last read, when the row was not valid
+
+	busy    bool
+	pending LeaseRow
+	retryAt time.Duration
+	reread  bool // the outcome of a commit must be read
+	doubt   bool // an upstream has seen a newer token
+}
+
+// NewLease returns a candidate. The name must be unique per process start.
+func NewLease(cfg LeaseConfig, self string) *Lease {
+	return &Lease{cfg: cfg, self: self}
+}
+
+// Next returns the next table call; candidate says whether this instance may
+// take the lease over.
+func (l *Lease) Next(now time.Duration, rng *rand.Rand, candidate bool) LeaseStep {
+	switch {
+	case l.busy || now < l.retryAt:
+		return LeaseStep{}
+	case !candidate && !l.mine():
+		return LeaseStep{}
+	case !l.known || l.reread:
+		return l.read()
+	case l.err == nil && l.mine() && now >= l.row.Sent+l.cfg.RenewEvery:
+		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token, Sent: now})
+	case l.err == nil && l.free(now):
+		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token + 1, Sent: now})
+	case now >= l.readAt+l.cfg.ReadEvery && !l.mine():
+		return l.read()
+	}
+	return LeaseStep{}
+}
+
+func (l *Lease) mine() bool { return l.known && l.row.Holder == l.self && !l.row.Released }
+
+// free reports whether the lease may be taken over: nobody ever held it, it
+// was released, or it has not changed for as long as commands of its holder
+// can still be under way.
+func (l *Lease) free(now time.Duration) bool {
+	if l.mine() {
+		return false
+	}
+	if l.version == 0 || l.row.Released {
+		return true
+	}
+	return now >= l.seenAt+l.cfg.TTL+l.cfg.CommandTimeout+l.cfg.Drift
+}
+
+func (l *Lease) read() LeaseStep {
+	l.busy = true
+	return LeaseStep{Kind: LeaseRead}
+}
+
+func (l *Lease) commit(rng *rand.Rand, row LeaseRow) LeaseStep {
+	l.busy = true
+	l.pending = row
+	value, _ := json.Marshal(row)
+	return LeaseStep{Kind: LeaseCommit, Txn: platform.Txn{
+		Token:      fmt.Sprintf("lease-%s-%016x", l.self, rng.Uint64()),
+		Conditions: []platform.Condition{{Key: LeaseKey, Version: l.version}},
+		Writes:     []platform.Write{{Key: LeaseKey, Value: value}},
+	}}
+}
+
+// ReadDone takes the result of a read. An own row that is read back proves
+// that its commit took effect, whatever answer was lost.
+func (l *Lease) ReadDone(now time.Duration, rng *rand.Rand, row platform.Row, err error) {
+	l.busy = false
+	if err != nil {
+		l.retry(now, rng)
+		return
+	}
+	l.readAt = now
+	l.reread, l.doubt = false, false
+	if l.known && row.Version == l.version {
+		return
+	}
+	l.known = true
+	l.version = row.Version
+	l.seenAt = now
+	l.row, l.err = DecodeLease(row)
+}
+
+// CommitDone takes the result of a commit. After a conflict or an unknown
+// outcome the row is read back.
+func (l *Lease) CommitDone(now time.Duration, rng *rand.Rand, version uint64, err error) {
+	l.busy = false
+	switch {
+	case err == nil:
+		l.version, l.row, l.seenAt = version, l.pending, now
+	case errors.Is(err, platform.ErrUnavailable):
+		l.retry(now, rng)
+	case errors.Is(err, platform.ErrConflict):
+		l.reread = true
+	default:
+		l.reread = true
+		l.retry(now, rng)
+	}
+}
+
+func (l *Lease) retry(now time.Duration, rng *rand.Rand) {
+	l.retryAt = now + l.cfg.RetryAfter + time.Duration(rng.Int63n(int64(l.cfg.RetryAfter)+1))
+}
+
+// Held returns the fencing token and until when the lease is valid. A commit
+// whose outcome is unknown does not extend it.
+func (l *Lease) Held(now time.Duration) (token uint64, until time.Duration, ok bool) {
+	until = l.row.Sent + l.cfg.TTL
+	if !l.mine() || l.err != nil || l.doubt || now >= until {
+		return 0, 0, false
+	}
+	return l.row.Token, until, true
+}
+
+// MaySend reports whether a command sent now is covered by the lease. An
+// upstream that checks the token rejects a late command itself; for one that
+// ignores it, the lease must outlive the command's timeout.
+func (l *Lease) MaySend(now time.Duration, checksFencing bool) bool {
+	_, until, ok := l.Held(now)
+	if !ok || checksFencing {
+		return ok
+	}
+	return now+l.cfg.CommandTimeout <= until
+}
+
+// Doubt suspends the lease until the row was read again. It is called when an
+// upstream rejects the token as stale.
+func (l *Lease) Doubt() {
+	l.doubt, l.reread = true, true
+}
+
+// Release returns the commit that gives the lease up, if it is held and no
+// table call is under way. It must only be called when the outcome of every
+// command is known: a successor starts at once.
+func (l *Lease) Release(now time.Duration, rng *rand.Rand) LeaseStep {
+	token, _, ok := l.Held(now)
+	if !ok || l.busy {
+		return LeaseStep{}
+	}
+	return l.commit(rng, LeaseRow{Holder: l.self, Token: token, Sent: now, Released: true})
+}
+
+// Err returns why the row cannot be used, or nil. A row that is not valid is
+// never taken over, because its token is unknown.
+func (l *Lease) Err() error { return l.err }
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -98,8 +98,11 @@
 // Do makes one attempt and returns a *Error when there is no response. A
 // request with Close set or with an idempotency header uses a new connection:
 // on a reused one, a server that closes while idle makes the outcome unknown.
+// No write starts after the deadline of the context, even when the process was
+// paused between a check by the caller and the write.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
 	state := &attempt{}
+	state.notAfter, _ = req.Context().Deadline()
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: state.gotConn})
 	resp, err := c.choose(req).RoundTrip(unreplayable(req.WithContext(ctx)))
 	if err != nil {
@@ -135,6 +138,8 @@
 
 // attempt follows the connection that one request uses.
 type attempt struct {
+	notAfter time.Time // no write may start later; zero: no bound
+
 	mu    sync.Mutex
 	conn  *trackedConn
 	start int64 // writes on conn before this request
@@ -151,7 +156,7 @@
 	}
 	a.sent = a.sent || (a.conn != nil && a.conn.writesSince(a.start))
 	a.conn = conn
-	a.start = conn.count()
+	a.start = conn.begin(a.notAfter)
 }
 
 // seal stops further writes of the failed request and reports whether any
@@ -171,12 +176,16 @@
 // too early.
 type trackedConn struct {
 	net.Conn
-	mu     sync.Mutex
-	writes int64
-	sealed bool
+	mu       sync.Mutex
+	writes   int64
+	sealed   bool
+	notAfter time.Time
 }
 
-var errSealed = errors.New("connection of a failed request")
+var (
+	errSealed = errors.New("connection of a failed request")
+	errLate   = errors.New("deadline passed before the request was written")
+)
 
 func trackedDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -191,15 +200,34 @@
 // Write counts before writing: a failed write may have sent a part.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.sealed {
+	if err := c.refusal(); err != nil {
 		c.mu.Unlock()
-		return 0, errSealed
+		return 0, err
 	}
 	c.writes++
 	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
+// refusal returns why nothing may be written now. The caller holds mu.
+func (c *trackedConn) refusal() error {
+	if c.sealed {
+		return errSealed
+	}
+	if !c.notAfter.IsZero() && time.Now().After(c.notAfter) {
+		return errLate
+	}
+	return nil
+}
+
+// begin starts a request and returns the number of writes before it.
+func (c *trackedConn) begin(notAfter time.Time) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notAfter = notAfter
+	return c.writes
+}
+
 func (c *trackedConn) seal() {
 	c.mu.Lock()
 	c.sealed = true
