Close the connection when the table stand-in loses an answer

Cause: TestFaultErrors failed now and then. Twirp answers a panic of the service with status 500 before it passes the panic on, so that the client kept the connection, which the server then closed. Change: the stand-in mutes the answer and closes the connection outside the Twirp handler. Conclusion: a lost answer now looks the same as a crashed service.

--- a/pkg/standin/table/server.go
+++ b/pkg/standin/table/server.go
@@ -30,7 +30,7 @@
 	store.Faults.Register(e, nil)
 	e.GET("/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, store.Counts()) })
 	handler := rpc.NewTableServer(service{store})
-	e.Any(handler.PathPrefix()+"*", echo.WrapHandler(handler))
+	e.Any(handler.PathPrefix()+"*", echo.WrapHandler(losing(handler)))
 	server, err := host.Serve(addr, e)
 	if err != nil {
 		return nil, err
@@ -38,6 +38,44 @@
 	return &Server{Server: server, Store: store}, nil
 }
 
+// lossKey is the context key of a request's *loss.
+type lossKey struct{}
+
+// loss says that the answer to a request is to be lost.
+type loss struct{ set bool }
+
+// mute drops what is written after the answer was declared lost.
+type mute struct {
+	http.ResponseWriter
+	loss *loss
+}
+
+func (m mute) Write(p []byte) (int, error) {
+	if m.loss.set {
+		return len(p), nil
+	}
+	return m.ResponseWriter.Write(p)
+}
+
+func (m mute) WriteHeader(status int) {
+	if !m.loss.set {
+		m.ResponseWriter.WriteHeader(status)
+	}
+}
+
+// losing closes the connection of a request whose answer is lost. The service
+// itself cannot do so: Twirp answers a panic before it passes it on.
+func losing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l := &loss{}
+		ctx := context.WithValue(r.Context(), lossKey{}, l)
+		next.ServeHTTP(mute{w, l}, r.WithContext(ctx))
+		if l.set {
+			host.Drop()
+		}
+	})
+}
+
 // service adapts a Store to the Twirp service.
 type service struct{ store *Store }
 
@@ -69,8 +107,8 @@
 		txn.Writes = append(txn.Writes, platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
 	}
 	version, err := s.store.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
-		host.Drop()
+	if l, ok := ctx.Value(lossKey{}).(*loss); ok && errors.Is(err, platform.ErrOutcomeUnknown) {
+		l.set = true
 	}
 	if err != nil {
 		return nil, toTwirp(err)
