--- /dev/null
+++ b/pkg/filter/relay/stream.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+)
+
+func (a *attempt) usage(u *engine.Usage) {
+	if u == nil {
+		return
+	}
+	a.r.Outcome.PromptTokens = u.PromptTokens
+	a.r.Outcome.OutputTokens = u.CompletionTokens
+	a.r.Outcome.CachedTokens = u.Details.CachedTokens
+}
+
+// relayStream relays events until the end marker and resumes a stream that was
+// cut.
+func (a *attempt) relayStream(ctx context.Context, resp *http.Response) error {
+	a.limitWrites(a.r.Deadline)
+	stop := context.AfterFunc(ctx, func() { a.limitWrites(time.Now()) })
+	defer stop()
+	err := a.copyEvents(resp.Body)
+	for resumes := 0; err != nil && resumable(ctx, err) && resumes < a.relay.limits.Resumes; resumes++ {
+		resumed, resumeErr := a.resume(ctx)
+		if resumeErr != nil {
+			break // the cut is what the caller is told
+		}
+		err = a.copyEvents(resumed.Body)
+		_ = resumed.Body.Close()
+	}
+	if err == nil {
+		a.r.Outcome.Complete = true
+		return nil
+	}
+	return a.end(ctx, err)
+}
+
+// resumable reports whether the stream lacks events that a resumed stream can
+// bring.
+func resumable(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && (errors.Is(err, engine.ErrTruncated) || errors.Is(err, engine.ErrSequence))
+}
+
+// resume continues the stream at the same upstream and incarnation.
+func (a *attempt) resume(ctx context.Context) (*http.Response, error) {
+	if a.incarnation == "" || a.lastSeq == 0 {
+		return nil, engine.ErrTruncated
+	}
+	resp, err := a.send(ctx, strconv.FormatUint(a.lastSeq, 10))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK || resp.Header.Get(engine.HeaderIncarnation) != a.incarnation {
+		_ = resp.Body.Close()
+		return nil, engine.ErrTruncated
+	}
+	return resp, nil
+}
+
+// copyEvents relays events up to the end marker. It returns an error of
+// engine.ReadStream, or a *code.Error when the caller is gone.
+func (a *attempt) copyEvents(body io.Reader) error {
+	check := engine.StreamCheck{RequestID: a.id, After: a.lastSeq}
+	for e, err := range engine.ReadStream(body, check) {
+		if err != nil {
+			return err
+		}
+		if !e.Done {
+			a.observeToken(e)
+		}
+		a.lastSeq = e.Seq
+		a.usage(e.Usage)
+		if err := a.write(e.Data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// observeToken reports the first token or the gap since the token before.
+func (a *attempt) observeToken(e engine.StreamEvent) {
+	now := a.relay.now()
+	if a.lastSeq == 0 {
+		a.firstToken(e)
+	} else if a.r.OnTokenGap != nil {
+		a.r.OnTokenGap(now.Sub(a.lastToken))
+	}
+	a.lastToken = now
+}
+
+func (a *attempt) firstToken(e engine.StreamEvent) {
+	a.r.Outcome.FirstToken = a.relay.now().Sub(a.r.Arrived)
+	if a.r.OnFirstToken == nil {
+		return
+	}
+	cached := a.r.Target.HitTokens
+	if e.Usage != nil {
+		cached = e.Usage.Details.CachedTokens
+	}
+	a.r.OnFirstToken(cached)
+}
+
+// write sends one event to the caller and flushes it.
+func (a *attempt) write(data string) error {
+	w := a.r.Writer
+	if !a.r.Outcome.Started {
+		a.r.Outcome.Started = true
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Cache-Control", "no-cache")
+		w.WriteHeader(http.StatusOK)
+	}
+	data = strings.ReplaceAll(data, "\n", "\ndata: ") // one data line per line of the event
+	for _, part := range []string{"data: ", data, "\n\n"} {
+		if _, err := io.WriteString(w, part); err != nil {
+			return callerGone(err)
+		}
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+// end maps the error that ended a stream and, when events were relayed, tells
+// the caller in a last event.
+func (a *attempt) end(ctx context.Context, err error) error {
+	e := a.endError(ctx, err)
+	if !a.r.Outcome.Started {
+		return e
+	}
+	a.limitWrites(time.Now())
+	_ = a.write(string(e.JSON(a.r.ID))) // the caller may have left
+	return e
+}
+
+func (a *attempt) endError(ctx context.Context, err error) *code.Error {
+	run := code.MayHaveRun
+	if a.r.Outcome.Started {
+		run = code.Ran
+	}
+	if e := cancelled(ctx, run); e != nil {
+		return e
+	}
+	var e *code.Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, engine.ErrMismatch):
+		return code.New(code.AnswerMismatch, "an event of the stream belongs to another request").WithCause(err)
+	case !a.r.Outcome.Started:
+		return code.New(code.UpstreamFailed, "the stream ended before its first event").WithCause(err)
+	}
+	return code.New(code.StreamTruncated, "the stream ended without its end marker and could not be resumed").
+		WithCause(err)
+}
--- /dev/null
+++ b/pkg/pick/estimate.go
@@ -0,0 +1,271 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/cacheindex"
+)
+
+// Sizes of the candidate set. They do not depend on the pool, so that the cost
+// of a choice does not grow with it.
+const (
+	maxHolders = 8  // engines that hold the longest prefixes
+	samples    = 8  // random others, of which the least loaded win
+	smallPool  = 16 // below this every upstream is a candidate
+	maxNear    = 8  // near-equal estimates compared
+)
+
+// nearFloor makes estimates that differ by less than the noise of a load
+// report count as equal.
+const nearFloor = 500 * time.Microsecond
+
+// Estimate is the product's policy: the least estimated time to first token.
+type Estimate struct {
+	params     Params
+	matches    []cacheindex.Match
+	candidates []candidate
+	inKV       [maxKVBlocks]bool // whether the KV store holds the request's blocks
+}
+
+// maxKVBlocks bounds the blocks of a prompt that are considered for import.
+const maxKVBlocks = 64
+
+// importDelay is the fixed cost of an import: one call to the engine and one
+// to the KV store for the first block.
+const importDelay = 3 * time.Millisecond
+
+// candidate is one upstream under consideration.
+type candidate struct {
+	upstream *Upstream
+	levels   int     // blocks held according to the index
+	blocks   float64 // expected cached blocks
+	imports  int     // leading blocks that the engine holds after an import
+	meeting  bool    // where other instances send the same cold block
+	admitted bool
+	estimate time.Duration // time to first token
+	score    time.Duration // weighted estimate
+}
+
+// NewEstimate returns the policy with the parameters of one pool.
+func NewEstimate(params Params) *Estimate { return &Estimate{params: params} }
+
+// SetParams changes the parameters.
+func (p *Estimate) SetParams(params Params) { p.params = params }
+
+// Name implements Policy.
+func (*Estimate) Name() string { return NameFescuestep }
+
+// Pick implements Policy.
+func (p *Estimate) Pick(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
+	p.lookUpKV(r, s)
+	p.collect(now, r, s, rng)
+	if len(p.candidates) == 0 {
+		return p.fallback(now, r, s, rng)
+	}
+	best, admitted := -1, -1
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		p.score(now, r, s, c)
+		if best < 0 || c.score < p.candidates[best].score {
+			best = i
+		}
+		if c.admitted && (admitted < 0 || c.score < p.candidates[admitted].score) {
+			admitted = i
+		}
+	}
+	if admitted < 0 {
+		return p.fallback(now, r, s, rng)
+	}
+	if p.worthWaiting(best, admitted) {
+		return Choice{}, Busy
+	}
+	return p.choice(r, &p.candidates[p.amongNear(r, admitted, rng)]), Chosen
+}
+
+// worthWaiting reports whether the best upstream has no slot now but is still
+// expected to answer clearly sooner than the best one that has.
+func (p *Estimate) worthWaiting(best, admitted int) bool {
+	a, b := &p.candidates[admitted], &p.candidates[best]
+	return !b.admitted && b.score+b.score/4 < a.score
+}
+
+// fallback scans the whole pool in random order when no candidate has a slot.
+func (p *Estimate) fallback(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
+	n := len(s.list)
+	if n == 0 {
+		return Choice{}, None
+	}
+	verdict := None
+	start := rng.IntN(n)
+	for i := range n {
+		u := s.list[(start+i)%n]
+		if !s.Selectable(now, u, r) {
+			continue
+		}
+		verdict = Busy
+		if s.Admits(now, u) {
+			c := p.candidate(now, r, s, u)
+			p.score(now, r, s, &c)
+			return p.choice(r, &c), Chosen
+		}
+	}
+	return Choice{}, verdict
+}
+
+// collect fills the candidates: holders of the longest prefixes, the upstream
+// that other instances prefer for the same cold block, and a random sample.
+func (p *Estimate) collect(now time.Time, r *Request, s *Store, rng *rand.Rand) {
+	p.candidates = p.candidates[:0]
+	if len(s.list) <= smallPool {
+		for _, u := range s.list {
+			p.consider(now, r, s, u)
+		}
+		return
+	}
+	p.matches = s.Index.Lookup(p.matches[:0], s.IndexTime(now), r.Blocks, maxHolders, rng)
+	levels := 0
+	for _, m := range p.matches {
+		levels = max(levels, m.Levels)
+		p.consider(now, r, s, s.ofEngine(m.Engine))
+	}
+	if levels < len(r.Blocks) {
+		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.list))
+		p.consider(now, r, s, s.list[at])
+		for i := range p.candidates {
+			p.candidates[i].meeting = p.candidates[i].upstream == s.list[at]
+		}
+	}
+	for range samples {
+		p.consider(now, r, s, s.list[rng.IntN(len(s.list))])
+	}
+}
+
+func (p *Estimate) consider(now time.Time, r *Request, s *Store, u *Upstream) {
+	if !s.Selectable(now, u, r) {
+		return
+	}
+	for i := range p.candidates {
+		if p.candidates[i].upstream == u {
+			return
+		}
+	}
+	p.candidates = append(p.candidates, p.candidate(now, r, s, u))
+}
+
+func (p *Estimate) candidate(now time.Time, r *Request, s *Store, u *Upstream) candidate {
+	levels, blocks := s.Index.Expect(u.Engine, s.IndexTime(now), r.Blocks)
+	return candidate{upstream: u, levels: levels, blocks: blocks}
+}
+
+// lookUpKV notes which blocks of the request could be imported.
+func (p *Estimate) lookUpKV(r *Request, s *Store) {
+	for i := range min(len(r.Blocks), maxKVBlocks) {
+		p.inKV[i] = p.params.ImportRate > 0 && s.KV.Has(r.Blocks[i])
+	}
+}
+
+// importable returns the number of leading blocks that the candidate holds
+// after an import of those it lacks.
+func (p *Estimate) importable(r *Request, c *candidate) int {
+	n := c.levels
+	for n < min(len(r.Blocks), maxKVBlocks) && p.inKV[n] {
+		n++
+	}
+	return n
+}
+
+// score estimates the time to first token of one candidate.
+func (p *Estimate) score(now time.Time, r *Request, s *Store, c *candidate) {
+	u := c.upstream
+	c.admitted = s.Admits(now, u)
+	queue := u.QueueWait(now, s.Instances)
+	if !c.admitted {
+		queue += u.slotWait()
+	}
+	transfer, prefill := p.work(r, u, c)
+	network := time.Duration(0)
+	if u.Domain != r.Domain {
+		network = 2 * p.params.OneWayDelay
+	}
+	// An import runs while other requests are prefilled.
+	wait := max(queue, transfer)
+	c.estimate = wait + prefill + network
+	w := &p.params.Weights
+	c.score = time.Duration(w.Queue*float64(wait)+w.Prefill*float64(prefill)) + network
+}
+
+// work returns the times to import and to compute what is not cached. It sets
+// the candidate's imports where importing is faster than computing.
+func (p *Estimate) work(r *Request, u *Upstream, c *candidate) (transfer, prefill time.Duration) {
+	if u.PrefillPerSec <= 0 {
+		return 0, 0
+	}
+	prefill = seconds(r.uncached(c.blocks) / u.PrefillPerSec)
+	n := p.importable(r, c)
+	if n <= c.levels {
+		return 0, prefill
+	}
+	blocks := float64(n - c.levels)
+	transfer = importDelay + seconds(blocks*float64(r.BlockTokens)/p.params.ImportRate)
+	rest := seconds(r.uncached(c.blocks+blocks) / u.PrefillPerSec)
+	if transfer+rest >= prefill {
+		return 0, prefill
+	}
+	c.imports = n
+	c.blocks += blocks
+	return transfer, rest
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// amongNear chooses among the admitted candidates whose scores are close to
+// the best. With cold blocks the order is a rendezvous hash, which is equal on
+// all instances, so that concurrent cold requests meet on one engine. Without
+// any, two random ones are compared by load.
+func (p *Estimate) amongNear(r *Request, best int, rng *rand.Rand) int {
+	limit := p.candidates[best].score
+	limit += max(nearFloor, time.Duration(p.params.Weights.Near*float64(limit)))
+	var near [maxNear]int
+	n := 0
+	for i := range p.candidates {
+		if c := &p.candidates[i]; c.admitted && c.score <= limit && n < maxNear {
+			near[n] = i
+			n++
+		}
+	}
+	cold := int(p.candidates[best].blocks + 0.5)
+	if cold < len(r.Blocks) {
+		return p.preferred(r, cold, near[:n])
+	}
+	a, b := near[rng.IntN(n)], near[rng.IntN(n)]
+	if p.candidates[b].upstream.Total() < p.candidates[a].upstream.Total() {
+		return b
+	}
+	return a
+}
+
+func (p *Estimate) preferred(r *Request, cold int, near []int) int {
+	best, top := near[0], uint64(0)
+	for _, i := range near {
+		if p.candidates[i].meeting {
+			return i
+		}
+		if v := rendezvous(r.Blocks[cold], p.candidates[i].upstream); v >= top {
+			best, top = i, v
+		}
+	}
+	return best
+}
+
+func (p *Estimate) choice(r *Request, c *candidate) Choice {
+	uncached := int(r.uncached(c.blocks))
+	return Choice{
+		Upstream:  c.upstream,
+		HitTokens: max(r.Tokens-uncached, 0),
+		Uncached:  uncached,
+		Held:      c.levels,
+		Import:    c.imports,
+		Estimate:  c.estimate,
+	}
+}
