Run stand-ins of several deployments on one platform

Cause: a trial of the whole system needs both workloads on one table, and the subcommand should follow the shared dispatch of settings. Change: -deployment takes a list; the platform's services listen on the default addresses of serve; the settings are validated together. The rollout controller fits router.Background; its tests read shared records only after the controllers have stopped, which the race detector had reported in 1 of 15 runs. math/rand/v2 as elsewhere.

--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -14,7 +14,7 @@
 		{"configuration", newQuestionnaireGroup(s)},
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
-		{"testing", &standinCmd{}},
+		{"testing", &standinCmd{streams: s}},
 		{"other", &versionCmd{}},
 	}
 }
--- a/cmd/fescuestep/standin.go
+++ b/cmd/fescuestep/standin.go
@@ -5,18 +5,15 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
-	"github.com/peterbourgon/ff/v3"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/pkg/standin"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 )
@@ -24,7 +21,10 @@
 // standinParts are the values of the flag -run.
 var standinParts = []string{"table", "objects", "list", "weights", "engines", "orders", "kv"}
 
+var standinDeployments = map[string]func() standin.Config{"ucab": standin.UCAB, "skovgaard": standin.Skovgaard}
+
 type standinCmd struct {
+	streams
 	deployment string
 	run        string
 	engines    int
@@ -38,88 +38,91 @@
 func (*standinCmd) Name() string     { return "standin" }
 func (*standinCmd) Synopsis() string { return "run stand-ins for the external systems" }
 func (*standinCmd) Usage() string {
-	return `standin [-deployment ucab|skovgaard] [-run table,objects,...] [flags]
+	return `standin [-deployment ucab,skovgaard] [-run table,objects,...] [flags]
 
-Runs stand-ins of one deployment on loopback addresses and prints one line
-"kind id address" for each. Faults are switched with POST /faults on each
-address. Every flag can be set by a variable FESCUESTEP_<FLAG>.
+Runs stand-ins of one or several deployments, which share the platform's
+services, on loopback addresses and prints one line "kind id address" for each.
+Faults are switched with POST /faults on each address.
 
 `
 }
 
 func (c *standinCmd) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&c.deployment, "deployment", "ucab", "deployment to start: ucab or skovgaard")
+	fs.StringVar(&c.deployment, "deployment", "ucab", "comma-separated deployments to start: ucab, skovgaard")
 	fs.StringVar(&c.run, "run", strings.Join(standinParts, ","), "comma-separated parts to start")
-	fs.IntVar(&c.engines, "engines", 0, "number of model engines (0: of the deployment)")
-	fs.IntVar(&c.orders, "orders", 0, "number of order servers (0: of the deployment)")
+	fs.IntVar(&c.engines, "engines", 0, "number of model engines per deployment (0: as usual)")
+	fs.IntVar(&c.orders, "orders", 0, "number of order servers per deployment (0: as usual)")
 	fs.Float64Var(&c.scale, "scale", 1, "factor on all model and platform times")
 	fs.DurationVar(&c.listLag, "list-lag", standin.DefaultListLag, "lag of the instance list, before scaling")
-	fs.StringVar(&c.fencing, "fencing", "", "engines check or ignore fencing tokens: check or ignore (empty: of the deployment)")
-	fs.StringVar(&c.addrs.TableAddr, "table-addr", "", "listen address of the table (empty: a free loopback port)")
-	fs.StringVar(&c.addrs.ObjectsAddr, "objects-addr", "", "listen address of the object store")
-	fs.StringVar(&c.addrs.ListAddr, "list-addr", "", "listen address of the instance list")
-	fs.StringVar(&c.addrs.WeightsAddr, "weights-addr", "", "listen address of the weight store")
+	fs.StringVar(&c.fencing, "fencing", "", "engines check or ignore fencing tokens: check or ignore (empty: as usual in the deployment)")
+	fs.StringVar(&c.addrs.TableAddr, "table-addr", "127.0.0.1:9000", "listen address of the table (empty: a free loopback port)")
+	fs.StringVar(&c.addrs.ObjectsAddr, "objects-addr", "127.0.0.1:9001", "listen address of the object store")
+	fs.StringVar(&c.addrs.ListAddr, "list-addr", "127.0.0.1:9002", "listen address of the instance list")
+	fs.StringVar(&c.addrs.WeightsAddr, "weights-addr", "127.0.0.1:9003", "listen address of the weight store")
 }
 
-func (c *standinCmd) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := fromEnvironment(fs); err != nil {
-		fmt.Fprintln(os.Stderr, "fescuestep standin:", err)
-		return subcommands.ExitUsageError
-	}
-	cfg, err := c.config()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "fescuestep standin:", err)
-		return subcommands.ExitUsageError
-	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	fleet, err := standin.Start(cfg)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "fescuestep standin:", err)
-		return subcommands.ExitFailure
+func (c *standinCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := runFleets(ctx, c.out, c.fleets()); err != nil {
+		return fail(c.streams, err)
 	}
-	defer fleet.Close()
-	printFleet(os.Stdout, fleet)
-	<-ctx.Done()
 	return subcommands.ExitSuccess
 }
 
-// fromEnvironment sets flags that the command line left out from variables
-// FESCUESTEP_<FLAG>.
-func fromEnvironment(fs *flag.FlagSet) error {
-	given := []string{}
-	fs.Visit(func(f *flag.Flag) { given = append(given, "-"+f.Name+"="+f.Value.String()) })
-	return ff.Parse(fs, given, ff.WithEnvVarPrefix("FESCUESTEP"))
+// runFleets starts fleets that share one platform and stops them when ctx ends.
+func runFleets(ctx context.Context, w io.Writer, fleets []standin.Config) error {
+	p, err := standin.StartPlatform(fleets[0].PlatformOptions, fleets[0].Scale)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	printPlatform(w, p)
+	for _, cfg := range fleets {
+		cfg.Platform = p
+		fleet, err := standin.Start(cfg)
+		if err != nil {
+			return err
+		}
+		defer fleet.Close()
+		for _, instance := range fleet.Instances() {
+			fmt.Fprintln(w, instance.Pool, instance.ID, instance.Addr)
+		}
+	}
+	<-ctx.Done()
+	return nil
 }
 
-// config reports all invalid settings together.
-func (c *standinCmd) config() (standin.Config, error) {
-	var problems []string
-	presets := map[string]func() standin.Config{"ucab": standin.UCAB, "skovgaard": standin.Skovgaard}
-	preset, ok := presets[c.deployment]
-	if !ok {
-		problems = append(problems, fmt.Sprintf("-deployment %q is neither ucab nor skovgaard", c.deployment))
-		preset = standin.UCAB
+// Validate returns all invalid settings.
+func (c *standinCmd) Validate() settings.Errors {
+	var wrong settings.Errors
+	for _, name := range strings.Split(c.deployment, ",") {
+		if standinDeployments[name] == nil {
+			wrong = append(wrong, errors.Newf("-deployment: %q is neither ucab nor skovgaard", name))
+		}
 	}
-	parts := strings.Split(c.run, ",")
-	for _, part := range parts {
+	for _, part := range strings.Split(c.run, ",") {
 		if !slices.Contains(standinParts, part) {
-			problems = append(problems, fmt.Sprintf("-run: unknown part %q, want some of %s", part, strings.Join(standinParts, ",")))
+			wrong = append(wrong, errors.Newf("-run: unknown part %q, want some of %s", part, strings.Join(standinParts, ",")))
 		}
 	}
 	if c.engines < 0 || c.orders < 0 {
-		problems = append(problems, "-engines and -orders must not be negative")
+		wrong = append(wrong, errors.New("-engines and -orders must not be negative"))
 	}
 	if c.scale <= 0 {
-		problems = append(problems, "-scale must be above 0")
+		wrong = append(wrong, errors.New("-scale must be above 0"))
 	}
 	if !slices.Contains([]string{"", "check", "ignore"}, c.fencing) {
-		problems = append(problems, fmt.Sprintf("-fencing %q is neither check nor ignore", c.fencing))
+		wrong = append(wrong, errors.Newf("-fencing: %q is neither check nor ignore", c.fencing))
 	}
-	if len(problems) > 0 {
-		return standin.Config{}, errors.New(strings.Join(problems, "; "))
+	return wrong
+}
+
+// fleets returns one fleet per deployment.
+func (c *standinCmd) fleets() []standin.Config {
+	var out []standin.Config
+	for _, name := range strings.Split(c.deployment, ",") {
+		out = append(out, c.apply(standinDeployments[name](), strings.Split(c.run, ",")))
 	}
-	return c.apply(preset(), parts), nil
+	return out
 }
 
 // apply narrows a deployment to the wanted parts and numbers.
@@ -149,8 +152,7 @@
 	return cfg
 }
 
-func printFleet(w io.Writer, fleet *standin.Fleet) {
-	p := fleet.Platform
+func printPlatform(w io.Writer, p *standin.Platform) {
 	if p.Table != nil {
 		fmt.Fprintln(w, "table table", p.Table.Addr())
 	}
@@ -163,7 +165,4 @@
 	if p.Weights != nil {
 		fmt.Fprintln(w, "weights weights", p.Weights.Addr())
 	}
-	for _, instance := range fleet.Instances() {
-		fmt.Fprintln(w, instance.Pool, instance.ID, instance.Addr)
-	}
 }
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -7,7 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -191,7 +191,7 @@
 }
 
 func (l *Lease) retry(now time.Duration, rng *rand.Rand) {
-	l.retryAt = now + l.cfg.RetryAfter + time.Duration(rng.Int63n(int64(l.cfg.RetryAfter)+1))
+	l.retryAt = now + l.cfg.RetryAfter + time.Duration(rng.Int64N(int64(l.cfg.RetryAfter)+1))
 }
 
 // Held returns the fencing token and until when the lease is valid. A commit
--- a/pkg/control/lease_test.go
+++ b/pkg/control/lease_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -55,11 +55,11 @@
 const step = 10 * time.Millisecond
 
 func newWorld(seed int64, nodes int) *world {
-	w := &world{rng: rand.New(rand.NewSource(seed)), table: table.NewStore(table.Options{})}
+	w := &world{rng: rand.New(rand.NewPCG(uint64(seed), 0)), table: table.NewStore(table.Options{})}
 	for i := range nodes {
 		w.nodes = append(w.nodes, &node{
 			lease:  control.NewLease(control.DefaultLeaseConfig(), fmt.Sprint("n", i)),
-			offset: time.Duration(w.rng.Int63n(int64(time.Hour))),
+			offset: time.Duration(w.rng.Int64N(int64(time.Hour))),
 			speed:  0.99 + 0.02*w.rng.Float64(),
 		})
 	}
@@ -71,16 +71,16 @@
 }
 
 func (w *world) delay() time.Duration {
-	if w.rng.Intn(20) == 0 {
-		return time.Duration(w.rng.Int63n(int64(6 * time.Second)))
+	if w.rng.IntN(20) == 0 {
+		return time.Duration(w.rng.Int64N(int64(6 * time.Second)))
 	}
-	return time.Duration(w.rng.Int63n(int64(30 * time.Millisecond)))
+	return time.Duration(w.rng.Int64N(int64(30 * time.Millisecond)))
 }
 
 // call starts a table call of a node; one in ten is lost on the way and one in
 // ten on the way back.
 func (w *world) call(n *node, s control.LeaseStep) {
-	lost := w.rng.Intn(10)
+	lost := w.rng.IntN(10)
 	if w.now < n.cutOff {
 		lost = 0
 	}
@@ -139,12 +139,12 @@
 		if w.now < n.paused {
 			continue
 		}
-		if w.rng.Intn(1000) == 0 {
-			n.paused = w.now + time.Duration(w.rng.Int63n(int64(8*time.Second)))
+		if w.rng.IntN(1000) == 0 {
+			n.paused = w.now + time.Duration(w.rng.Int64N(int64(8*time.Second)))
 			continue
 		}
-		if w.rng.Intn(1000) == 0 {
-			n.cutOff = w.now + time.Duration(w.rng.Int63n(int64(8*time.Second)))
+		if w.rng.IntN(1000) == 0 {
+			n.cutOff = w.now + time.Duration(w.rng.Int64N(int64(8*time.Second)))
 		}
 		clock := n.clock(w.now)
 		if s := n.lease.Next(clock, w.rng, true); s.Kind != control.LeaseIdle {
@@ -205,7 +205,7 @@
 // expire because the answer to its commit was lost.
 func TestLostAnswer(t *testing.T) {
 	store := table.NewStore(table.Options{})
-	rng := rand.New(rand.NewSource(1))
+	rng := rand.New(rand.NewPCG(1, 0))
 	l := control.NewLease(control.DefaultLeaseConfig(), "a")
 	ctx := context.Background()
 	read := func(now time.Duration) {
@@ -235,7 +235,7 @@
 // TestTakeoverWait guards against a takeover without the margin for clocks of
 // different speed.
 func TestTakeoverWait(t *testing.T) {
-	rng := rand.New(rand.NewSource(1))
+	rng := rand.New(rand.NewPCG(1, 0))
 	cfg := control.DefaultLeaseConfig()
 	value, _ := json.Marshal(control.LeaseRow{Holder: "b", Token: 5})
 	l := control.NewLease(cfg, "a")
@@ -253,7 +253,7 @@
 
 // TestInvalidRow guards against a takeover from a row whose token is unknown.
 func TestInvalidRow(t *testing.T) {
-	rng := rand.New(rand.NewSource(1))
+	rng := rand.New(rand.NewPCG(1, 0))
 	l := control.NewLease(control.DefaultLeaseConfig(), "a")
 	l.Next(0, rng, true)
 	l.ReadDone(0, rng, platform.Row{Key: control.LeaseKey, Version: 3, Value: []byte("{")}, nil)
@@ -265,7 +265,7 @@
 // TestRelease guards against a planned stop that leaves upstreams without a
 // leader until the lease expires.
 func TestRelease(t *testing.T) {
-	rng := rand.New(rand.NewSource(1))
+	rng := rand.New(rand.NewPCG(1, 0))
 	value, _ := json.Marshal(control.LeaseRow{Holder: "b", Token: 5, Released: true})
 	l := control.NewLease(control.DefaultLeaseConfig(), "a")
 	l.Next(0, rng, true)
--- a/pkg/control/plan_test.go
+++ b/pkg/control/plan_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"math/rand"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -50,7 +50,7 @@
 // a rollout that never ends.
 func TestRolloutLimit(t *testing.T) {
 	for seed := range int64(200) {
-		rng := rand.New(rand.NewSource(seed))
+		rng := rand.New(rand.NewPCG(uint64(seed), 0))
 		engines := map[string]*simEngine{}
 		var upstreams []control.Upstream
 		for i := range 10 {
@@ -92,7 +92,7 @@
 			for _, s := range plan.Next(now, always) {
 				pending = append(pending, func() {
 					if run := answer(plan, rng, now, s, engines[s.ID]); run != nil {
-						late = append(late, event{now + time.Duration(rng.Int63n(int64(2*time.Second))), run})
+						late = append(late, event{now + time.Duration(rng.Int64N(int64(2*time.Second))), run})
 					}
 				})
 			}
@@ -116,7 +116,7 @@
 func answer(plan *control.Plan, rng *rand.Rand, now time.Duration, s control.Step, e *simEngine) (late func()) {
 	var result engine.CommandResult
 	var err error
-	fault := rng.Intn(8)
+	fault := rng.IntN(8)
 	switch {
 	case fault == 0:
 		err = &transport.Error{Err: context.DeadlineExceeded}
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"math/rand"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,8 +107,8 @@
 func (c *Controller) now() time.Duration { return time.Since(c.start) }
 
 // Run works until ctx ends, then waits for calls under way and gives up the
-// lease if no command's outcome is open.
-func (c *Controller) Run(ctx context.Context) {
+// lease if no command's outcome is open. It returns nil.
+func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(c.o.Tick)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -123,6 +123,7 @@
 	c.drain()
 	c.release()
 	c.status.Store(&Status{})
+	return nil
 }
 
 // advance starts all calls that are due.
--- a/pkg/controller/rollout/rollout_test.go
+++ b/pkg/controller/rollout/rollout_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"math/rand"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -178,12 +178,12 @@
 
 func run(ctx context.Context, name string, seed int64, t platform.Table, l platform.InstanceList, s rollout.State, u rollout.Upstreams) (c *rollout.Controller, done chan struct{}) {
 	c = rollout.New(rollout.Options{
-		Self: name, Name: name, Table: t, List: l, State: s, Calls: u, Rand: rand.New(rand.NewSource(seed)),
+		Self: name, Name: name, Table: t, List: l, State: s, Calls: u, Rand: rand.New(rand.NewPCG(uint64(seed), 0)),
 	})
 	done = make(chan struct{})
 	go func() {
 		defer close(done)
-		c.Run(ctx)
+		_ = c.Run(ctx) // always nil
 	}()
 	return c, done
 }
@@ -205,11 +205,11 @@
 		}
 		store.Faults.Set(table.Faults{LoseAnswers: -1})
 		time.Sleep(20 * time.Second)
+		cancel()
+		<-done
 		if got := engines.serving("2"); got != 10 || engines.peak > 2 {
 			t.Errorf("%d of 10 engines serve the version, at most %d loads at once", got, engines.peak)
 		}
-		cancel()
-		<-done
 	})
 }
 
@@ -237,6 +237,10 @@
 			t.Fatalf("status %+v, %d of 10 engines serve the version of the second leader", b.Status(), engines.serving("3"))
 		}
 		time.Sleep(20 * time.Second) // the held-back commands go out now
+		cancelA()
+		cancelB()
+		<-doneA
+		<-doneB
 		if paused.held != 2 {
 			t.Errorf("%d commands were held back, want one to each kind of upstream", paused.held)
 		}
@@ -246,10 +250,6 @@
 		if got := engines.serving("3"); got != 10 || engines.peak > 2 {
 			t.Errorf("%d of 10 engines serve the version, at most %d loads at once", got, engines.peak)
 		}
-		cancelA()
-		cancelB()
-		<-doneA
-		<-doneB
 	})
 }
 
@@ -282,10 +282,6 @@
 				t.Fatal("two leaders")
 			}
 		}
-		checkOverlap(t, engines.calls)
-		if engines.peak > 2 {
-			t.Errorf("%d loads at once", engines.peak)
-		}
 		time.Sleep(5 * time.Second)
 		leader := 0
 		if controllers[1].Status().Leader {
@@ -299,6 +295,10 @@
 		}
 		cancels[1-leader]()
 		<-dones[1-leader]
+		checkOverlap(t, engines.calls)
+		if engines.peak > 2 {
+			t.Errorf("%d loads at once", engines.peak)
+		}
 	})
 }
 
--- a/pkg/platform/tableclient.go
+++ b/pkg/platform/tableclient.go
@@ -26,7 +26,8 @@
 // intermediaryMeta marks Twirp errors that the service itself did not send.
 const intermediaryMeta = "http_error_from_intermediary"
 
-// TableClient is a Table over Twirp. It makes one attempt per call.
+// TableClient is a Table over Twirp. It makes one attempt per commit and at
+// most two per read.
 type TableClient struct {
 	rpc     rpc.Table
 	http    *transport.Client
