--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -14,6 +14,7 @@
 		{"configuration", newQuestionnaireGroup(s)},
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
+		{"running", &demoCmd{streams: s}},
 		{"testing", &standinCmd{}},
 		{"other", &versionCmd{}},
 	}
--- a/pkg/platform/httpclient.go
+++ b/pkg/platform/httpclient.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,12 +24,20 @@
 
 func newHTTPService(addr string, timeout time.Duration) httpService {
 	return httpService{
-		base:    "http://" + addr,
+		base:    baseURL(addr),
 		http:    transport.New(transport.Options{}),
 		timeout: timeoutOrDefault(timeout),
 	}
 }
 
+// baseURL returns the base URL of a service given as URL or as IP:port.
+func baseURL(addr string) string {
+	if strings.Contains(addr, "://") {
+		return strings.TrimSuffix(addr, "/")
+	}
+	return "http://" + addr
+}
+
 // Close releases idle connections.
 func (s httpService) Close() { s.http.Close() }
 
--- a/pkg/platform/tableclient.go
+++ b/pkg/platform/tableclient.go
@@ -40,7 +40,7 @@
 func NewTableClient(addr string, timeout time.Duration) *TableClient {
 	client := transport.New(transport.Options{})
 	return &TableClient{
-		rpc:     rpc.NewTableProtobufClient("http://"+addr, boundedClient{client}),
+		rpc:     rpc.NewTableProtobufClient(baseURL(addr), boundedClient{client}),
 		http:    client,
 		timeout: timeoutOrDefault(timeout),
 	}
--- a/pkg/settings/serve.go
+++ b/pkg/settings/serve.go
@@ -223,3 +223,10 @@
 	}
 	return nil
 }
+
+// DefaultServe returns the settings with every flag at its default.
+func DefaultServe() *Serve {
+	s := new(Serve)
+	s.Register(flag.NewFlagSet("serve", flag.ContinueOnError))
+	return s
+}
