--- a/pkg/controller/rollout/rollout_test.go
+++ b/pkg/controller/rollout/rollout_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
@@ -20,6 +22,8 @@
 	"github.com/fescuestep/fescuestep/pkg/transport"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fakeState is a configuration with one pool of each kind of upstream.
 type fakeState struct {
 	mu       sync.Mutex
--- a/pkg/platform/httpclient.go
+++ b/pkg/platform/httpclient.go
@@ -161,7 +161,12 @@
 	defer cancel()
 	var instances []Instance
 	err := c.readCall(ctx, "/instances", func(body io.Reader) error {
-		return json.NewDecoder(body).Decode(&instances)
+		data, err := io.ReadAll(body)
+		if err != nil {
+			return err
+		}
+		instances, err = DecodeInstances(data)
+		return err
 	})
 	if err != nil {
 		return nil, err
