Report load from the order stand-in

Cause: all servers report load, but the order stand-in had no report, so a failed poll kept every order server out of use. Change: GET /load on order servers, with the leaving state.

--- a/pkg/standin/access.go
+++ b/pkg/standin/access.go
@@ -50,12 +50,15 @@
 	return out
 }
 
-// Leave marks an upstream as leaving in the list and, for engines, in its
-// load reports. It goes on serving.
+// Leave marks an upstream as leaving in the list and in its load reports. It
+// goes on serving.
 func (f *Fleet) Leave(id string) {
 	if server, ok := f.engines[id]; ok {
 		server.Leave()
 	}
+	if server, ok := f.services[id]; ok {
+		server.Leave()
+	}
 	instance := f.instances[id]
 	instance.State = platform.Leaving
 	f.instances[id] = instance
--- a/pkg/standin/orders/orders.go
+++ b/pkg/standin/orders/orders.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -11,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -119,7 +121,10 @@
 	Faults host.Faults[Faults]
 	Ledger *Ledger
 
-	options Options
+	options     Options
+	incarnation string
+	running     atomic.Int64
+	leaving     atomic.Bool
 }
 
 // Start serves on addr; an empty addr means a free loopback port.
@@ -133,12 +138,13 @@
 	if o.Ledger == nil {
 		o.Ledger = NewLedger()
 	}
-	s := &Server{options: o, Ledger: o.Ledger}
+	s := &Server{options: o, Ledger: o.Ledger, incarnation: rand.Text()}
 	e := host.NewEcho()
 	s.Faults.Register(e, nil)
 	e.GET("/standin/runs", s.handleRuns)
-	e.GET("/*", s.handleRead)
-	e.Any("/*", s.handleOrder)
+	e.GET("/load", s.handleLoad)
+	e.GET("/*", s.handleRead, s.count)
+	e.Any("/*", s.handleOrder, s.count)
 	server, err := host.Serve(addr, e)
 	if err != nil {
 		return nil, err
