Word the demo's rate line without a claim about the start level

Cause: shares start empty while instances join, so fewer requests than the burst are admitted right after a start. Change: wording only. Conclusion: none.

--- a/pkg/demo/steps.go
+++ b/pkg/demo/steps.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		detail, err := a.expect(http.StatusTooManyRequests, code.RateExceeded)
-		return fmt.Sprintf("%d requests of 27,000 tokens admitted of a burst of 120,000, then: %s", admitted, detail), err
+		return fmt.Sprintf("burst 120,000, rate 8,000 tokens/s: %d requests of 27,000 tokens admitted, then %s", admitted, detail), err
 	}
 	return "", errors.Newf("all %d requests were admitted", admitted)
 }
