Fit the administration service to the order and upstream shells

Orders and upstream status come from pkg/controller/orders and pkg/upstream, so the service takes their types directly. Findings carry who made them.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -9,6 +9,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/orders"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
 // State is the configuration that this instance holds.
@@ -24,60 +27,36 @@
 	// returned wrapped or as it is and nothing is committed.
 	Propose(ctx context.Context, build func(*config.Snapshot) (config.Change, error)) (revision uint64, err error)
 	// Progress reports whether the revision is accepted and which members have
-	// not confirmed it.
+	// not confirmed it; after acceptance these are the ones that are cut off.
 	Progress(ctx context.Context, revision uint64) (accepted bool, pending []string, err error)
 }
 
-// UpstreamStatus reports what this instance knows about upstreams.
-type UpstreamStatus interface {
-	UpstreamStatus() []Upstream
+// Pools reports what this instance knows about upstreams
+// (*upstream.Pools).
+type Pools interface {
+	Status() []upstream.Status
 }
 
-// Upstream is the status of one upstream.
-type Upstream struct {
-	ID           string
-	Pool         string
-	Addr         string // IP:port
-	Domain       string // failure domain
-	State        string // live, leaving, ejected or slow_start
-	Incarnation  string
-	Weights      string // version loaded
-	InFlight     int    // requests of this instance
-	Running      int    // as reported
-	Waiting      int    // as reported
-	CachedBlocks int
-	ReportAge    time.Duration // negative: no report
-}
-
-// Orders lists and resolves orders whose outcome is unknown.
+// Orders lists and resolves orders whose outcome is unknown
+// (*orders.Service).
 type Orders interface {
-	// Unresolved returns up to limit orders by reference, after the given one.
-	Unresolved(ctx context.Context, after string, limit int) ([]Order, error)
-	// Resolve records a finding. It returns ErrNotUnresolved when the order is
-	// not known, still running or resolved already.
-	Resolve(ctx context.Context, reference string, ran bool, note string) error
-}
-
-// Order is an order whose outcome is unknown.
-type Order struct {
-	Reference   string
-	Space       string // order space
-	Customer    string
-	Application string
-	Call        string // method and path
-	Owner       string // instance that claimed it
-	Claimed     time.Time
+	// Unresolved returns up to limit orders by reference.
+	Unresolved(ctx context.Context, limit int) ([]orders.Unresolved, error)
+	// Resolve records a finding. It returns orders.ErrUnknownReference,
+	// order.ErrNotUnresolved, order.ErrStillRunning or an error of the table.
+	Resolve(ctx context.Context, reference string, ran bool, by, note string) error
 }
 
-// Options are the parts and bounds of a Service. All fields but Log are
-// required.
+// Options are the parts and bounds of a Service. All fields but Metrics and
+// Log are required.
 type Options struct {
 	State     State
 	Publisher Publisher
-	Upstreams UpstreamStatus
+	Pools     Pools
 	Orders    Orders
-	Wait      time.Duration // longest wait for a change to be in force
-	Log       hclog.Logger  // state changes; nil: none
+	Wait      time.Duration    // longest wait for a change to be in force
+	Metrics   *metrics.Metrics // nil: none
+	Log       hclog.Logger     // state changes; nil: none
 }
 
 // DefaultWait is twice the 4 s within which a change is in force when the
@@ -90,7 +69,7 @@
 
 // Service implements the Twirp service.
 type Service struct {
-	Options
+	o Options
 }
 
 // New returns the service.
@@ -100,3 +79,15 @@
 	}
 	return &Service{o}
 }
+
+// count counts a change by an operator.
+func (s *Service) count(c metrics.Change, err error) {
+	if s.o.Metrics == nil {
+		return
+	}
+	if err != nil {
+		s.o.Metrics.AdminChange(c, metrics.Failure)
+		return
+	}
+	s.o.Metrics.AdminChange(c, metrics.OK)
+}
--- a/pkg/admin/apply.go
+++ b/pkg/admin/apply.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
 	"github.com/fescuestep/fescuestep/rpc/admin"
@@ -27,7 +28,7 @@
 	}
 	var before *config.Snapshot
 	var after *config.Deployment
-	revision, err := s.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
+	revision, err := s.o.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
 		d, err := questionnaire.BuildFor(newest, text)
 		if err != nil {
 			return config.Change{}, err
@@ -43,6 +44,9 @@
 		return &admin.ApplyResponse{Mistakes: mistakesOf(mistakes)}, nil
 	}
 	unchanged := errors.Is(err, errUnchanged)
+	if !unchanged {
+		s.count(metrics.Apply, err)
+	}
 	if err != nil && !unchanged {
 		return nil, proposeError(err)
 	}
@@ -51,7 +55,7 @@
 		revision = before.Revision
 	} else {
 		resp.Notices = notices(before, after)
-		s.Log.Info("configuration applied", "deployment", after.Name, "revision", revision)
+		s.o.Log.Info("configuration applied", "deployment", after.Name, "revision", revision)
 	}
 	resp.Status = s.wait(ctx, revision, anyServesLastKnown(before.Deployments[after.Name], after))
 	return resp, nil
--- a/pkg/admin/key.go
+++ b/pkg/admin/key.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/keys"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/suggest"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
@@ -19,7 +20,7 @@
 func (s *Service) CreateKey(ctx context.Context, req *admin.CreateKeyRequest) (*admin.CreateKeyResponse, error) {
 	secret, key := keys.Create(req.Customer, req.Team, time.Now())
 	lastKnown := false
-	revision, err := s.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
+	revision, err := s.o.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
 		if err := checkOwner(newest, req.Customer, req.Team); err != nil {
 			return config.Change{}, err
 		}
@@ -27,10 +28,11 @@
 		created := key
 		return config.Change{Key: &created}, nil
 	})
+	s.count(metrics.CreateKey, err)
 	if err != nil {
 		return nil, proposeError(err)
 	}
-	s.Log.Info("key created", "key", key.ID, "customer", key.Customer, "revision", revision)
+	s.o.Log.Info("key created", "key", key.ID, "customer", key.Customer, "revision", revision)
 	return &admin.CreateKeyResponse{
 		Secret: secret,
 		Key:    keyOf(&key),
@@ -66,7 +68,7 @@
 func (s *Service) RevokeKey(ctx context.Context, req *admin.RevokeKeyRequest) (*admin.RevokeKeyResponse, error) {
 	var newestRevision uint64
 	lastKnown := false
-	revision, err := s.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
+	revision, err := s.o.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
 		key := newest.KeyByID(req.Id)
 		if key == nil {
 			return config.Change{}, twirp.NotFound.Errorf("no key has the ID %q", req.Id)
@@ -81,13 +83,16 @@
 		return config.Change{Key: &revoked}, nil
 	})
 	unchanged := errors.Is(err, errUnchanged)
+	if !unchanged {
+		s.count(metrics.RevokeKey, err)
+	}
 	if err != nil && !unchanged {
 		return nil, proposeError(err)
 	}
 	if unchanged {
 		revision = newestRevision
 	} else {
-		s.Log.Info("key revoked", "key", req.Id, "revision", revision)
+		s.o.Log.Info("key revoked", "key", req.Id, "revision", revision)
 	}
 	return &admin.RevokeKeyResponse{Status: s.wait(ctx, revision, lastKnown), Unchanged: unchanged}, nil
 }
@@ -95,7 +100,7 @@
 // ListKeys implements admin.Admin.
 func (s *Service) ListKeys(_ context.Context, req *admin.ListKeysRequest) (*admin.ListKeysResponse, error) {
 	resp := &admin.ListKeysResponse{}
-	for _, k := range s.State.Snapshot().Keys {
+	for _, k := range s.o.State.Snapshot().Keys {
 		if req.Customer == "" || k.Customer == req.Customer {
 			resp.Keys = append(resp.Keys, keyOf(k))
 		}
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -25,7 +25,7 @@
 // wait asks for the progress of a revision until it is in force, ctx ends or
 // the bound has passed, and returns the last answer.
 func (s *Service) wait(ctx context.Context, revision uint64, servesLastKnown bool) *admin.Status {
-	ctx, cancel := context.WithTimeout(ctx, s.Wait)
+	ctx, cancel := context.WithTimeout(ctx, s.o.Wait)
 	defer cancel()
 	last := progress{err: errNoAnswer}
 	for {
@@ -46,7 +46,7 @@
 }
 
 func (s *Service) ask(ctx context.Context, revision uint64) progress {
-	accepted, pending, err := s.Publisher.Progress(ctx, revision)
+	accepted, pending, err := s.o.Publisher.Progress(ctx, revision)
 	return progress{accepted, pending, err}
 }
 
@@ -100,7 +100,7 @@
 
 // Revision implements admin.Admin.
 func (s *Service) Revision(ctx context.Context, _ *admin.RevisionRequest) (*admin.RevisionResponse, error) {
-	snapshot := s.State.Snapshot()
+	snapshot := s.o.State.Snapshot()
 	p := s.ask(ctx, snapshot.Revision)
 	var deployments []*config.Deployment
 	for _, d := range snapshot.Deployments {
@@ -108,13 +108,13 @@
 	}
 	return &admin.RevisionResponse{
 		Status: status(snapshot.Revision, p, anyServesLastKnown(deployments...)),
-		Fresh:  s.State.Fresh(),
+		Fresh:  s.o.State.Fresh(),
 	}, nil
 }
 
 // Instances implements admin.Admin.
 func (s *Service) Instances(ctx context.Context, _ *admin.InstancesRequest) (*admin.InstancesResponse, error) {
-	snapshot := s.State.Snapshot()
+	snapshot := s.o.State.Snapshot()
 	p := s.ask(ctx, snapshot.Revision)
 	resp := &admin.InstancesResponse{}
 	for _, m := range snapshot.Members.Members {
--- a/pkg/questionnaire/check.go
+++ b/pkg/questionnaire/check.go
@@ -17,7 +17,9 @@
 	modelPattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@-]{0,127}$`)
 	routePattern  = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,255}$`)
 	headerPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9-]{0,63}$`)
-	fieldPattern  = regexp.MustCompile(`^[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*$`)
+	// A field of the body's outermost object: the idempotency filter doesn't
+	// look into nested ones.
+	fieldPattern = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
 )
 
 // patterns are the validator tags for texts of a certain form and how the
@@ -30,7 +32,7 @@
 	"model":  {modelPattern, "letters, digits and . _ : / @ -"},
 	"route":  {routePattern, "a path that starts with / and has only letters, digits and . _ ~ / -"},
 	"header": {headerPattern, "a header name such as X-Order-Number"},
-	"field":  {fieldPattern, "a field name such as order_number or order.number"},
+	"field":  {fieldPattern, "the name of a field of the outermost object, such as order_number"},
 }
 
 var validate = newValidator()
