Use the order and upstream shells directly in the instance

The administration service takes *orders.Service and *upstream.Pools, so the adapters between them go away; findings name their author and the upstream states unreachable and loading are counted on their own instead of as ejected.

--- a/cmd/fescuestep/docs_test.go
+++ b/cmd/fescuestep/docs_test.go
@@ -82,9 +82,6 @@
 			settingsTable(&b, prefix+c.Name(), c.SetFlags)
 		}
 	}
-	if !strings.Contains(b.String(), "`serve`") {
-		settingsTable(&b, "serve", (&settings.Serve{}).Register)
-	}
 	checkTable(t, "configuration.md", "settings", b.String())
 }
 
--- a/pkg/instance/adapters.go
+++ b/pkg/instance/adapters.go
@@ -4,16 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/fescuestep/fescuestep/pkg/admin"
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/controller/orders"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
 	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
-	"github.com/fescuestep/fescuestep/pkg/order"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
@@ -83,70 +78,10 @@
 	}
 	for name, p := range pools {
 		m := i.metrics.Pool(name)
-		m.Upstreams(metrics.Live, p.states[upstream.StateLive])
-		m.Upstreams(metrics.Leaving, p.states[upstream.StateLeaving])
-		m.Upstreams(metrics.Ejected, p.states[upstream.StateEjected]+p.states[upstream.StateUnreachable])
+		for _, state := range metrics.UpstreamStates() {
+			m.Upstreams(state, p.states[upstream.State(state)])
+		}
 		m.Load(p.inFlight, 0)
 		m.CachedBlocks(p.blocks)
 	}
 }
-
-// upstreamStatus adapts the pools to the administration service.
-type upstreamStatus struct{ pools *upstream.Pools }
-
-// UpstreamStatus implements admin.UpstreamStatus.
-func (u upstreamStatus) UpstreamStatus() []admin.Upstream {
-	var out []admin.Upstream
-	for _, s := range u.pools.Status() {
-		out = append(out, admin.Upstream{
-			ID:           s.ID,
-			Pool:         s.Pool,
-			Addr:         s.Addr,
-			Domain:       s.Domain,
-			State:        string(s.State),
-			Incarnation:  s.Incarnation,
-			Weights:      s.Weights,
-			InFlight:     s.InFlight,
-			Running:      s.Total,
-			CachedBlocks: s.Blocks,
-			ReportAge:    -1,
-		})
-	}
-	return out
-}
-
-// maxUnresolved bounds one reading of unresolved orders.
-const maxUnresolved = 10_000
-
-// adminOrders adapts the order service to the administration service.
-type adminOrders struct{ orders *orders.Service }
-
-// Unresolved implements admin.Orders.
-func (a adminOrders) Unresolved(ctx context.Context, after string, limit int) ([]admin.Order, error) {
-	list, err := a.orders.Unresolved(ctx, maxUnresolved)
-	if err != nil {
-		return nil, err
-	}
-	var out []admin.Order
-	for _, u := range list {
-		if u.Reference <= after {
-			continue
-		}
-		if len(out) == limit {
-			break
-		}
-		out = append(out, admin.Order{Reference: u.Reference, Owner: u.Owner, Claimed: u.Claimed})
-	}
-	return out, nil
-}
-
-// Resolve implements admin.Orders.
-func (a adminOrders) Resolve(ctx context.Context, reference string, ran bool, note string) error {
-	err := a.orders.Resolve(ctx, reference, ran, "operator", note)
-	for _, known := range []error{orders.ErrUnknownReference, order.ErrNotUnresolved, order.ErrStillRunning} {
-		if errors.Is(err, known) {
-			return errors.Mark(err, admin.ErrNotUnresolved)
-		}
-	}
-	return err
-}
--- a/pkg/instance/services.go
+++ b/pkg/instance/services.go
@@ -73,9 +73,10 @@
 	service := admin.New(admin.Options{
 		State:     i.sync,
 		Publisher: i.sync,
-		Upstreams: upstreamStatus{i.pools},
-		Orders:    adminOrders{i.orders},
+		Pools:     i.pools,
+		Orders:    i.orders,
 		Wait:      admin.DefaultWait,
+		Metrics:   i.metrics,
 		Log:       i.log.Named("admin"),
 	})
 	return serveHTTP(ctx, i.listeners.admin, admin.Handler(service, string(i.settings.AdminCredential)))
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -71,7 +71,7 @@
 
 // Upstreams.
 var (
-	defUpstreams    = define(Gauge, "upstreams", "Upstreams by state: live, leaving, ejected or slow_start.", "pool", "state")
+	defUpstreams    = define(Gauge, "upstreams", "Upstreams by state: live, leaving, unreachable, ejected or loading.", "pool", "state")
 	defInFlight     = define(Gauge, "in_flight", "Requests of this instance at upstreams.", "pool")
 	defQueued       = define(Gauge, "queued", "Requests waiting for an upstream slot.", "pool")
 	defQueueWait    = define(Histogram, "queue_wait_seconds", "Time a request waited for an upstream slot.", "pool")
--- a/pkg/metrics/outcomes.go
+++ b/pkg/metrics/outcomes.go
@@ -77,12 +77,19 @@
 
 // States of upstreams.
 const (
-	Live      UpstreamState = "live"
-	Leaving   UpstreamState = "leaving"
-	Ejected   UpstreamState = "ejected"
-	SlowStart UpstreamState = "slow_start"
+	Live    UpstreamState = "live"
+	Leaving UpstreamState = "leaving"
+	Down    UpstreamState = "unreachable"
+	Ejected UpstreamState = "ejected"
+	Loading UpstreamState = "loading"
 )
 
+// UpstreamStates returns all states of upstreams. They have the names that
+// the administration service uses.
+func UpstreamStates() []UpstreamState {
+	return []UpstreamState{Live, Leaving, Down, Ejected, Loading}
+}
+
 // OpenStreams sets the number of streams in progress.
 func (m *Metrics) OpenStreams(n int) { m.gauge(defOpenStreams).Update(float64(n)) }
 
