--- a/pkg/instance/adapters.go
+++ b/pkg/instance/adapters.go
@@ -81,7 +81,7 @@
 		for _, state := range metrics.UpstreamStates() {
 			m.Upstreams(state, p.states[upstream.State(state)])
 		}
-		m.Load(p.inFlight, 0)
+		m.InFlight(p.inFlight)
 		m.CachedBlocks(p.blocks)
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/requestid"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
 	"github.com/fescuestep/fescuestep/pkg/peer"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/router"
@@ -105,29 +106,33 @@
 func (i *Instance) build(o Options) {
 	seed := seedOf(i.self)
 	i.metrics = metrics.New()
+	table := collect.Table(i.table, i.metrics)
+	objects := collect.Objects(i.objects, i.metrics)
+	list := collect.List(i.list, i.metrics)
+	peers := collect.PeerCalls(i.peers, i.metrics)
 	i.sync = configsync.New(configsync.Options{
 		Self:  i.self,
-		Table: i.table,
-		Peers: i.peers,
-		List:  i.list,
+		Table: table,
+		Peers: peers,
+		List:  list,
 		Log:   i.log.Named("config"),
 		Rand:  rand.New(rand.NewPCG(seed, 1)),
 	})
 	i.members = members.New(members.Options{
 		Self:  i.self,
 		Sync:  i.sync,
-		Peers: i.peers,
-		List:  i.list,
+		Peers: peers,
+		List:  list,
 		Log:   i.log.Named("members"),
 	})
 	i.limiter = quotasync.New(quotasync.Options{
 		Self:  i.self,
 		State: i.sync,
-		Peers: i.peers,
+		Peers: peers,
 		Log:   i.log.Named("quota"),
 	})
 	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy})
-	i.orders = orders.New(i.table, i.objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
+	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
 		i.metrics.OnSnapshot(snapshot)
@@ -138,9 +143,9 @@
 func (i *Instance) parts(seed uint64) router.Parts {
 	return router.Parts{
 		State:   i.sync,
-		Limiter: limiter{i.limiter},
-		Pools:   endpoint.Of(i.pools),
-		Orders:  i.orders,
+		Limiter: collect.Limiter(limiter{i.limiter}, i.metrics),
+		Pools:   collect.Pools(endpoint.Of(i.pools), i.metrics),
+		Orders:  collect.Orders(i.orders, i.metrics),
 		Client:  i.engines,
 		Metrics: accountingMetrics{i.metrics},
 		Log:     i.log,
@@ -149,7 +154,7 @@
 			i.members,
 			i.limiter,
 			upstreams.New(upstreams.Options{
-				List:     i.list,
+				List:     collect.List(i.list, i.metrics),
 				Pools:    i.pools,
 				Client:   i.engines,
 				Snapshot: i.sync.Snapshot,
--- /dev/null
+++ b/pkg/metrics/collect/platform.go
@@ -0,0 +1,123 @@
+// Package collect wraps the parts of an instance at their interfaces and
+// records what passes, so that the parts themselves know nothing of metrics.
+package collect
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// calls records calls to one service of the platform.
+type calls struct {
+	m       *metrics.Metrics
+	service metrics.Service
+}
+
+func (c calls) record(start time.Time, err error) {
+	c.m.PlatformCall(c.service, outcomeOf(err), time.Since(start))
+}
+
+// outcomeOf classifies an answer of the platform. A missing object is a
+// proper answer.
+func outcomeOf(err error) metrics.Outcome {
+	switch {
+	case err == nil, errors.Is(err, platform.ErrNotFound):
+		return metrics.OK
+	case errors.Is(err, platform.ErrConflict):
+		return metrics.Conflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return metrics.Unavailable
+	}
+	return metrics.Unknown
+}
+
+type table struct {
+	next platform.Table
+	calls
+}
+
+// Table records the calls to a table.
+func Table(next platform.Table, m *metrics.Metrics) platform.Table {
+	return table{next, calls{m, metrics.Table}}
+}
+
+// Get implements platform.Table.
+func (t table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	start := time.Now()
+	rows, err := t.next.Get(ctx, keys...)
+	t.record(start, err)
+	return rows, err
+}
+
+// Scan implements platform.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	start := time.Now()
+	rows, err := t.next.Scan(ctx, prefix, after, limit)
+	t.record(start, err)
+	return rows, err
+}
+
+// Commit implements platform.Table.
+func (t table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	start := time.Now()
+	version, err := t.next.Commit(ctx, txn)
+	t.record(start, err)
+	return version, err
+}
+
+type objects struct {
+	next platform.ObjectStore
+	calls
+}
+
+// Objects records the calls to an object store.
+func Objects(next platform.ObjectStore, m *metrics.Metrics) platform.ObjectStore {
+	return objects{next, calls{m, metrics.Objects}}
+}
+
+// Put implements platform.ObjectStore.
+func (o objects) Put(ctx context.Context, key string, value []byte) error {
+	start := time.Now()
+	err := o.next.Put(ctx, key, value)
+	o.record(start, err)
+	return err
+}
+
+// Get implements platform.ObjectStore.
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	start := time.Now()
+	value, err := o.next.Get(ctx, key)
+	o.record(start, err)
+	return value, err
+}
+
+// Delete implements platform.ObjectStore.
+func (o objects) Delete(ctx context.Context, key string) error {
+	start := time.Now()
+	err := o.next.Delete(ctx, key)
+	o.record(start, err)
+	return err
+}
+
+type list struct {
+	next platform.InstanceList
+	calls
+}
+
+// List records the calls to an instance list.
+func List(next platform.InstanceList, m *metrics.Metrics) platform.InstanceList {
+	return list{next, calls{m, metrics.List}}
+}
+
+// List implements platform.InstanceList.
+func (l list) List(ctx context.Context) ([]platform.Instance, error) {
+	start := time.Now()
+	instances, err := l.next.List(ctx)
+	l.record(start, err)
+	return instances, err
+}
--- a/pkg/metrics/outcomes.go
+++ b/pkg/metrics/outcomes.go
@@ -55,10 +55,11 @@
 
 // Calls between instances.
 const (
-	Sync    PeerCall = "sync"
-	Acquire PeerCall = "acquire"
-	Return  PeerCall = "return"
-	Lookup  PeerCall = "lookup"
+	Sync             PeerCall = "sync"
+	Acknowledgements PeerCall = "acknowledgements"
+	Join             PeerCall = "join"
+	Acquire          PeerCall = "acquire"
+	Return           PeerCall = "return"
 )
 
 // Change is a change by an operator.
--- a/pkg/metrics/pool.go
+++ b/pkg/metrics/pool.go
@@ -38,11 +38,11 @@
 	p.m.gauge(defUpstreams, p.name, string(s)).Update(float64(n))
 }
 
-// Load sets the numbers of requests at upstreams and waiting for a slot.
-func (p *Pool) Load(inFlight, queued int) {
-	p.flights.Update(float64(inFlight))
-	p.queued.Update(float64(queued))
-}
+// InFlight sets the number of requests at upstreams.
+func (p *Pool) InFlight(n int) { p.flights.Update(float64(n)) }
+
+// Queued sets the number of requests waiting for a slot.
+func (p *Pool) Queued(n int) { p.queued.Update(float64(n)) }
 
 // QueueWait records the time a request waited for a slot.
 func (p *Pool) QueueWait(d time.Duration) { p.wait.RecordDuration(d) }
