Take addresses of platform services and answer only own refusals

The platform clients connect to IP:port, while the settings asked for URLs, so no instance reached the table: found by running three instances against the stand-ins. The same run showed an error of the table's Twirp client passed to the operator as the answer, without a word on whether something was changed; only refusals of the service itself are passed on now. Revision no longer claims that revision 0 is in force.

--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -138,6 +138,8 @@
 		{platform.ErrOutcomeUnknown, "may have been made"},
 		{context.DeadlineExceeded, "may have been made"},
 		{errors.New("other"), "may have been made"},
+		{errors.Mark(twirp.Internal.Error("dial"), platform.ErrUnavailable), "nothing was changed"},
+		{errors.Wrap(twirp.Internal.Error("dial"), "read head"), "may have been made"},
 	} {
 		f := newFleet(t)
 		f.err = c.err
--- a/pkg/admin/apply.go
+++ b/pkg/admin/apply.go
@@ -102,13 +102,21 @@
 	return list
 }
 
+// refusal is an error of a build function that the operator sees as it is.
+// Without this type, an error of the table's own Twirp client would pass for
+// one.
+type refusal struct{ answer twirp.Error }
+
+// Error implements error.
+func (r refusal) Error() string { return r.answer.Error() }
+
 // proposeError words a failed proposal. It claims that nothing was changed
 // only when that is certain.
 func proposeError(err error) error {
-	var te twirp.Error
+	var r refusal
 	switch {
-	case errors.As(err, &te):
-		return te
+	case errors.As(err, &r):
+		return r.answer
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		return twirp.Unavailable.Error("The table service did not answer; the change may have been made. Look at the state before you repeat it.")
 	case errors.Is(err, platform.ErrUnavailable):
--- a/pkg/admin/key.go
+++ b/pkg/admin/key.go
@@ -44,11 +44,11 @@
 	c := s.Customer(customer)
 	if c == nil {
 		closest := suggest.DidYouMean(suggest.Closest(customer, customerIDs(s)))
-		return twirp.InvalidArgument.Errorf("no customer is named %q. %s", customer, closest)
+		return refusal{twirp.InvalidArgument.Errorf("no customer is named %q. %s", customer, closest)}
 	}
 	if team != "" && !slices.Contains(c.Teams, team) {
 		closest := suggest.DidYouMean(suggest.Closest(team, c.Teams))
-		return twirp.InvalidArgument.Errorf("customer %q has no team named %q. %s", customer, team, closest)
+		return refusal{twirp.InvalidArgument.Errorf("customer %q has no team named %q. %s", customer, team, closest)}
 	}
 	return nil
 }
@@ -71,7 +71,7 @@
 	revision, err := s.o.Publisher.Propose(ctx, func(newest *config.Snapshot) (config.Change, error) {
 		key := newest.KeyByID(req.Id)
 		if key == nil {
-			return config.Change{}, twirp.NotFound.Errorf("no key has the ID %q", req.Id)
+			return config.Change{}, refusal{twirp.NotFound.Errorf("no key has the ID %q", req.Id)}
 		}
 		newestRevision = newest.Revision
 		lastKnown = servesLastKnown(newest.Customer(key.Customer))
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -101,6 +101,9 @@
 // Revision implements admin.Admin.
 func (s *Service) Revision(ctx context.Context, _ *admin.RevisionRequest) (*admin.RevisionResponse, error) {
 	snapshot := s.o.State.Snapshot()
+	if snapshot.Revision == 0 {
+		return &admin.RevisionResponse{Status: &admin.Status{Explanation: "This instance holds no configuration yet."}}, nil
+	}
 	p := s.ask(ctx, snapshot.Revision)
 	var deployments []*config.Deployment
 	for _, d := range snapshot.Deployments {
--- a/pkg/settings/serve.go
+++ b/pkg/settings/serve.go
@@ -20,9 +20,9 @@
 	Metrics   Listener
 	Advertise string // address under which peers reach this instance
 
-	Table   string // base URL
-	Objects string // base URL
-	List    string // URL
+	Table   string // IP:port
+	Objects string // IP:port
+	List    string // IP:port
 
 	BodyLimit         Size
 	BodyTimeout       time.Duration // to receive a request body
@@ -53,9 +53,9 @@
 	fs.StringVar(&s.InstanceID, "instance-id", "", "unique name of this instance (required)")
 	fs.StringVar(&s.Domain, "failure-domain", "", "failure domain of this instance as named in the questionnaire (required)")
 	s.registerListeners(fs)
-	fs.StringVar(&s.Table, "table", "http://127.0.0.1:9000", "URL of the table service")
-	fs.StringVar(&s.Objects, "objects", "http://127.0.0.1:9001", "URL of the object store")
-	fs.StringVar(&s.List, "list", "http://127.0.0.1:9002", "URL of the instance list")
+	fs.StringVar(&s.Table, "table", "127.0.0.1:9000", "address of the table service")
+	fs.StringVar(&s.Objects, "objects", "127.0.0.1:9001", "address of the object store")
+	fs.StringVar(&s.List, "list", "127.0.0.1:9002", "address of the instance list")
 	s.registerLimits(fs)
 	s.peerCredential.register(fs, "peer-credential", "the credential that instances show each other")
 	s.adminCredential.register(fs, "admin-credential", "the credential of the administration service")
@@ -102,9 +102,9 @@
 	}
 	add(name("instance-id", s.InstanceID))
 	add(name("failure-domain", s.Domain))
-	add(endpoint("table", s.Table))
-	add(endpoint("objects", s.Objects))
-	add(endpoint("list", s.List))
+	add(service("table", s.Table))
+	add(service("objects", s.Objects))
+	add(service("list", s.List))
 	add(oneOf("log-level", s.LogLevel, "trace", "debug", "info", "warn", "error"))
 	add(oneOf("log-format", s.LogFormat, "text", "json"))
 	var err error
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -59,7 +59,7 @@
 		`-drain-delay (FESCUESTEP_DRAIN_DELAY): "soon"`, `-log-level (FESCUESTEP_LOG_LEVEL): "loud"`, "shorter than 16",
 		`-body-limit (FESCUESTEP_BODY_LIMIT): "much"`, "unknown flag -failure-domian; did you mean -failure-domain?",
 		`"peers:1" is not an address`, "-peer-timeout (FESCUESTEP_PEER_TIMEOUT): 5s is not between",
-		"-callers-tls-cert and -callers-tls-key: give both", `"table.example" is not a URL`, `"R 1"`, "-list: needs a value",
+		"-callers-tls-cert and -callers-tls-key: give both", `"table.example" is not an address`, `"R 1"`, "-list: needs a value",
 		"-failure-domain (FESCUESTEP_FAILURE_DOMAIN): required",
 	} {
 		if !strings.Contains(text, want) {
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -151,7 +151,16 @@
 	return addr, nil
 }
 
-// endpoint checks a base URL of a platform service.
+// service checks the address of a platform service.
+func service(name, text string) error {
+	addr, err := address(name, text)
+	if err == nil && (addr.Port() == 0 || addr.Addr().IsUnspecified()) {
+		return errors.Newf("-%s (%s): %q can't be connected to", name, EnvName(name), text)
+	}
+	return err
+}
+
+// endpoint checks a base URL.
 func endpoint(name, text string) error {
 	u, err := url.Parse(text)
 	if err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.User == nil && u.RawQuery == "" {
