Keep long prefills apart, wait for exports, weigh unseen work

Cause: the requests that other instances sent since the last load report are unseen; a short call that meets an unseen long prefill waits 0.5 s and more. Imports failed while the export of the blocks was still running.

--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -202,7 +202,7 @@
 		if !e.down && e.incarnation == t.Incarnation {
 			done = e.importBlocks(t.Blocks)
 		}
-		in.later(delay, func() { in.core.Imported(in.run.clock.time(), t, done) })
+		in.later(delay, func() { in.core.Imported(in.run.clock.time(), g, t, done) })
 		in.run.clock.after(2*delay, func() { r.send(e, g) })
 	})
 }
@@ -215,7 +215,7 @@
 			return
 		}
 		done := e.exportBlocks(t.Blocks)
-		in.later(in.delay(e), func() { in.core.Exported(t, done) })
+		in.later(in.delay(e), func() { in.core.Exported(in.run.clock.time(), t, done) })
 	})
 }
 
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -20,6 +20,14 @@
 // report count as equal.
 const nearFloor = 500 * time.Microsecond
 
+// Separation of long prefills.
+const (
+	longShare   = 0.8
+	longPrefill = 100 * time.Millisecond
+	longAside   = 100 * time.Millisecond
+	shortAside  = 25 * time.Millisecond
+)
+
 // Estimate is the product's policy: the least estimated time to first token.
 type Estimate struct {
 	params     Params
@@ -58,7 +66,8 @@
 
 // Pick implements Policy.
 func (p *Estimate) Pick(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
-	p.lookUpKV(r, s)
+	p.lookUpKV(now, r, s)
+	s.assignLanes(longShare)
 	p.collect(now, r, s, rng)
 	if len(p.candidates) == 0 {
 		return p.fallback(now, r, s, rng)
@@ -130,10 +139,10 @@
 		p.consider(now, r, s, s.ofEngine(m.Engine))
 	}
 	if levels < len(r.Blocks) {
-		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.list))
-		p.consider(now, r, s, s.list[at])
+		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.longLane))
+		p.consider(now, r, s, s.longLane[at])
 		for i := range p.candidates {
-			p.candidates[i].meeting = p.candidates[i].upstream == s.list[at]
+			p.candidates[i].meeting = p.candidates[i].upstream == s.longLane[at]
 		}
 	}
 	for range samples {
@@ -159,9 +168,9 @@
 }
 
 // lookUpKV notes which blocks of the request could be imported.
-func (p *Estimate) lookUpKV(r *Request, s *Store) {
+func (p *Estimate) lookUpKV(now time.Time, r *Request, s *Store) {
 	for i := range min(len(r.Blocks), maxKVBlocks) {
-		p.inKV[i] = p.params.ImportRate > 0 && s.KV.Has(r.Blocks[i])
+		p.inKV[i] = p.params.ImportRate > 0 && s.KV.Has(r.Blocks[i], s.IndexTime(now))
 	}
 }
 
@@ -179,7 +188,7 @@
 func (p *Estimate) score(now time.Time, r *Request, s *Store, c *candidate) {
 	u := c.upstream
 	c.admitted = s.Admits(now, u)
-	queue := u.QueueWait(now, s.Instances)
+	queue := u.QueueWait(now, s.Instances) + s.unseen(now, u)
 	if !c.admitted {
 		queue += u.slotWait()
 	}
@@ -192,7 +201,22 @@
 	wait := max(queue, transfer)
 	c.estimate = wait + prefill + network
 	w := &p.params.Weights
-	c.score = time.Duration(w.Queue*float64(wait)+w.Prefill*float64(prefill)) + network
+	c.score = time.Duration(w.Queue*float64(wait)+w.Prefill*float64(prefill)) + network + lane(u, prefill)
+}
+
+// lane returns the cost of using an upstream against its lane. Other
+// instances' requests are seen late; a short request that meets an unseen long
+// prefill waits many times its own work, so that long prefills are kept to a
+// part of the pool while it is not busy.
+func lane(u *Upstream, prefill time.Duration) time.Duration {
+	long := prefill >= longPrefill
+	switch {
+	case long && !u.longLane:
+		return longAside
+	case !long && u.longLane:
+		return shortAside
+	}
+	return 0
 }
 
 // work returns the times to import and to compute what is not cached. It sets
--- a/pkg/pick/store.go
+++ b/pkg/pick/store.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -29,6 +30,9 @@
 	list     []*Upstream // listed upstreams, sorted by ID
 	byID     map[string]*Upstream
 	byEngine []*Upstream
+	work     rateMeter // uncached tokens per second that this instance sends
+	lanesOld bool      // the list changed since lanes were assigned
+	longLane []*Upstream
 }
 
 // NewStore returns an empty store. Index times count from now.
@@ -61,6 +65,7 @@
 	s.byID[u.ID] = u
 	at, _ := slices.BinarySearchFunc(s.list, u.ID, compareID)
 	s.list = slices.Insert(s.list, at, u)
+	s.lanesOld = true
 }
 
 // Remove takes an upstream off the list. Its flights end as usual.
@@ -74,6 +79,7 @@
 	s.byEngine[u.Engine] = nil
 	at, _ := slices.BinarySearchFunc(s.list, id, compareID)
 	s.list = slices.Delete(s.list, at, at+1)
+	s.lanesOld = true
 	s.Index.Remove(id)
 }
 
@@ -125,3 +131,41 @@
 	}
 	return false
 }
+
+// assignLanes marks a share of the upstreams as preferred for long prefills.
+// The order of the hashed IDs is equal on all instances.
+func (s *Store) assignLanes(share float64) {
+	if !s.lanesOld {
+		return
+	}
+	s.lanesOld = false
+	order := slices.Clone(s.list)
+	slices.SortFunc(order, func(a, b *Upstream) int { return cmp.Compare(a.hash(), b.hash()) })
+	long := int(share*float64(len(order)) + 0.5)
+	for i, u := range order {
+		u.longLane = i < long
+	}
+	s.longLane = order[:max(long, min(1, len(order)))]
+}
+
+// Start records a request that this instance sends to u now.
+func (s *Store) Start(now time.Time, u *Upstream, uncached int) *Flight {
+	s.work.add(now, float64(uncached))
+	return u.Start(now, uncached)
+}
+
+// unseen estimates the queue that other instances have built up on an upstream
+// since its last report: their share of its time, if all send alike. It favours
+// upstreams with a fresh report, which differ between instances.
+func (s *Store) unseen(now time.Time, u *Upstream) time.Duration {
+	if s.Instances < 2 || u.PrefillPerSec <= 0 || len(s.list) == 0 || u.report.Sampled.IsZero() {
+		return 0
+	}
+	others := float64(s.Instances-1) * s.work.perSecond(now) / float64(len(s.list))
+	share := min(others/u.PrefillPerSec, 1)
+	age := min(max(now.Sub(u.report.Sampled), 0), maxUnseen)
+	return time.Duration(share * float64(age))
+}
+
+// maxUnseen bounds the age over which unseen work is extrapolated.
+const maxUnseen = time.Second
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -25,10 +25,17 @@
 	Sent     time.Time
 	Tokens   int // uncached prompt tokens expected at the choice
 
+	importing bool // not yet sent to the engine
 	prefilled bool
 	index     int
 }
 
+// Importing marks f as held back for an import; SentNow ends that.
+func (f *Flight) Importing() { f.importing = true }
+
+// SentNow records that the request is sent now, after an import.
+func (f *Flight) SentNow(now time.Time) { f.importing, f.Sent = false, now }
+
 // Upstream is the state of one upstream as this instance knows it.
 type Upstream struct {
 	ID          string
@@ -54,6 +61,7 @@
 	rate      rateMeter
 	duration  time.Duration // running mean of a flight
 	idHash    uint64
+	longLane  bool // preferred for long prefills
 }
 
 // hash returns a hash of the ID that is equal on every instance.
@@ -140,7 +148,9 @@
 const transit = 2 * time.Millisecond
 
 // sentSince reports whether f is not yet part of the load report.
-func (u *Upstream) sentSince(f *Flight) bool { return f.Sent.Add(transit).After(u.report.Sampled) }
+func (u *Upstream) sentSince(f *Flight) bool {
+	return f.importing || f.Sent.Add(transit).After(u.report.Sampled)
+}
 
 // QueueTokens estimates the uncached tokens that wait for prefill: the
 // reported queue, drained since the sample, plus own requests sent since. The
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -225,7 +225,7 @@
 func (c *Core) grant(now time.Time, w *Wait, choice pick.Choice) {
 	u := choice.Upstream
 	g := &Grant{query: &w.query, choice: choice, incarnation: u.Incarnation}
-	g.flight = u.Start(now, choice.Uncached)
+	g.flight = c.store.Start(now, u, choice.Uncached)
 	c.lead(now, g)
 	w.Grant = g
 	w.state = finished
@@ -273,7 +273,7 @@
 	if !u.Removed {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, g.incarnation, g.query.Blocks)
 	}
-	c.exportComputed(g, cachedTokens)
+	c.exportComputed(now, g, cachedTokens)
 	c.release(now, g)
 	c.Dispatch(now)
 }
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -84,10 +84,11 @@
 		return applied
 	}
 	c.sawIncarnation(now, u, b.Incarnation)
-	c.inKV(b.Blocks)
+	ready := c.store.IndexTime(now)
+	c.inKV(ready, b.Blocks, 0)
 	for i := range b.Events {
 		if b.Events[i].Kind == engine.Stored {
-			c.inKV(b.Events[i].Blocks)
+			c.inKV(ready+exportStart, b.Events[i].Blocks, c.exportTime())
 		}
 	}
 	return applied
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -45,6 +45,7 @@
 	if g.choice.Import <= g.choice.Held {
 		return Transfer{}, false
 	}
+	g.flight.Importing()
 	return c.transfer(g, g.choice.Held, g.choice.Import), true
 }
 
@@ -63,8 +64,10 @@
 	return t
 }
 
-// Imported records that the engine now holds the first done blocks of t.
-func (c *Core) Imported(now time.Time, t Transfer, done int) {
+// Imported records that the engine now holds the first done blocks of t and
+// that the request is sent.
+func (c *Core) Imported(now time.Time, g *Grant, t Transfer, done int) {
+	g.flight.SentNow(now)
 	if u := c.store.Get(t.UpstreamID); u != nil {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, t.Incarnation, t.Blocks[:done])
 	}
@@ -74,13 +77,14 @@
 }
 
 // exportComputed asks for the export of the blocks that a prefill computed.
-func (c *Core) exportComputed(g *Grant, cachedTokens int) {
+func (c *Core) exportComputed(now time.Time, g *Grant, cachedTokens int) {
 	if c.store.KV == nil || c.export == nil || c.set.Pool.BlockTokens <= 0 {
 		return
 	}
 	blocks := g.query.Blocks
 	from := min(cachedTokens/c.set.Pool.BlockTokens, len(blocks))
-	for from < len(blocks) && c.store.KV.Has(blocks[from]) {
+	at := c.store.IndexTime(now)
+	for from < len(blocks) && c.store.KV.Has(blocks[from], at) {
 		from++
 	}
 	if from < len(blocks) {
@@ -89,15 +93,31 @@
 }
 
 // Exported records that the KV store now holds the first done blocks of t.
-func (c *Core) Exported(t Transfer, done int) { c.inKV(t.Blocks[:done]) }
+func (c *Core) Exported(now time.Time, t Transfer, done int) {
+	c.inKV(c.store.IndexTime(now), t.Blocks[:done], 0)
+}
+
+// exportStart is the time between an engine's event for a computed block and
+// the export of that block by the instance that ran the prefill.
+const exportStart = 20 * time.Millisecond
 
-// inKV notes blocks that the KV store holds or is about to hold: whichever
-// instance ran the prefill exports what was computed.
-func (c *Core) inKV(blocks []block.Hash) {
+// inKV notes blocks that the KV store will hold: whichever instance ran the
+// prefill exports what was computed, one block after the other.
+func (c *Core) inKV(ready time.Duration, blocks []block.Hash, each time.Duration) {
 	if c.store.KV == nil {
 		return
 	}
 	for _, h := range blocks {
-		c.store.KV.Add(h)
+		ready += each
+		c.store.KV.Add(h, ready)
+	}
+}
+
+// exportTime returns the time to export one block.
+func (c *Core) exportTime() time.Duration {
+	rate := c.set.Pool.KVImportPerSec
+	if rate <= 0 {
+		return 0
 	}
+	return time.Duration(float64(c.set.Pool.BlockTokens) / rate * float64(time.Second))
 }
