--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -126,7 +126,7 @@
 		Peers: i.peers,
 		Log:   i.log.Named("quota"),
 	})
-	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy})
+	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
 	i.orders = orders.New(i.table, i.objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
@@ -201,6 +201,7 @@
 
 func (i *Instance) close() {
 	i.listeners.close()
+	i.pools.Close()
 	i.engines.Close()
 	i.peers.Close()
 	i.table.Close()
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -169,8 +169,9 @@
 
 // lookUpKV notes which blocks of the request could be imported.
 func (p *Estimate) lookUpKV(now time.Time, r *Request, s *Store) {
+	usable := p.params.ImportRate > 0 && !now.Before(s.KVPaused)
 	for i := range min(len(r.Blocks), maxKVBlocks) {
-		p.inKV[i] = p.params.ImportRate > 0 && s.KV.Has(r.Blocks[i], s.IndexTime(now))
+		p.inKV[i] = usable && s.KV.Has(r.Blocks[i], s.IndexTime(now))
 	}
 }
 
--- a/pkg/pick/store.go
+++ b/pkg/pick/store.go
@@ -25,6 +25,7 @@
 	Weights   string // wanted weights version, empty for any
 	Index     *cacheindex.Index
 	KV        *cacheindex.Recent // blocks that the KV store is taken to hold, nil without one
+	KVPaused  time.Time          // no imports before this time
 
 	origin   time.Time   // of index times
 	list     []*Upstream // listed upstreams, sorted by ID
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -11,6 +11,7 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/fair"
+	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
@@ -18,12 +19,16 @@
 type Options struct {
 	Seed   uint64 // of this instance's random source; instances use different ones
 	Policy string // name of the policy, empty for the product's
+	// KV moves blocks between engines and the KV stores of pools that name
+	// one; nil leaves imports and exports out.
+	KV KVClient
 }
 
 // Pools holds the pools of one router instance. It is safe for concurrent use.
 type Pools struct {
-	opts  Options
-	pools atomic.Pointer[map[string]*pool]
+	opts    Options
+	exports *exporter // nil without a KV client
+	pools   atomic.Pointer[map[string]*pool]
 
 	mu        sync.Mutex // serializes changes to pools and instances
 	instances []platform.Instance
@@ -42,10 +47,20 @@
 // NewPools returns Pools without pools; OnSnapshot and OnList fill them.
 func NewPools(opts Options) *Pools {
 	p := &Pools{opts: opts, members: 1}
+	if opts.KV != nil {
+		p.exports = newExporter(opts.KV)
+	}
 	p.pools.Store(&map[string]*pool{})
 	return p
 }
 
+// Close ends background work. Slots stay valid.
+func (p *Pools) Close() {
+	if p.exports != nil {
+		p.exports.close()
+	}
+}
+
 // with runs f under the pool's lock and arms the timer for the next tick.
 func (p *pool) with(f func(now time.Time, c *Core)) {
 	p.mu.Lock()
@@ -95,6 +110,9 @@
 	if w.Err != nil {
 		return nil, w.Err
 	}
+	if p.exports != nil {
+		p.importBlocks(ctx, pl, w.Grant)
+	}
 	u := w.Grant.flight.Upstream
 	return &Slot{pool: pl, grant: w.Grant, target: chain.Target{
 		ID:          u.ID,
@@ -158,6 +176,7 @@
 }
 
 func (p *Pools) configure(pools, old map[string]*pool, d *config.Deployment, c *config.Pool) {
+	product := p.opts.Policy == "" || p.opts.Policy == pick.NameFescuestep
 	set := Settings{
 		Pool:        *c,
 		Priority:    d.Priority,
@@ -165,7 +184,8 @@
 		Policy:      p.opts.Policy,
 		Queue:       fair.DefaultLimits,
 		MaxQueue:    DefaultMaxQueue,
-		Coalesce:    true,
+		Coalesce:    product,
+		KVTransfer:  product && p.exports != nil,
 		Seed:        p.opts.Seed,
 	}
 	pl := old[c.Name]
@@ -175,6 +195,9 @@
 			return // only for an unknown policy, which settings reject
 		}
 		pl = &pool{core: core}
+		if p.exports != nil {
+			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
+		}
 	}
 	pl.with(func(_ time.Time, core *Core) {
 		core.Configure(set)
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -78,7 +78,7 @@
 
 // exportComputed asks for the export of the blocks that a prefill computed.
 func (c *Core) exportComputed(now time.Time, g *Grant, cachedTokens int) {
-	if c.store.KV == nil || c.export == nil || c.set.Pool.BlockTokens <= 0 {
+	if c.store.KV == nil || c.export == nil || now.Before(c.store.KVPaused) || c.set.Pool.BlockTokens <= 0 {
 		return
 	}
 	blocks := g.query.Blocks
