--- a/pkg/metrics/outcomes.go
+++ b/pkg/metrics/outcomes.go
@@ -55,10 +55,11 @@
 
 // Calls between instances.
 const (
-	Sync    PeerCall = "sync"
-	Acquire PeerCall = "acquire"
-	Return  PeerCall = "return"
-	Lookup  PeerCall = "lookup"
+	Sync             PeerCall = "sync"
+	Acknowledgements PeerCall = "acknowledgements"
+	Join             PeerCall = "join"
+	Acquire          PeerCall = "acquire"
+	Return           PeerCall = "return"
 )
 
 // Change is a change by an operator.
@@ -77,12 +78,19 @@
 
 // States of upstreams.
 const (
-	Live      UpstreamState = "live"
-	Leaving   UpstreamState = "leaving"
-	Ejected   UpstreamState = "ejected"
-	SlowStart UpstreamState = "slow_start"
+	Live    UpstreamState = "live"
+	Leaving UpstreamState = "leaving"
+	Down    UpstreamState = "unreachable"
+	Ejected UpstreamState = "ejected"
+	Loading UpstreamState = "loading"
 )
 
+// UpstreamStates returns all states of upstreams. They have the names that
+// the administration service uses.
+func UpstreamStates() []UpstreamState {
+	return []UpstreamState{Live, Leaving, Down, Ejected, Loading}
+}
+
 // OpenStreams sets the number of streams in progress.
 func (m *Metrics) OpenStreams(n int) { m.gauge(defOpenStreams).Update(float64(n)) }
 
