Run the rollout controller in every instance

Cause: the controller existed but no instance ran it, so that no control command was sent. Change: it is one of the background parts of an instance.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
 	"github.com/fescuestep/fescuestep/pkg/controller/orders"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
@@ -161,6 +162,16 @@
 				Seed:     seed,
 				Log:      i.log.Named("upstreams"),
 			}),
+			rollout.New(rollout.Options{
+				Self:  i.self.ID,
+				Name:  i.self.ID + "/" + i.self.Incarnation,
+				Table: collect.Table(i.table, i.metrics),
+				List:  collect.List(i.list, i.metrics),
+				State: i.sync,
+				Calls: i.engines,
+				Rand:  rand.New(rand.NewPCG(seed, 2)),
+				Log:   i.log.Named("rollout"),
+			}),
 			background(i.servePeers),
 			background(i.serveAdmin),
 			background(i.serveMetrics),
