--- a/pkg/control/plan_test.go
+++ b/pkg/control/plan_test.go
@@ -45,62 +45,80 @@
 
 func always(bool) bool { return true }
 
+// fleet is a set of simulated engines under one plan.
+type fleet struct {
+	rng     *rand.Rand
+	engines map[string]*simEngine
+	plan    *control.Plan
+	pending []func()
+	late    []event
+}
+
+// newFleet has engines of both kinds; an earlier leader has started two loads
+// at those that are read last.
+func newFleet(seed uint64, n int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}}
+	var upstreams []control.Upstream
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		f.engines[id] = &simEngine{state: engine.CommandResult{Weights: "1"}}
+		if i >= n-2 {
+			f.engines[id].command(0, engine.Command{FencingToken: 4, Weights: "2"})
+		}
+		upstreams = append(upstreams, control.Upstream{
+			ID: id, Addr: id, ChecksFencing: i%2 == 0,
+			Want: control.Target{Weights: "2", Adapters: []string{"x"}},
+		})
+	}
+	f.plan = control.NewPlan(control.DefaultPlanConfig(), 5, 0)
+	f.plan.SetUpstreams(upstreams)
+	return f
+}
+
+// advance returns the number of engines that load and whether all is done.
+func (f *fleet) advance(now time.Duration) (loading int, done bool) {
+	for _, e := range f.engines {
+		e.settle(now)
+		if e.state.Loading {
+			loading++
+		}
+	}
+	for _, run := range f.pending {
+		run()
+	}
+	f.pending = f.pending[:0]
+	f.late = slices.DeleteFunc(f.late, func(e event) bool {
+		if e.at > now {
+			return false
+		}
+		e.run()
+		return true
+	})
+	for _, s := range f.plan.Next(now, always) {
+		f.pending = append(f.pending, func() {
+			if run := answer(f.plan, f.rng, now, s, f.engines[s.ID]); run != nil {
+				f.late = append(f.late, event{now + time.Duration(f.rng.Int64N(int64(2*time.Second))), run})
+			}
+		})
+	}
+	p := f.plan.Progress(now)
+	return loading, p.Done == p.Total && p.Loading == 0
+}
+
 // TestRolloutLimit guards against more than two loads at once, also right
 // after a takeover and when commands are late, lost or unanswered, and against
 // a rollout that never ends.
 func TestRolloutLimit(t *testing.T) {
-	for seed := range int64(200) {
-		rng := rand.New(rand.NewPCG(uint64(seed), 0))
-		engines := map[string]*simEngine{}
-		var upstreams []control.Upstream
-		for i := range 10 {
-			id := fmt.Sprint("e", i)
-			engines[id] = &simEngine{state: engine.CommandResult{Weights: "1"}}
-			upstreams = append(upstreams, control.Upstream{ID: id, Addr: id, ChecksFencing: i%2 == 0, Want: control.Target{Weights: "2", Adapters: []string{"x"}}})
-		}
-		for i := range 2 { // an earlier leader has started two loads
-			engines[fmt.Sprint("e", 8+i)].command(0, engine.Command{FencingToken: 4, Weights: "2"})
-		}
-		cfg := control.DefaultPlanConfig()
-		plan := control.NewPlan(cfg, 5, 0)
-		plan.SetUpstreams(upstreams)
-		var pending []func()
-		var late []event
+	for seed := range uint64(200) {
+		f := newFleet(seed, 10)
 		now := time.Duration(0)
-		for ; now < 5*time.Minute; now += step {
-			loading := 0
-			for _, e := range engines {
-				e.settle(now)
-				if e.state.Loading {
-					loading++
-				}
-			}
-			if loading > cfg.MaxLoads {
+		for done := false; !done && now < 5*time.Minute; now += step {
+			var loading int
+			if loading, done = f.advance(now); loading > control.DefaultPlanConfig().MaxLoads {
 				t.Fatalf("seed %d: %d loads at %v", seed, loading, now)
 			}
-			for _, run := range pending {
-				run()
-			}
-			late = slices.DeleteFunc(late, func(e event) bool {
-				if due := e.at <= now; due {
-					e.run()
-					return true
-				}
-				return false
-			})
-			pending = pending[:0]
-			for _, s := range plan.Next(now, always) {
-				pending = append(pending, func() {
-					if run := answer(plan, rng, now, s, engines[s.ID]); run != nil {
-						late = append(late, event{now + time.Duration(rng.Int64N(int64(2*time.Second))), run})
-					}
-				})
-			}
-			if p := plan.Progress(now); p.Done == p.Total && p.Loading == 0 {
-				break
-			}
 		}
-		for id, e := range engines {
+		for id, e := range f.engines {
 			if e.state.Weights != "2" || len(e.state.Adapters) != 1 {
 				t.Errorf("seed %d: engine %s is %+v after %v", seed, id, e.state, now)
 			}
--- a/pkg/standin/engine/engine_test.go
+++ b/pkg/standin/engine/engine_test.go
@@ -307,3 +307,28 @@
 		t.Errorf("got %v, want ErrMismatch", err)
 	}
 }
+
+// TestFreezeAndCancel guards against a frozen engine that answers, and against
+// a cancelled stream that keeps its place in the batch.
+func TestFreezeAndCancel(t *testing.T) {
+	o := testOptions()
+	o.MaxRunning = 1
+	server, client := start(t, o)
+	server.Faults.Set(engine.Faults{SlowFactor: 1e6})
+	resp := ask{id: "r1", prompt: "x", stream: true}.send(t, client, server.Addr())
+	_ = resp.Body.Close()
+	server.Faults.Set(engine.Faults{})
+	server.Leave()
+	run(t, client, server.Addr(), ask{id: "r2", prompt: "y"})
+	if stats := server.Stats(); stats.Cancelled != 1 || stats.Completed != 1 || stats.AfterLeaving != 1 {
+		t.Errorf("got %+v, want one cancelled, one completed, one after leaving", stats)
+	}
+	server.Faults.Set(engine.Faults{Frozen: true})
+	frozen := wire.NewClient(wire.Options{CallTimeout: 50 * time.Millisecond})
+	defer frozen.Close()
+	if report, err := frozen.Load(context.Background(), server.Addr()); err == nil {
+		t.Errorf("a frozen engine reported %+v", report)
+	}
+	server.Faults.Set(engine.Faults{})
+	run(t, client, server.Addr(), ask{id: "r3", prompt: "z"})
+}
