--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -15,7 +15,7 @@
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
 		{"running", &demoCmd{streams: s}},
-		{"testing", &standinCmd{}},
+		{"testing", &standinCmd{streams: s}},
 		{"other", &versionCmd{}},
 	}
 }
