Name members that have not confirmed an accepted revision

Progress returned no members once a revision was accepted. In a run of three instances with one stopped, key revoke then said 'in force on all instances' for a customer with when_unconfirmed: serve_last_known, and Instances showed the stopped one as confirmed. Progress now collects acknowledgements after acceptance too. 'make docs' rewrites the generated tables.

--- a/cmd/fescuestep/docs_test.go
+++ b/cmd/fescuestep/docs_test.go
@@ -45,7 +45,7 @@
 		}
 		return
 	}
-	t.Errorf("docs/%s differs from the code; run 'go test ./cmd/fescuestep -run Docs -update' (-page +code):\n%s", page, cmp.Diff(got, want))
+	t.Errorf("docs/%s differs from the code; run 'make docs' (-page +code):\n%s", page, cmp.Diff(got, want))
 }
 
 // TestDocsErrors guards against result codes that docs/errors.md doesn't list.
--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -200,25 +200,26 @@
 	return c.o.Peers.Peer(m.PeerAddr).Acknowledgements(ctx, &rpc.AcknowledgementsRequest{})
 }
 
-// Progress reports whether a revision is accepted and, if not, which members
-// have not acknowledged it.
+// Progress reports whether a revision is accepted and which members have not
+// acknowledged it. After acceptance these are members that are cut off: they
+// serve only customers with when_unconfirmed: serve_last_known, and do so by
+// an older revision.
 func (c *Controller) Progress(ctx context.Context, revision uint64) (accepted bool, pending []string, err error) {
-	if c.Accepted() >= revision {
-		return true, nil, nil
-	}
-	h, _, err := c.store.head(ctx)
-	if err != nil {
-		return false, nil, err
-	}
-	c.raiseAccepted(h.Accepted)
-	if h.Accepted >= revision {
-		return true, nil, nil
-	}
-	electorates, _, err := c.store.memberships(ctx, h, min(revision, h.Revision))
-	if err != nil {
-		return false, nil, err
+	electorates := []config.Membership{c.Snapshot().Members}
+	accepted = c.Accepted() >= revision
+	if !accepted {
+		h, _, err := c.store.head(ctx)
+		if err != nil {
+			return false, nil, err
+		}
+		c.raiseAccepted(h.Accepted)
+		accepted = h.Accepted >= revision
+		electorates, _, err = c.store.memberships(ctx, h, min(revision, h.Revision))
+		if err != nil {
+			return false, nil, err
+		}
 	}
 	a := fresh.NewAcceptance(c.o.Params, revision, electorates)
 	c.gather(ctx, a)
-	return false, a.Pending(), nil
+	return accepted, a.Pending(), nil
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -84,7 +84,7 @@
 	timeBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 17)
 	// callBuckets resolve calls to the platform and waits, which take below 1 ms
 	// when nothing is wrong.
-	callBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 14)
+	callBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 19)
 )
 
 func bucketsOf(d Definition) tally.DurationBuckets {
