--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -58,6 +58,7 @@
 	members *members.Controller
 	limiter *quotasync.Limiter
 	pools   *upstream.Pools
+	feed    *collect.Feed // to pools
 	orders  *orders.Service
 	router  *router.Router
 }
@@ -132,6 +133,7 @@
 		Log:   i.log.Named("quota"),
 	})
 	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
+	i.feed = collect.NewFeed(i.pools, i.metrics)
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
@@ -155,7 +157,7 @@
 			i.limiter,
 			upstreams.New(upstreams.Options{
 				List:     collect.List(i.list, i.metrics),
-				Pools:    i.pools,
+				Pools:    i.feed,
 				Client:   i.engines,
 				Snapshot: i.sync.Snapshot,
 				Seed:     seed,
