--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -61,6 +61,7 @@
 	pools   *upstream.Pools
 	feed    *collect.Feed // to pools
 	orders  *orders.Service
+	rollout *rollout.Controller
 	router  *router.Router
 }
 
@@ -136,6 +137,16 @@
 	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
 	i.feed = collect.NewFeed(i.pools, i.metrics)
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
+	i.rollout = rollout.New(rollout.Options{
+		Self:  i.self.ID,
+		Name:  i.self.ID + "/" + i.self.Incarnation,
+		Table: table,
+		List:  list,
+		State: i.sync,
+		Calls: collect.Commands(i.engines, i.metrics),
+		Rand:  rand.New(rand.NewPCG(seed, 2)),
+		Log:   i.log.Named("rollout"),
+	})
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
 		i.metrics.OnSnapshot(snapshot)
@@ -164,16 +175,7 @@
 				Seed:     seed,
 				Log:      i.log.Named("upstreams"),
 			}),
-			rollout.New(rollout.Options{
-				Self:  i.self.ID,
-				Name:  i.self.ID + "/" + i.self.Incarnation,
-				Table: collect.Table(i.table, i.metrics),
-				List:  collect.List(i.list, i.metrics),
-				State: i.sync,
-				Calls: i.engines,
-				Rand:  rand.New(rand.NewPCG(seed, 2)),
-				Log:   i.log.Named("rollout"),
-			}),
+			i.rollout,
 			background(i.servePeers),
 			background(i.serveAdmin),
 			background(i.serveMetrics),
--- a/pkg/instance/services.go
+++ b/pkg/instance/services.go
@@ -130,6 +130,9 @@
 		fresh, age := i.sync.Freshness()
 		i.metrics.Fresh(fresh, age)
 		i.feed.Observe(time.Now(), i.pools.Status())
+		status := i.rollout.Status()
+		i.metrics.ControlLeader(status.Leader)
+		i.metrics.WeightLoads(status.Progress.Loading)
 	}
 }
 
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -84,7 +84,7 @@
 	defUnresolved    = define(Gauge, "unresolved_orders", "Orders whose outcome is unknown, as last listed.")
 	defLeader        = define(Gauge, "control_leader", "1 when this instance holds the lease for control commands, otherwise 0.")
 	defCommands      = define(Counter, "control_commands_total", "Control commands sent by outcome: done, stale or failed.", "outcome")
-	defWeightLoads   = define(Gauge, "weight_loads", "Weight loads running on this instance's command.")
+	defWeightLoads   = define(Gauge, "weight_loads", "Weight loads running, as the leader sees them.")
 	defPlatformCalls = define(Counter, "platform_calls_total", "Calls to the platform by service (table, objects, list, weights) and outcome (ok, conflict, unavailable, unknown).", "service", "outcome")
 	defPlatformTime  = define(Histogram, "platform_seconds", "Time of calls to the platform.", "service")
 	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call (sync, acknowledgements, join, acquire, return) and outcome (ok or failed).", "call", "outcome")
