--- a/cmd/fescuestep/docs_test.go
+++ b/cmd/fescuestep/docs_test.go
@@ -143,3 +143,35 @@
 	}
 	return list
 }
+
+var metricName = regexp.MustCompile("`([a-z_]+)(\\{[^`]*\\})?`")
+
+// TestDocsFaults guards against a table of faults that names metrics which
+// don't exist.
+func TestDocsFaults(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := map[string]bool{}
+	for _, d := range metrics.Definitions() {
+		known[strings.TrimPrefix(d.Name, metrics.Prefix)] = true
+	}
+	_, faults, _ := strings.Cut(string(text), "## Faults")
+	rows := 0
+	for line := range strings.Lines(faults) {
+		columns := strings.Split(line, " | ")
+		if len(columns) != 3 || columns[0] == "| Fault" {
+			continue
+		}
+		rows++
+		for _, match := range metricName.FindAllStringSubmatch(columns[1], -1) {
+			if !known[match[1]] {
+				t.Errorf("no metric is named %s: %s", match[1], columns[0])
+			}
+		}
+	}
+	if rows < 10 {
+		t.Errorf("%d faults found", rows)
+	}
+}
