--- a/pkg/settings/serve.go
+++ b/pkg/settings/serve.go
@@ -30,7 +30,7 @@
 	IdleTimeout       time.Duration // of a connection without request
 	PeerTimeout       time.Duration // of one call to a peer
 	PlatformTimeout   time.Duration // of one call to the table, object store or list
-	DrainDelay        time.Duration // how long it accepts requests while listed as leaving
+	DrainDelay        time.Duration // how long it accepts requests while not ready
 	ShutdownTimeout   time.Duration // how long running requests may take after that
 	LogLevel          string
 	LogFormat         string
@@ -84,7 +84,7 @@
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", 2*time.Minute, "time after which an unused connection is closed")
 	fs.DurationVar(&s.PeerTimeout, "peer-timeout", 500*time.Millisecond, "time of one call to another instance; below the freshness window of 2s")
 	fs.DurationVar(&s.PlatformTimeout, "platform-timeout", time.Second, "time of one call to the table, object store or list; below the freshness window of 2s")
-	fs.DurationVar(&s.DrainDelay, "drain-delay", 5*time.Second, "time during which a stopping instance, already listed as leaving, still accepts requests")
+	fs.DurationVar(&s.DrainDelay, "drain-delay", 5*time.Second, "time during which a stopping instance still accepts requests although /readyz fails")
 	fs.DurationVar(&s.ShutdownTimeout, "shutdown-timeout", 2*time.Minute, "time that running requests get after the drain delay")
 }
 
