--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -59,7 +59,9 @@
 	members *members.Controller
 	limiter *quotasync.Limiter
 	pools   *upstream.Pools
+	feed    *collect.Feed // to pools
 	orders  *orders.Service
+	rollout *rollout.Controller
 	router  *router.Router
 }
 
@@ -133,7 +135,18 @@
 		Log:   i.log.Named("quota"),
 	})
 	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
+	i.feed = collect.NewFeed(i.pools, i.metrics)
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
+	i.rollout = rollout.New(rollout.Options{
+		Self:  i.self.ID,
+		Name:  i.self.ID + "/" + i.self.Incarnation,
+		Table: table,
+		List:  list,
+		State: i.sync,
+		Calls: collect.Commands(i.engines, i.metrics),
+		Rand:  rand.New(rand.NewPCG(seed, 2)),
+		Log:   i.log.Named("rollout"),
+	})
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
 		i.metrics.OnSnapshot(snapshot)
@@ -156,22 +169,13 @@
 			i.limiter,
 			upstreams.New(upstreams.Options{
 				List:     collect.List(i.list, i.metrics),
-				Pools:    i.pools,
+				Pools:    i.feed,
 				Client:   i.engines,
 				Snapshot: i.sync.Snapshot,
 				Seed:     seed,
 				Log:      i.log.Named("upstreams"),
 			}),
-			rollout.New(rollout.Options{
-				Self:  i.self.ID,
-				Name:  i.self.ID + "/" + i.self.Incarnation,
-				Table: collect.Table(i.table, i.metrics),
-				List:  collect.List(i.list, i.metrics),
-				State: i.sync,
-				Calls: i.engines,
-				Rand:  rand.New(rand.NewPCG(seed, 2)),
-				Log:   i.log.Named("rollout"),
-			}),
+			i.rollout,
 			background(i.servePeers),
 			background(i.serveAdmin),
 			background(i.serveMetrics),
--- a/pkg/metrics/collect/collect_test.go
+++ b/pkg/metrics/collect/collect_test.go
@@ -5,12 +5,17 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
+	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
+	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
@@ -181,3 +186,73 @@
 		`orders_total{outcome="refused"} 1`,
 	)
 }
+
+type fakeFeed struct {
+	upstreams.Pools
+	at     engine.Position
+	events int
+}
+
+func (f *fakeFeed) OnList([]platform.Instance)             {}
+func (f *fakeFeed) OnReport(string, engine.LoadReport)     {}
+func (f *fakeFeed) OnEvents(_ string, _ engine.EventBatch) { f.events++ }
+func (f *fakeFeed) Position(string) engine.Position        { return f.at }
+
+// TestFeed guards against lost events that no metric shows, ejections counted
+// once per look, and gauges that stay up after the last upstream of a pool.
+func TestFeed(t *testing.T) {
+	m := metrics.New()
+	next := &fakeFeed{at: engine.Position{Incarnation: "a", Seq: 10}}
+	f := NewFeed(next, m)
+	f.OnList([]platform.Instance{{ID: "u1", Pool: "plume"}})
+	f.OnEvents("u1", engine.EventBatch{Incarnation: "a", Events: []engine.Event{{Seq: 11}, {Seq: 12}}})
+	f.OnEvents("u1", engine.EventBatch{Incarnation: "a", Events: []engine.Event{{Seq: 13}, {Seq: 15}}})
+	f.OnEvents("u1", engine.EventBatch{Incarnation: "b", Events: []engine.Event{{Seq: 90}}})
+	f.OnEvents("u1", engine.EventBatch{Snapshot: true})
+	f.OnEvents("u2", engine.EventBatch{Snapshot: true}) // not listed any more
+	if next.events != 5 {
+		t.Errorf("%d batches were passed on, want 5", next.events)
+	}
+	start := time.Now()
+	f.OnReport("u1", engine.LoadReport{Age: time.Hour})
+	live := upstream.Status{ID: "u1", Pool: "plume", State: upstream.StateLive, InFlight: 3, Blocks: 4}
+	out := upstream.Status{ID: "u1", Pool: "plume", State: upstream.StateEjected}
+	f.Observe(start, []upstream.Status{live, {ID: "a1", Pool: "atelier", State: upstream.StateLive}})
+	for range 3 {
+		f.Observe(start, []upstream.Status{out})
+	}
+	expect(t, m,
+		`cache_events_total{pool="plume"} 5`,
+		`cache_event_gaps_total{pool="plume"} 2`, // after the position 10 and inside the batch
+		`cache_resyncs_total{pool="plume"} 1`,
+		`ejections_total{pool="plume"} 1`,
+		`upstreams{pool="plume",state="ejected"} 1`,
+		`upstreams{pool="plume",state="live"} 0`,
+		`upstreams{pool="atelier",state="live"} 0`,
+		`in_flight{pool="plume"} 0`,
+	)
+}
+
+type fakeEngines struct {
+	rollout.Upstreams
+	result engine.CommandResult
+}
+
+func (f fakeEngines) Control(context.Context, string, engine.Command) (engine.CommandResult, error) {
+	return f.result, nil
+}
+
+// TestCommands guards against a refused command that counts as done.
+func TestCommands(t *testing.T) {
+	m := metrics.New()
+	for _, r := range []engine.CommandResult{{Accepted: true}, {Stale: true}, {}} {
+		if got, _ := Commands(fakeEngines{result: r}, m).Control(ctx, "", engine.Command{}); !cmp.Equal(got, r) {
+			t.Errorf("the result was changed to %+v", got)
+		}
+	}
+	expect(t, m,
+		`control_commands_total{outcome="done"} 1`,
+		`control_commands_total{outcome="stale"} 1`,
+		`control_commands_total{outcome="failed"} 1`,
+	)
+}
