--- a/pkg/load/bucket.go
+++ b/pkg/load/bucket.go
@@ -45,3 +45,18 @@
 	b.level -= tokens
 	return true
 }
+
+// Quota is the contract of one customer.
+type Quota struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// Quotas returns the contracts of the profile's customers.
+func Quotas(p *Profile, arrivals []Arrival, duration time.Duration) []Quota {
+	var out []Quota
+	for _, b := range buckets(p, arrivals, duration) {
+		out = append(out, Quota{Rate: b.rate, Burst: b.burst})
+	}
+	return out
+}
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -13,6 +13,7 @@
 	Total        time.Duration
 	PromptTokens int
 	CachedTokens int
+	OutputTokens int
 	Refused      bool // answered with "not run"
 	RateLimited  bool // refused because the customer's rate was used up
 	Truncated    bool // the stream ended without its end marker
--- a/pkg/load/profile.go
+++ b/pkg/load/profile.go
@@ -25,6 +25,8 @@
 	Name        string
 	Pool        string
 	KVPool      string
+	OrderPool   string
+	Model       string
 	Domains     []string
 	OneWayDelay time.Duration // between failure domains
 	Priority    config.Priority
@@ -66,6 +68,8 @@
 		Name:        "ucab",
 		Pool:        "plume",
 		KVPool:      "memoire",
+		OrderPool:   "atelier",
+		Model:       "plume",
 		Domains:     []string{"rennes", "brest", "vannes", "quimper"},
 		OneWayDelay: 500 * time.Microsecond,
 		Priority:    config.TailLatency,
@@ -95,6 +99,8 @@
 		Name:        "skovgaard",
 		Pool:        "lm-desk",
 		KVPool:      "prompt-keep",
+		OrderPool:   "ordre-app",
+		Model:       "lm-desk",
 		Domains:     []string{"ribe", "aalborg", "hirtshals", "vejle"},
 		OneWayDelay: 1500 * time.Microsecond,
 		Priority:    config.CacheReuse,
