--- a/pkg/load/http.go
+++ b/pkg/load/http.go
@@ -79,6 +79,9 @@
 		return Timings{Failed: true}
 	}
 	c := e.Error.ResultCode
+	if c == code.KeyRevoked {
+		return Timings{Revoked: true}
+	}
 	return Timings{Refused: true, RateLimited: c == code.RateExceeded || c == code.RequestExceedsBurst}
 }
 
@@ -108,7 +111,11 @@
 			break
 		}
 		var c chunk
-		if json.Unmarshal([]byte(event.Data), &c) != nil || c.Error != nil {
+		if json.Unmarshal([]byte(event.Data), &c) != nil {
+			break
+		}
+		if c.Error != nil {
+			t.Revoked = c.Error.ResultCode == code.KeyRevoked
 			break
 		}
 		if t.TTFT == 0 && len(c.Choices) > 0 {
@@ -123,7 +130,7 @@
 	}
 	t.Total = time.Since(start)
 	if t.Truncated && t.TTFT == 0 {
-		return Timings{Failed: true}
+		return Timings{Failed: true, Revoked: t.Revoked}
 	}
 	return t
 }
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -71,7 +71,7 @@
 
 // Upstreams.
 var (
-	defUpstreams    = define(Gauge, "upstreams", "Upstreams by state: live, leaving, ejected or slow_start.", "pool", "state")
+	defUpstreams    = define(Gauge, "upstreams", "Upstreams by state: live, leaving, unreachable, ejected or loading.", "pool", "state")
 	defInFlight     = define(Gauge, "in_flight", "Requests of this instance at upstreams.", "pool")
 	defQueued       = define(Gauge, "queued", "Requests waiting for an upstream slot.", "pool")
 	defQueueWait    = define(Histogram, "queue_wait_seconds", "Time a request waited for an upstream slot.", "pool")
@@ -96,5 +96,5 @@
 	defWeightLoads   = define(Gauge, "weight_loads", "Weight loads running on this instance's command.")
 	defPlatformCalls = define(Counter, "platform_calls_total", "Calls to the platform by service (table, objects, list, weights) and outcome (ok, conflict, unavailable, unknown).", "service", "outcome")
 	defPlatformTime  = define(Histogram, "platform_seconds", "Time of calls to the platform.", "service")
-	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call and outcome (ok or failed).", "call", "outcome")
+	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call (sync, acknowledgements, join, acquire, return) and outcome (ok or failed).", "call", "outcome")
 )
