--- a/pkg/instance/adapters.go
+++ b/pkg/instance/adapters.go
@@ -9,7 +9,6 @@
 	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
-	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
 // limiter adapts the quota controller to the filter's interface.
@@ -57,31 +56,3 @@
 		c.Failed(d, l.Code)
 	}
 }
-
-// observePools sets the gauges of all pools from their status.
-func (i *Instance) observePools() {
-	type pool struct {
-		states   map[upstream.State]int
-		inFlight int
-		blocks   int
-	}
-	pools := map[string]*pool{}
-	for _, u := range i.pools.Status() {
-		p := pools[u.Pool]
-		if p == nil {
-			p = &pool{states: map[upstream.State]int{}}
-			pools[u.Pool] = p
-		}
-		p.states[u.State]++
-		p.inFlight += u.InFlight
-		p.blocks += u.Blocks
-	}
-	for name, p := range pools {
-		m := i.metrics.Pool(name)
-		for _, state := range metrics.UpstreamStates() {
-			m.Upstreams(state, p.states[upstream.State(state)])
-		}
-		m.InFlight(p.inFlight)
-		m.CachedBlocks(p.blocks)
-	}
-}
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -13,8 +13,10 @@
 	Total        time.Duration
 	PromptTokens int
 	CachedTokens int
+	OutputTokens int
 	Refused      bool // answered with "not run"
 	RateLimited  bool // refused because the customer's rate was used up
+	Revoked      bool // refused or ended because the key was revoked
 	Truncated    bool // the stream ended without its end marker
 	Failed       bool // an error after the request may have run
 	Unanswered   bool // nothing was answered before the deadline
@@ -38,6 +40,7 @@
 	WorstCustomerWithout   float64 `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
 	ShortTTFTP99           float64 `json:"short_ttft_p99_ms"`
 	RateLimited            int     `json:"rate_limited"`
+	Revoked                int     `json:"revoked"`
 	RefusedExcess          int     `json:"refused_above_rate"`
 	PrefilledTokens        int     `json:"prefilled_tokens"`
 	FailedAfterStart       int     `json:"failed"`
@@ -92,6 +95,8 @@
 	defer r.mu.Unlock()
 	r.result.Requests++
 	switch {
+	case t.Revoked:
+		r.result.Revoked++
 	case t.RateLimited:
 		r.result.RateLimited++
 	case t.Refused && a.Excess:
