--- a/pkg/control/bench_test.go
+++ b/pkg/control/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 )
@@ -49,3 +50,14 @@
 		plan.SetUpstreams(upstreams)
 	}
 }
+
+// BenchmarkCandidate is one ranking of 700 members.
+func BenchmarkCandidate(b *testing.B) {
+	var members []config.Member
+	for i := range 700 {
+		members = append(members, config.Member{ID: fmt.Sprint("i", i), Domain: fmt.Sprint("d", i%7)})
+	}
+	for b.Loop() {
+		control.Candidate(members, "i0")
+	}
+}
--- a/pkg/control/lease_test.go
+++ b/pkg/control/lease_test.go
@@ -279,23 +279,26 @@
 	}
 }
 
-// TestCandidate guards against no instance or all instances watching the lease.
+// TestCandidate guards against no instance or all instances watching the lease,
+// and against the loss of one failure domain taking all candidates.
 func TestCandidate(t *testing.T) {
 	var members []config.Member
 	for i := range 700 {
-		members = append(members, config.Member{ID: fmt.Sprint("i", i), Leaving: i%2 == 0})
+		members = append(members, config.Member{ID: fmt.Sprint("i", i), Leaving: i%2 == 0, Domain: fmt.Sprint("d", i%7)})
 	}
 	n := 0
+	domains := map[string]bool{}
 	for _, m := range members {
 		if control.Candidate(members, m.ID) {
 			n++
+			domains[m.Domain] = true
 			if m.Leaving {
 				t.Errorf("leaving instance %s is a candidate", m.ID)
 			}
 		}
 	}
-	if n != control.Candidates {
-		t.Errorf("%d candidates, want %d", n, control.Candidates)
+	if n != control.Candidates || len(domains) != n {
+		t.Errorf("%d candidates in %d failure domains, want %d in as many", n, len(domains), control.Candidates)
 	}
 }
 
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -64,18 +64,20 @@
 // Controller runs the lease and the plan in one goroutine; calls run in others
 // and hand their results to it.
 type Controller struct {
-	o       Options
-	start   time.Time
-	lease   *control.Lease
-	plan    *control.Plan // of the last held token
-	token   uint64
-	leading bool
-	listing bool
-	listAt  time.Duration
-	results chan func()
-	calls   int
-	running sync.WaitGroup
-	status  atomic.Pointer[Status]
+	o         Options
+	start     time.Time
+	lease     *control.Lease
+	plan      *control.Plan // of the last held token
+	token     uint64
+	leading   bool
+	listing   bool
+	listAt    time.Duration
+	ranked    *config.Snapshot // that candidate was computed from
+	candidate bool
+	results   chan func()
+	calls     int
+	running   sync.WaitGroup
+	status    atomic.Pointer[Status]
 }
 
 // New returns a controller; Run starts it.
@@ -172,8 +174,17 @@
 	if !c.o.State.Fresh() {
 		return
 	}
-	candidate := control.Candidate(c.o.State.Snapshot().Members.Members, c.o.Self)
-	c.tableCall(c.lease.Next(now, c.o.Rand, candidate))
+	c.tableCall(c.lease.Next(now, c.o.Rand, c.isCandidate()))
+}
+
+// isCandidate ranks the members only when the configuration has changed:
+// ranking 700 of them at every look would take about 1.5% of a core.
+func (c *Controller) isCandidate() bool {
+	if s := c.o.State.Snapshot(); s != c.ranked {
+		c.ranked = s
+		c.candidate = control.Candidate(s.Members.Members, c.o.Self)
+	}
+	return c.candidate
 }
 
 func (c *Controller) tableCall(step control.LeaseStep) {
