Let the number of relays grow with the failure domain

Cause: all instances of a domain asked the same relay first, so with 243 instances one relay answered 118 calls a second; at 100 instances a domain and 182 bytes a call that is 36 KB/s, above the budget of 25 KB/s. Change: one relay per 25 instances, at least two, and each instance ranks the relays by its own hash.

--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -42,7 +42,7 @@
 	c := &cluster{
 		t:     t,
 		table: newFakeTable(),
-		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, rand: rand.New(rand.NewPCG(1, 2))},
+		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, received: map[string]int{}, rand: rand.New(rand.NewPCG(1, 2))},
 		list:  &fakeList{instances: map[string]platform.Instance{}},
 	}
 	domains := []string{"rennes", "brest", "vannes", "quimper"}
--- a/pkg/controller/configsync/follow.go
+++ b/pkg/controller/configsync/follow.go
@@ -73,7 +73,7 @@
 		f.relayStep(ctx)
 		return relayInterval - relayInterval/8 + f.jitter(relayInterval/4)
 	}
-	if !f.askAny(ctx, relays) {
+	if !f.askAny(ctx, member.Via(relays, f.o.Self.ID)) {
 		f.fallback(ctx)
 	}
 	return pollInterval - pollInterval/8 + f.jitter(pollInterval/4)
--- a/pkg/controller/configsync/startup.go
+++ b/pkg/controller/configsync/startup.go
@@ -33,7 +33,7 @@
 			return 0
 		}
 	}
-	f.askAny(ctx, relays)
+	f.askAny(ctx, member.Via(relays, f.o.Self.ID))
 	if !f.HasState() && (f.tableDown || f.tries > relayTries) {
 		f.askAny(ctx, f.shuffled(listed))
 	}
--- a/pkg/controller/fakes_test.go
+++ b/pkg/controller/fakes_test.go
@@ -153,6 +153,8 @@
 	twice float64             // probability that a request arrives twice
 	rand  *rand.Rand
 	calls int
+	// received counts requests by destination.
+	received map[string]int
 }
 
 const hop = 500 * time.Microsecond
@@ -205,6 +207,7 @@
 		return nil, err
 	}
 	p.net.mu.Lock()
+	p.net.received[p.to]++
 	node, ok := p.net.nodes[p.to]
 	p.net.mu.Unlock()
 	if !ok {
--- a/pkg/member/hash.go
+++ b/pkg/member/hash.go
@@ -11,8 +11,12 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 )
 
-// RelaysPerDomain is two so that a domain keeps a relay while one restarts.
-const RelaysPerDomain = 2
+// MinRelays is two so that a domain keeps a relay while one restarts.
+const MinRelays = 2
+
+// RelayFanout is the number of instances that one relay serves. At two calls
+// per second each, 25 of them cost a relay about 9 KB/s of its 25 KB/s.
+const RelayFanout = 25
 
 // MaxHolders bounds the share holders per customer. More holders lose less
 // when one fails and cost more messages per large request.
@@ -51,8 +55,8 @@
 	return cmp.Compare(a.member.ID, b.member.ID)
 }
 
-// Relays returns the relays of a failure domain, best first. Leaving members
-// are not chosen.
+// Relays returns the relays of a failure domain, best first. Their number grows
+// with the domain. Leaving members are not chosen.
 func Relays(m config.Membership, domain string) []config.Member {
 	var local []config.Member
 	for _, x := range m.Members {
@@ -60,7 +64,14 @@
 			local = append(local, x)
 		}
 	}
-	return Rank(local, "relay/"+domain, RelaysPerDomain)
+	n := max(MinRelays, (len(local)+RelayFanout-1)/RelayFanout)
+	return Rank(local, "relay/"+domain, n)
+}
+
+// Via returns relays in the order in which an instance asks them. The order
+// differs between instances, so that the relays share the work.
+func Via(relays []config.Member, instance string) []config.Member {
+	return Rank(relays, "via/"+instance, len(relays))
 }
 
 // Domains returns the failure domains of the members in order.
