Bound the lines of a questionnaire

The YAML parser's time grows with the square of the fields in one mapping: a 2.6 MB text of 262,144 repeated fields was not done after 20 s, 49,000 different fields took 5.3 s. 1,600 customers take 231,127 bytes and 0.23 s, so the bounds are now 1 MiB and 30,000 lines or entries.

--- a/pkg/questionnaire/parse.go
+++ b/pkg/questionnaire/parse.go
@@ -17,10 +17,12 @@
 	"github.com/fescuestep/fescuestep/pkg/suggest"
 )
 
-// Bounds on a questionnaire. 1,600 customers with three teams each take about
-// 400 KiB.
+// Bounds on a questionnaire. 1,600 customers with three teams each take 230 KB
+// and 13,000 lines. The YAML parser's time grows with the square of the number
+// of fields in one mapping, which the bound on lines and braces limits.
 const (
-	MaxBytes    = 4 << 20
+	MaxBytes    = 1 << 20
+	maxEntries  = 30_000 // lines, and braces and commas on a line
 	maxDepth    = 32  // the schema nests 7 deep; the bound keeps the parser's recursion small
 	maxMistakes = 200 // reported at once
 )
@@ -87,12 +89,18 @@
 		return "the questionnaire is not UTF-8 text"
 	case bytes.ContainsRune(text, 0):
 		return "the questionnaire contains a zero byte"
+	case entries(text) > maxEntries:
+		return fmt.Sprintf("the questionnaire has more than %d lines and entries", maxEntries)
 	case flowDepth(text) > maxDepth || indentDepth(text) > maxDepth:
 		return fmt.Sprintf("the questionnaire nests more than %d levels", maxDepth)
 	}
 	return ""
 }
 
+func entries(text []byte) int {
+	return bytes.Count(text, []byte("\n")) + bytes.Count(text, []byte("{")) + bytes.Count(text, []byte(","))
+}
+
 // flowDepth returns an upper bound of the nesting of brackets and braces.
 func flowDepth(text []byte) int {
 	depth, deepest := 0, 0
--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -195,6 +195,23 @@
 	}
 }
 
+// TestBounds guards against input that keeps the parser busy for minutes.
+func TestBounds(t *testing.T) {
+	for want, text := range map[string]string{
+		"larger than":            strings.Repeat("#", MaxBytes+1),
+		"lines and entries":      strings.Repeat("a: b\n", maxEntries+1),
+		"nests more than":        strings.Repeat("{a: ", maxDepth+1),
+		"not UTF-8":              "deployment: \xff",
+		"zero byte":              "deployment: \x00",
+		"questionnaire is empty": "# only a comment\n",
+	} {
+		got := Check([]byte(text))
+		if len(got) != 1 || !strings.Contains(got[0].Message, want) {
+			t.Errorf("want %q, got %v", want, got)
+		}
+	}
+}
+
 // FuzzBuild guards against input that makes the parser panic or hang, and
 // against an accepted questionnaire whose JSON is not reproducible.
 func FuzzBuild(f *testing.F) {
