--- a/pkg/questionnaire/parse.go
+++ b/pkg/questionnaire/parse.go
@@ -23,8 +23,8 @@
 const (
 	MaxBytes    = 1 << 20
 	maxEntries  = 30_000 // lines, and braces and commas on a line
-	maxDepth    = 32  // the schema nests 7 deep; the bound keeps the parser's recursion small
-	maxMistakes = 200 // reported at once
+	maxDepth    = 32     // the schema nests 7 deep; the bound keeps the parser's recursion small
+	maxMistakes = 200    // reported at once
 )
 
 type position struct{ line, column int }
