load: count a rate refusal within rate and burst as refused within rate

Cause: refusals with the reason 'rate exceeded' were taken as justified. Change: one ideal bucket per customer marks the arrivals within rate and burst; any refusal of these counts.

--- a/pkg/load/arrivals.go
+++ b/pkg/load/arrivals.go
@@ -20,7 +20,8 @@
 	Tokens    int // prompt tokens
 	MaxOutput int
 	Short     bool
-	Excess    bool // sent by the overloader above its rate
+	Excess    bool // sent by the overloader above its usual rate
+	Within    bool // within the customer's rate and burst
 	Timeout   time.Duration
 }
 
@@ -54,6 +55,7 @@
 		g.open(duration, p.OverFactor-1, duration/3, 2*duration/3, true)
 	}
 	sort.SliceStable(g.out, func(i, j int) bool { return g.out[i].At < g.out[j].At })
+	markWithin(p, g.out, duration)
 	return g.out
 }
 
--- a/pkg/load/bucket.go
+++ b/pkg/load/bucket.go
@@ -46,6 +46,17 @@
 	return true
 }
 
+// markWithin notes for every arrival whether its customer is within rate and
+// burst, by one ideal bucket per customer. A refusal of such an arrival counts
+// as refused within the rate, whatever reason it gives.
+func markWithin(p *Profile, arrivals []Arrival, duration time.Duration) {
+	quota := buckets(p, arrivals, duration)
+	for i := range arrivals {
+		a := &arrivals[i]
+		a.Within = quota[a.Customer].take(a.At, a.charge())
+	}
+}
+
 // Quota is the contract of one customer.
 type Quota struct {
 	Rate  float64 // tokens per second
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -97,12 +97,12 @@
 	switch {
 	case t.Revoked:
 		r.result.Revoked++
+	case t.Refused && a.Within:
+		r.result.RefusedWithinRate++
 	case t.RateLimited:
 		r.result.RateLimited++
-	case t.Refused && a.Excess:
-		r.result.RefusedExcess++
 	case t.Refused:
-		r.result.RefusedWithinRate++
+		r.result.RefusedExcess++
 	case t.Unanswered:
 		r.result.Unanswered++
 	case t.Truncated:
