--- a/pkg/tlsconf/tlsconf.go
+++ b/pkg/tlsconf/tlsconf.go
@@ -3,10 +3,8 @@
 package tlsconf
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -72,14 +70,6 @@
 	}
 }
 
-// Dial connects as a client that presents the certificate and, with ClientCA,
-// trusts only its authorities. It suits http.Transport.DialTLSContext.
-func (r *Reloader) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	_, client := r.current(time.Now())
-	dialer := &tls.Dialer{Config: client}
-	return dialer.DialContext(ctx, network, addr)
-}
-
 // current returns the newest usable configurations. A failed reload is tried
 // again once the files change again.
 func (r *Reloader) current(now time.Time) (server, client *tls.Config) {
--- a/pkg/tlsconf/tlsconf_test.go
+++ b/pkg/tlsconf/tlsconf_test.go
@@ -1,7 +1,6 @@
 package tlsconf
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -129,7 +128,7 @@
 		t.Fatal(err)
 	}
 	dialer := func(r *Reloader) func(string) (net.Conn, error) {
-		return func(addr string) (net.Conn, error) { return r.Dial(context.Background(), "tcp", addr) }
+		return func(addr string) (net.Conn, error) { return tls.Dial("tcp", addr, r.Client()) }
 	}
 	if err := handshake(t, server, dialer(peer)); err != nil {
 		t.Errorf("peer: %v", err)
@@ -145,6 +144,23 @@
 	}
 }
 
+// TestClientOfOtherAuthority guards against a peer that calls an impostor.
+func TestClientOfOtherAuthority(t *testing.T) {
+	impostor, err := Load(newAuthority(t).write(t, t.TempDir(), 1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	impostor.server.ClientAuth = tls.NoClientCert
+	peer, err := Load(newAuthority(t).write(t, t.TempDir(), 2), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := func(addr string) (net.Conn, error) { return tls.Dial("tcp", addr, peer.Client()) }
+	if err := handshake(t, impostor, dial); err == nil {
+		t.Error("the client accepted a certificate of another authority")
+	}
+}
+
 // TestReload guards against certificates that stay in use after renewal, and
 // against an outage while only some files have been replaced.
 func TestReload(t *testing.T) {
