--- a/pkg/questionnaire/meaning.go
+++ b/pkg/questionnaire/meaning.go
@@ -28,12 +28,24 @@
 	for i := range q.Applications {
 		d.application(fmt.Sprintf("applications[%d]", i), &q.Applications[i], pools)
 	}
+	d.notZero("one_way_delay", q.OneWayDelay == 0)
+	for i, c := range q.Customers {
+		d.notZero(fmt.Sprintf("customers[%d].weight", i), c.Weight == 0)
+	}
 	for i := range q.Pools {
 		d.pool(fmt.Sprintf("pools[%d]", i), &q.Pools[i], pools)
 	}
 	d.classes(q)
 }
 
+// notZero reports a zero that was written down. Zero stands for a question
+// left unanswered, so the default would take its place unnoticed.
+func (d *decoder) notZero(path string, zero bool) {
+	if _, given := d.positions[path]; given && zero {
+		d.addChecked(path, "must be greater than 0", "leave it out for the default")
+	}
+}
+
 func (d *decoder) classes(q *Questionnaire) {
 	seen := map[string]bool{}
 	for i, c := range q.Customers {
@@ -112,6 +124,10 @@
 }
 
 func (d *decoder) pool(path string, p *Pool, pools map[string]*Pool) {
+	d.notZero(path+".max_in_flight", p.MaxInFlight == 0)
+	d.notZero(path+".block_tokens", p.BlockTokens == 0)
+	d.notZero(path+".prefill_per_second", p.PrefillPerSecond == 0)
+	d.notZero(path+".kv_import_per_second", p.KVImportPerSecond == 0)
 	if kv := pools[p.KVPool]; kv != nil && kv.Kind != "kv" && knownKind(kv.Kind) {
 		d.addChecked(path+".kv_pool", fmt.Sprintf("pool %q is of kind %s, not kv", kv.Name, kv.Kind), "")
 	}
