--- a/pkg/questionnaire/parse.go
+++ b/pkg/questionnaire/parse.go
@@ -23,7 +23,7 @@
 const (
 	MaxBytes    = 1 << 20
 	maxEntries  = 30_000 // lines, and braces and commas on a line
-	maxDepth    = 32     // the schema nests 7 deep; the bound keeps the parser's recursion small
+	maxDepth    = 200    // keeps the parser's recursion small; the count includes comments, so it is far above the 7 levels of the schema
 	maxMistakes = 200    // reported at once
 )
 
