--- a/pkg/instance/services.go
+++ b/pkg/instance/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -63,9 +64,16 @@
 func (i *Instance) servePeers(ctx context.Context) error {
 	services := peer.Services{Syncer: i.sync, Joiner: i.members, Holder: i.limiter}
 	server := peer.NewServer(services, string(i.settings.PeerCredential), i.tls.peers)
+	server.ErrorLog = i.connectionLog()
 	return serveUntil(ctx, server, func() error { return peer.Serve(server, i.listeners.peers) })
 }
 
+// connectionLog takes what http.Server reports about single connections, such
+// as failed TLS handshakes, which anyone can cause.
+func (i *Instance) connectionLog() *log.Logger {
+	return i.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+}
+
 func (i *Instance) serveAdmin(ctx context.Context) error {
 	if i.listeners.admin == nil {
 		return nil
@@ -79,7 +87,7 @@
 		Metrics:   i.metrics,
 		Log:       i.log.Named("admin"),
 	})
-	return serveHTTP(ctx, i.listeners.admin, admin.Handler(service, string(i.settings.AdminCredential)))
+	return i.serveHTTP(ctx, i.listeners.admin, admin.Handler(service, string(i.settings.AdminCredential)))
 }
 
 func (i *Instance) serveMetrics(ctx context.Context) error {
@@ -88,11 +96,16 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", i.metrics.Handler())
-	return serveHTTP(ctx, i.listeners.metrics, mux)
+	return i.serveHTTP(ctx, i.listeners.metrics, mux)
 }
 
-func serveHTTP(ctx context.Context, ln net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+func (i *Instance) serveHTTP(ctx context.Context, ln net.Listener, h http.Handler) error {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       i.settings.IdleTimeout,
+		ErrorLog:          i.connectionLog(),
+	}
 	return serveUntil(ctx, server, func() error { return server.Serve(ln) })
 }
 
