upstream: keep a customer over its share out of long engine queues

Cause: with one customer at 20 times its traffic and no quota, its requests filled the engines' first-come queues, where the fair queue has no effect. Change: a customer with more than twice its weighted share in flight joins only engine queues up to 100 ms.

--- a/pkg/pick/baseline.go
+++ b/pkg/pick/baseline.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		verdict = Busy
-		if s.Admits(now, u) {
+		if s.Admits(now, u, r) {
 			return plain(u, r), Chosen
 		}
 	}
@@ -48,7 +48,7 @@
 		if verdict == None {
 			verdict = Busy
 		}
-		if !s.Admits(now, u) {
+		if !s.Admits(now, u, r) {
 			continue
 		}
 		n := u.Total()
@@ -94,7 +94,7 @@
 	var best *Upstream
 	var score uint64
 	for _, u := range s.list {
-		if !s.Selectable(now, u, r) || !s.Admits(now, u) {
+		if !s.Selectable(now, u, r) || !s.Admits(now, u, r) {
 			continue
 		}
 		if float64(u.Total()) >= boundFactor*float64(total+1)/float64(count) {
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		verdict = Busy
-		if s.Admits(now, u) {
+		if s.Admits(now, u, r) {
 			c := p.candidate(now, r, s, u)
 			p.score(now, r, s, &c)
 			return p.choice(r, &c), Chosen
@@ -188,7 +188,7 @@
 // score estimates the time to first token of one candidate.
 func (p *Estimate) score(now time.Time, r *Request, s *Store, c *candidate) {
 	u := c.upstream
-	c.admitted = s.Admits(now, u)
+	c.admitted = s.Admits(now, u, r)
 	queue := u.QueueWait(now, s.Instances) + s.unseen(now, u)
 	if !c.admitted {
 		queue += u.slotWait()
--- a/pkg/pick/policy.go
+++ b/pkg/pick/policy.go
@@ -17,6 +17,7 @@
 	Blocks      []block.Hash
 	Domain      string // failure domain of this instance
 	Exclude     []string
+	MaxQueue    time.Duration // tighter bound of the engine queue, 0 for the pool's
 }
 
 // uncached returns the prompt tokens left when blocks blocks are cached.
--- a/pkg/pick/store.go
+++ b/pkg/pick/store.go
@@ -95,11 +95,15 @@
 }
 
 // Admits reports whether the upstream has a free slot and a short queue.
-func (s *Store) Admits(now time.Time, u *Upstream) bool {
+func (s *Store) Admits(now time.Time, u *Upstream, r *Request) bool {
 	if !s.hasSlot(now, u) {
 		return false
 	}
-	return s.Limits.MaxQueue <= 0 || u.QueueWait(now, s.Instances) <= s.Limits.MaxQueue
+	limit := s.Limits.MaxQueue
+	if r.MaxQueue > 0 {
+		limit = min(limit, r.MaxQueue)
+	}
+	return s.Limits.MaxQueue <= 0 || u.QueueWait(now, s.Instances) <= limit
 }
 
 // hasSlot reports whether a slot is free, fewer during a slow start.
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -41,6 +41,7 @@
 	rng     *rand.Rand
 	leaders map[block.Hash]*leader
 	held    []*Wait
+	shares  *accounts
 	request pick.Request // scratch
 	export  func(Transfer)
 }
@@ -75,6 +76,7 @@
 		queue:   fair.New[*Wait](set.Queue),
 		rng:     rand.New(rand.NewPCG(set.Seed, 0x9e3779b97f4a7c15)),
 		leaders: map[block.Hash]*leader{},
+		shares:  newAccounts(),
 	}
 	c.store = pick.NewStore(now, c.limits())
 	c.store.Weights = set.Pool.Weights
@@ -219,6 +221,9 @@
 		Domain:      q.FromDomain,
 		Exclude:     q.Exclude,
 	}
+	if c.shares.over(q.Customer) {
+		c.request.MaxQueue = overQueue
+	}
 	return &c.request
 }
 
@@ -226,6 +231,7 @@
 	u := choice.Upstream
 	g := &Grant{query: &w.query, choice: choice, incarnation: u.Incarnation}
 	g.flight = c.store.Start(now, u, choice.Uncached)
+	c.shares.start(w.query.Customer, w.query.Weight)
 	c.lead(now, g)
 	w.Grant = g
 	w.state = finished
@@ -286,6 +292,7 @@
 	g.done = true
 	u := g.flight.Upstream
 	u.Finish(now, g.flight)
+	c.shares.end(g.query.Customer)
 	cfg := &c.store.Limits.Outlier
 	switch r {
 	case OK:
