Estimate the wait for quota with the requests ahead

Cause: under overload every waiting request asked the holders every few ms for a few tokens; 5 times the rate at 6 instances took 4.8 s of CPU for 1,530 requests and used 540,214 of about 840,000 available tokens. Change: requests that wait form a queue per customer and instance; a request asks only when the holders probably have enough for those ahead and itself.

--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	starts  int
+	serving atomic.Pointer[quotasync.Limiter] // nil while crashed
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -123,6 +125,7 @@
 	n.c.net.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.serving.Store(n.limiter)
 	for _, run := range []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run} {
 		n.done.Go(func() { _ = run(ctx) })
 	}
@@ -137,6 +140,7 @@
 	n.c.net.mu.Lock()
 	delete(n.c.net.nodes, n.self.PeerAddr)
 	n.c.net.mu.Unlock()
+	n.serving.Store(nil)
 	n.cancel()
 	n.cancel = nil
 	n.done.Wait()
--- a/pkg/controller/quotasync/gather.go
+++ b/pkg/controller/quotasync/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/code"
@@ -17,6 +18,7 @@
 	stock    *quota.Stock // granted for this request
 	deadline time.Duration
 	inFlight int  // asks not answered yet
+	lacking  int  // tokens missing at the last look, while in the entry's queue
 	done     bool // grants that arrive later go back to their holders
 	news     chan struct{}
 }
@@ -51,27 +53,58 @@
 	e := l.entryOf(g.customer)
 	e.used = now
 	if c := g.charge(now, e); c != nil {
-		g.done = true
-		g.giveBack(now)
+		g.finish(now, e)
 		return c, 0, nil
 	}
+	missing := l.missing(now, g, e)
 	if now >= g.deadline {
-		return nil, 0, g.refuse(now, e, l.missing(now, g, e))
+		return nil, 0, g.refuse(now, e, missing)
 	}
 	if g.inFlight > 0 {
 		return nil, g.deadline - now, nil
 	}
-	missing := l.missing(now, g, e)
-	if g.ask(now, e, missing) {
-		return nil, g.deadline - now, nil
-	}
-	wait, ok := quota.Wait(now, e.views, missing)
+	wait, ok := quota.Wait(now, e.views, missing, e.before(g))
 	if !ok || now+wait > g.deadline {
 		return nil, 0, g.refuse(now, e, missing)
 	}
+	// Asking before there is enough for the requests ahead and this one would
+	// collect a few tokens at a time.
+	if wait == 0 && g.ask(now, e, missing) {
+		return nil, g.deadline - now, nil
+	}
+	e.enqueue(g, missing)
 	return nil, max(wait, minWait), nil
 }
 
+// enqueue puts a request that has to wait behind the others, so that its wait
+// is estimated with what they lack.
+func (e *entry) enqueue(g *gather, missing int) {
+	g.lacking = missing
+	if !slices.Contains(e.queue, g) {
+		e.queue = append(e.queue, g)
+	}
+}
+
+// before returns what the requests ahead in the queue lack.
+func (e *entry) before(g *gather) int {
+	sum := 0
+	for _, other := range e.queue {
+		if other == g {
+			break
+		}
+		sum += other.lacking
+	}
+	return sum
+}
+
+// finish takes the request out of the queue and gives back what it does not
+// need. l.mu must be held.
+func (g *gather) finish(now time.Duration, e *entry) {
+	g.done = true
+	e.queue = slices.DeleteFunc(e.queue, func(other *gather) bool { return other == g })
+	g.giveBack(now)
+}
+
 // charge takes the tokens from the grants collected, the stock and the own
 // share; nil when they do not suffice.
 func (g *gather) charge(now time.Duration, e *entry) *charge {
@@ -138,9 +171,8 @@
 
 // refuse returns the error for the caller and gives back what was collected.
 func (g *gather) refuse(now time.Duration, e *entry, missing int) error {
-	g.done = true
-	g.giveBack(now)
-	wait, ok := quota.Wait(now, e.views, missing)
+	wait, ok := quota.Wait(now, e.views, missing, e.before(g))
+	g.finish(now, e)
 	if !ok {
 		return code.New(code.QuotaUnavailable, "Too few share holders answered.").WithRetryAfter(retryDown)
 	}
@@ -153,8 +185,7 @@
 	l := g.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	g.done = true
-	g.giveBack(l.now())
+	g.finish(l.now(), l.entryOf(g.customer))
 }
 
 func (g *gather) giveBack(now time.Duration) {
--- a/pkg/controller/quotasync/limiter.go
+++ b/pkg/controller/quotasync/limiter.go
@@ -48,9 +48,9 @@
 	tick           = 50 * time.Millisecond  // share growth, settlements, stock
 	acquireTimeout = 250 * time.Millisecond // a holder across a region answers within a few ms
 	returnTimeout  = 500 * time.Millisecond
-	minWait        = 5 * time.Millisecond // between rounds of asking
-	retryDown      = time.Second          // Retry-After while too few holders answer
-	entryIdle      = time.Minute          // then what is known of a customer's holders is dropped
+	minWait        = 10 * time.Millisecond // between rounds of asking
+	retryDown      = time.Second           // Retry-After while too few holders answer
+	entryIdle      = time.Minute           // then what is known of a customer's holders is dropped
 )
 
 // Charge is tokens taken from a customer's quota. Settle is called once with
@@ -85,6 +85,7 @@
 	demand   float64       // tokens per tick that came from other holders, smoothed
 	taken    int           // of these in the current tick
 	asking   bool          // a prefetch is under way
+	queue    []*gather     // requests that wait for tokens, oldest first
 }
 
 // New returns a limiter and subscribes it to the configuration.
--- a/pkg/controller/quotasync/stock.go
+++ b/pkg/controller/quotasync/stock.go
@@ -33,7 +33,7 @@
 		if want > 0 && !e.asking && e.stock.Total(now) < want {
 			l.prefetch(now, id, e, want)
 		}
-		if want == 0 && now-e.used > entryIdle {
+		if want == 0 && len(e.queue) == 0 && now-e.used > entryIdle {
 			delete(l.entries, id)
 		}
 	}
--- a/pkg/quota/plan.go
+++ b/pkg/quota/plan.go
@@ -58,8 +58,9 @@
 }
 
 // Wait returns how long it probably takes until the holders have the missing
-// tokens. ok is false when the holders that answer can never have them.
-func Wait(now time.Duration, views []*View, missing int) (d time.Duration, ok bool) {
+// tokens and those that requests ahead lack. ok is false when the holders that
+// answer can never have the missing tokens.
+func Wait(now time.Duration, views []*View, missing, ahead int) (d time.Duration, ok bool) {
 	var have, rate, room float64
 	for _, v := range views {
 		if v.Down && now-v.At < retryDown {
@@ -69,12 +70,12 @@
 		rate += v.Share.Rate
 		room += v.Share.Burst
 	}
-	lacking := float64(missing) - have
+	lacking := float64(missing+ahead) - have
 	switch {
+	case rate <= 0 && lacking > 0 || room < float64(missing):
+		return 0, false
 	case lacking <= 0:
 		return 0, true
-	case rate <= 0 || room < float64(missing):
-		return 0, false
 	}
 	return time.Duration(math.Ceil(lacking / rate * float64(time.Second))), true
 }
