--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -14,7 +14,9 @@
 		{"configuration", newQuestionnaireGroup(s)},
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
-		{"testing", &standinCmd{}},
+		{"running", &demoCmd{streams: s}},
+		{"testing", &standinCmd{streams: s}},
+		{"testing", &loadCmd{streams: s}},
 		{"other", &versionCmd{}},
 	}
 }
--- /dev/null
+++ b/pkg/control/plan_test.go
@@ -0,0 +1,196 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/control"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/transport"
+)
+
+// simEngine is an engine whose commands may be lost, late or without effect.
+type simEngine struct {
+	state    engine.CommandResult
+	target   string
+	loadedAt time.Duration
+	clock    time.Duration // of the last settle
+}
+
+const loadTime = 300 * time.Millisecond
+
+func (e *simEngine) settle(now time.Duration) {
+	e.clock = now
+	if e.state.Loading && now >= e.loadedAt {
+		e.state.Loading = false
+		e.state.Weights = e.target
+	}
+}
+
+func (e *simEngine) command(now time.Duration, cmd engine.Command) engine.CommandResult {
+	e.settle(now)
+	e.state.FencingToken = max(e.state.FencingToken, cmd.FencingToken)
+	if cmd.Adapters != nil {
+		e.state.Adapters = cmd.Adapters
+	}
+	if cmd.Weights != "" && cmd.Weights != e.state.Weights && !e.state.Loading {
+		e.state.Loading, e.target, e.loadedAt = true, cmd.Weights, now+loadTime
+	}
+	return e.state
+}
+
+func always(bool) bool { return true }
+
+// fleet is a set of simulated engines under one plan.
+type fleet struct {
+	rng     *rand.Rand
+	engines map[string]*simEngine
+	plan    *control.Plan
+	pending []func()
+	late    []event
+}
+
+// newFleet has engines of both kinds; an earlier leader has started two loads
+// at those that are read last.
+func newFleet(seed uint64, n int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), engines: map[string]*simEngine{}}
+	var upstreams []control.Upstream
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		f.engines[id] = &simEngine{state: engine.CommandResult{Weights: "1"}}
+		if i >= n-2 {
+			f.engines[id].command(0, engine.Command{FencingToken: 4, Weights: "2"})
+		}
+		upstreams = append(upstreams, control.Upstream{
+			ID: id, Addr: id, ChecksFencing: i%2 == 0,
+			Want: control.Target{Weights: "2", Adapters: []string{"x"}},
+		})
+	}
+	f.plan = control.NewPlan(control.DefaultPlanConfig(), 5, 0)
+	f.plan.SetUpstreams(upstreams)
+	return f
+}
+
+// advance returns the number of engines that load and whether all is done.
+func (f *fleet) advance(now time.Duration) (loading int, done bool) {
+	for _, e := range f.engines {
+		e.settle(now)
+		if e.state.Loading {
+			loading++
+		}
+	}
+	for _, run := range f.pending {
+		run()
+	}
+	f.pending = f.pending[:0]
+	f.late = slices.DeleteFunc(f.late, func(e event) bool {
+		if e.at > now {
+			return false
+		}
+		e.run()
+		return true
+	})
+	for _, s := range f.plan.Next(now, always) {
+		f.pending = append(f.pending, func() {
+			if run := answer(f.plan, f.rng, now, s, f.engines[s.ID]); run != nil {
+				f.late = append(f.late, event{now + time.Duration(f.rng.Int64N(int64(2*time.Second))), run})
+			}
+		})
+	}
+	p := f.plan.Progress(now)
+	return loading, p.Done == p.Total && p.Loading == 0
+}
+
+// TestRolloutLimit guards against more than two loads at once, also right
+// after a takeover and when commands are late, lost or unanswered, and against
+// a rollout that never ends.
+func TestRolloutLimit(t *testing.T) {
+	for seed := range uint64(200) {
+		f := newFleet(seed, 10)
+		now := time.Duration(0)
+		for done := false; !done && now < 5*time.Minute; now += step {
+			var loading int
+			if loading, done = f.advance(now); loading > control.DefaultPlanConfig().MaxLoads {
+				t.Fatalf("seed %d: %d loads at %v", seed, loading, now)
+			}
+		}
+		for id, e := range f.engines {
+			if e.state.Weights != "2" || len(e.state.Adapters) != 1 {
+				t.Errorf("seed %d: engine %s is %+v after %v", seed, id, e.state, now)
+			}
+			if e.state.FencingToken != 5 && id[1]%2 == 0 {
+				t.Errorf("seed %d: engine %s has seen token %d, want 5", seed, id, e.state.FencingToken)
+			}
+		}
+	}
+}
+
+// answer executes a step with one of several faults. It returns what a late
+// command does when it arrives, or nil.
+func answer(plan *control.Plan, rng *rand.Rand, now time.Duration, s control.Step, e *simEngine) (late func()) {
+	var result engine.CommandResult
+	var err error
+	fault := rng.IntN(8)
+	switch {
+	case fault == 0:
+		err = &transport.Error{Err: context.DeadlineExceeded}
+	case s.Command == nil:
+		e.settle(now)
+		result = e.state
+	case fault == 1: // accepted without effect
+		result = e.state
+	case fault == 2: // lost on the way
+		err = &transport.Error{Sent: true, Err: context.DeadlineExceeded}
+	case fault == 4: // unanswered, executed late
+		err = &transport.Error{Sent: true, Err: context.DeadlineExceeded}
+		late = func() { e.command(e.clock, *s.Command) }
+	default:
+		result = e.command(now, *s.Command)
+	}
+	if fault == 3 { // executed, answer lost
+		err = &transport.Error{Sent: true, Err: context.DeadlineExceeded}
+	}
+	plan.Done(now, s, result, err)
+	return late
+}
+
+// TestUncoveredCommands guards against commands that the lease does not cover.
+func TestUncoveredCommands(t *testing.T) {
+	plan := control.NewPlan(control.DefaultPlanConfig(), 2, 0)
+	plan.SetUpstreams([]control.Upstream{
+		{ID: "a", Addr: "a", ChecksFencing: true, Want: control.Target{Weights: "2"}},
+		{ID: "b", Addr: "b", Want: control.Target{Weights: "2"}},
+	})
+	checksOnly := func(checks bool) bool { return checks }
+	for now := time.Duration(0); now < time.Second; now += step {
+		for _, s := range plan.Next(now, checksOnly) {
+			if s.Command != nil && !s.ChecksFencing {
+				t.Fatalf("command to %s without cover", s.ID)
+			}
+			result := engine.CommandResult{Weights: "1", Accepted: true}
+			if still := plan.Done(now, s, result, nil); !still {
+				t.Error("not the leader any more without a stale result")
+			}
+		}
+	}
+}
+
+// TestStaleResult guards against a leader that goes on although an upstream
+// has seen a newer token.
+func TestStaleResult(t *testing.T) {
+	plan := control.NewPlan(control.DefaultPlanConfig(), 2, 0)
+	plan.SetUpstreams([]control.Upstream{{ID: "a", Addr: "a", ChecksFencing: true, Want: control.Target{Weights: "2"}}})
+	steps := plan.Next(0, always)
+	plan.Done(0, steps[0], engine.CommandResult{Weights: "1"}, nil)
+	steps = plan.Next(0, always)
+	if len(steps) != 1 || steps[0].Command == nil {
+		t.Fatalf("got %+v, want one command", steps)
+	}
+	if plan.Done(0, steps[0], engine.CommandResult{Weights: "1", Stale: true, FencingToken: 3}, nil) {
+		t.Error("still the leader after a stale result")
+	}
+}
--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,13 +37,14 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	starts  int
+	serving atomic.Pointer[quotasync.Limiter] // nil while crashed
 }
 
 func newCluster(t *testing.T, n int) *cluster {
 	c := &cluster{
 		t:     t,
 		table: newFakeTable(),
-		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, rand: rand.New(rand.NewPCG(1, 2))},
+		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, received: map[string]int{}, rand: rand.New(rand.NewPCG(1, 2))},
 		list:  &fakeList{instances: map[string]platform.Instance{}},
 	}
 	domains := []string{"rennes", "brest", "vannes", "quimper"}
@@ -123,6 +125,7 @@
 	n.c.net.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	n.serving.Store(n.limiter)
 	for _, run := range []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run} {
 		n.done.Go(func() { _ = run(ctx) })
 	}
@@ -137,6 +140,7 @@
 	n.c.net.mu.Lock()
 	delete(n.c.net.nodes, n.self.PeerAddr)
 	n.c.net.mu.Unlock()
+	n.serving.Store(nil)
 	n.cancel()
 	n.cancel = nil
 	n.done.Wait()
--- a/pkg/metrics/outcomes.go
+++ b/pkg/metrics/outcomes.go
@@ -10,14 +10,9 @@
 const (
 	OK          Outcome = "ok"
 	Failure     Outcome = "failed"
-	Resumed     Outcome = "resumed"
-	Granted     Outcome = "granted"
-	Partial     Outcome = "partial"
 	Refused     Outcome = "refused"
 	Unreachable Outcome = "unreachable"
 	Cancelled   Outcome = "cancelled"
-	Allowed     Outcome = "allowed"
-	OverBudget  Outcome = "over_budget"
 	Finished    Outcome = "done"
 	Replayed    Outcome = "replayed"
 	Running     Outcome = "running"
@@ -29,16 +24,6 @@
 	Unavailable Outcome = "unavailable"
 )
 
-// Source is where a configuration was read from.
-type Source string
-
-// Sources of the configuration.
-const (
-	FromTable Source = "table"
-	FromRelay Source = "relay"
-	FromPeers Source = "peers"
-)
-
 // Service is an external service of the platform.
 type Service string
 
@@ -55,10 +40,11 @@
 
 // Calls between instances.
 const (
-	Sync    PeerCall = "sync"
-	Acquire PeerCall = "acquire"
-	Return  PeerCall = "return"
-	Lookup  PeerCall = "lookup"
+	Sync             PeerCall = "sync"
+	Acknowledgements PeerCall = "acknowledgements"
+	Join             PeerCall = "join"
+	Acquire          PeerCall = "acquire"
+	Return           PeerCall = "return"
 )
 
 // Change is a change by an operator.
@@ -77,17 +63,18 @@
 
 // States of upstreams.
 const (
-	Live      UpstreamState = "live"
-	Leaving   UpstreamState = "leaving"
-	Ejected   UpstreamState = "ejected"
-	SlowStart UpstreamState = "slow_start"
+	Live    UpstreamState = "live"
+	Leaving UpstreamState = "leaving"
+	Down    UpstreamState = "unreachable"
+	Ejected UpstreamState = "ejected"
+	Loading UpstreamState = "loading"
 )
 
-// OpenStreams sets the number of streams in progress.
-func (m *Metrics) OpenStreams(n int) { m.gauge(defOpenStreams).Update(float64(n)) }
-
-// StreamResume counts a truncated stream: Resumed or Failure.
-func (m *Metrics) StreamResume(o Outcome) { m.counter(defStreamResumes, string(o)).Inc(1) }
+// UpstreamStates returns all states of upstreams. They have the names that
+// the administration service uses.
+func UpstreamStates() []UpstreamState {
+	return []UpstreamState{Live, Leaving, Down, Ejected, Loading}
+}
 
 // Fresh sets whether keyed requests are served and how old the last
 // confirmation of the configuration is.
@@ -96,11 +83,6 @@
 	m.gauge(defStateAge).Update(age.Seconds())
 }
 
-// ConfigRead counts a read of the configuration: OK or Failure.
-func (m *Metrics) ConfigRead(from Source, o Outcome) {
-	m.counter(defSyncs, string(from), string(o)).Inc(1)
-}
-
 // AdminChange counts a change by an operator: OK or Failure.
 func (m *Metrics) AdminChange(c Change, o Outcome) {
 	m.counter(defAdminChanges, string(c), string(o)).Inc(1)
@@ -109,16 +91,6 @@
 // QuotaWait records the time a request waited for tokens.
 func (m *Metrics) QuotaWait(d time.Duration) { m.histogram(defQuotaWait).RecordDuration(d) }
 
-// TokensGranted counts tokens granted as share holder.
-func (m *Metrics) TokensGranted(n int) { m.counter(defGrantedTokens).Inc(int64(n)) }
-
-// TokensReturned counts granted tokens that came back.
-func (m *Metrics) TokensReturned(n int) { m.counter(defReturnedTokens).Inc(int64(n)) }
-
-// GrantRequest counts a request to a share holder: Granted, Partial, Refused
-// or Failure.
-func (m *Metrics) GrantRequest(o Outcome) { m.counter(defGrantRequests, string(o)).Inc(1) }
-
 // Order counts an order: Finished, Replayed, Running, Reused, Unknown,
 // Released or Refused.
 func (m *Metrics) Order(o Outcome) { m.counter(defOrders, string(o)).Inc(1) }
@@ -129,6 +101,9 @@
 // ControlLeader sets whether this instance holds the lease.
 func (m *Metrics) ControlLeader(leader bool) { m.gauge(defLeader).Update(flag(leader)) }
 
+// Command counts a control command: Finished, Stale or Failure.
+func (m *Metrics) Command(o Outcome) { m.counter(defCommands, string(o)).Inc(1) }
+
 // WeightLoads sets the number of weight loads running.
 func (m *Metrics) WeightLoads(n int) { m.gauge(defWeightLoads).Update(float64(n)) }
 
--- a/pkg/metrics/pool.go
+++ b/pkg/metrics/pool.go
@@ -13,7 +13,6 @@
 	events  tally.Counter
 	wait    tally.Histogram
 	hits    tally.Counter
-	wasted  tally.Counter
 	flights tally.Gauge
 	queued  tally.Gauge
 }
@@ -27,7 +26,6 @@
 		events:  m.counter(defCacheEvents, name),
 		wait:    m.histogram(defQueueWait, name),
 		hits:    m.counter(defExpectedHits, name),
-		wasted:  m.counter(defWastedTokens, name),
 		flights: m.gauge(defInFlight, name),
 		queued:  m.gauge(defQueued, name),
 	}
@@ -38,11 +36,11 @@
 	p.m.gauge(defUpstreams, p.name, string(s)).Update(float64(n))
 }
 
-// Load sets the numbers of requests at upstreams and waiting for a slot.
-func (p *Pool) Load(inFlight, queued int) {
-	p.flights.Update(float64(inFlight))
-	p.queued.Update(float64(queued))
-}
+// InFlight sets the number of requests at upstreams.
+func (p *Pool) InFlight(n int) { p.flights.Update(float64(n)) }
+
+// Queued sets the number of requests waiting for a slot.
+func (p *Pool) Queued(n int) { p.queued.Update(float64(n)) }
 
 // QueueWait records the time a request waited for a slot.
 func (p *Pool) QueueWait(d time.Duration) { p.wait.RecordDuration(d) }
@@ -50,21 +48,12 @@
 // Attempt counts an attempt: OK, Unreachable, Failure or Cancelled.
 func (p *Pool) Attempt(o Outcome) { p.m.counter(defAttempts, p.name, string(o)).Inc(1) }
 
-// Retry counts a wish to try again: Allowed or OverBudget.
-func (p *Pool) Retry(o Outcome) { p.m.counter(defRetries, p.name, string(o)).Inc(1) }
-
 // Ejection counts an upstream taken out because of failures.
 func (p *Pool) Ejection() { p.m.counter(defEjections, p.name).Inc(1) }
 
-// Coalesced counts a request held while another computed the same prefix.
-func (p *Pool) Coalesced() { p.m.counter(defCoalesced, p.name).Inc(1) }
-
 // ExpectedHit counts prompt tokens expected to be cached.
 func (p *Pool) ExpectedHit(tokens int) { p.hits.Inc(int64(tokens)) }
 
-// Wasted counts tokens computed although some engine had them cached.
-func (p *Pool) Wasted(tokens int) { p.wasted.Inc(int64(tokens)) }
-
 // CacheEvents counts cache events read.
 func (p *Pool) CacheEvents(n int) { p.events.Inc(int64(n)) }
 
@@ -79,6 +68,3 @@
 
 // ReportAge sets the age of the oldest load report of a live upstream.
 func (p *Pool) ReportAge(d time.Duration) { p.m.gauge(defReportAge, p.name).Update(d.Seconds()) }
-
-// Command counts a control command: Finished, Stale or Failure.
-func (p *Pool) Command(o Outcome) { p.m.counter(defCommands, p.name, string(o)).Inc(1) }
--- a/pkg/platform/httpclient.go
+++ b/pkg/platform/httpclient.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,12 +24,20 @@
 
 func newHTTPService(addr string, timeout time.Duration) httpService {
 	return httpService{
-		base:    "http://" + addr,
+		base:    baseURL(addr),
 		http:    transport.New(transport.Options{}),
 		timeout: timeoutOrDefault(timeout),
 	}
 }
 
+// baseURL returns the base URL of a service given as URL or as IP:port.
+func baseURL(addr string) string {
+	if strings.Contains(addr, "://") {
+		return strings.TrimSuffix(addr, "/")
+	}
+	return "http://" + addr
+}
+
 // Close releases idle connections.
 func (s httpService) Close() { s.http.Close() }
 
@@ -135,31 +144,6 @@
 	return err
 }
 
-// ListClient is an InstanceList over HTTP. It makes one attempt per call.
-type ListClient struct{ httpService }
-
-var _ InstanceList = (*ListClient)(nil)
-
-// NewListClient returns a client of the instance list at addr (IP:port). A
-// timeout of 0 means DefaultTimeout.
-func NewListClient(addr string, timeout time.Duration) *ListClient {
-	return &ListClient{newHTTPService(addr, timeout)}
-}
-
-// List implements InstanceList. It fails with ErrUnavailable.
-func (c *ListClient) List(ctx context.Context) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	var instances []Instance
-	err := c.readCall(ctx, "/instances", func(body io.Reader) error {
-		return json.NewDecoder(body).Decode(&instances)
-	})
-	if err != nil {
-		return nil, err
-	}
-	return instances, nil
-}
-
 // WeightClient is a WeightStore over HTTP. It makes one attempt per call.
 type WeightClient struct{ httpService }
 
--- a/pkg/platform/tableclient.go
+++ b/pkg/platform/tableclient.go
@@ -26,7 +26,8 @@
 // intermediaryMeta marks Twirp errors that the service itself did not send.
 const intermediaryMeta = "http_error_from_intermediary"
 
-// TableClient is a Table over Twirp. It makes one attempt per call.
+// TableClient is a Table over Twirp. It makes one attempt per commit and at
+// most two per read.
 type TableClient struct {
 	rpc     rpc.Table
 	http    *transport.Client
@@ -40,7 +41,7 @@
 func NewTableClient(addr string, timeout time.Duration) *TableClient {
 	client := transport.New(transport.Options{})
 	return &TableClient{
-		rpc:     rpc.NewTableProtobufClient("http://"+addr, boundedClient{client}),
+		rpc:     rpc.NewTableProtobufClient(baseURL(addr), boundedClient{client}),
 		http:    client,
 		timeout: timeoutOrDefault(timeout),
 	}
--- a/pkg/settings/serve.go
+++ b/pkg/settings/serve.go
@@ -20,9 +20,9 @@
 	Metrics   Listener
 	Advertise string // address under which peers reach this instance
 
-	Table   string // base URL
-	Objects string // base URL
-	List    string // URL
+	Table   string // IP:port
+	Objects string // IP:port
+	List    string // IP:port
 
 	BodyLimit         Size
 	BodyTimeout       time.Duration // to receive a request body
@@ -30,7 +30,7 @@
 	IdleTimeout       time.Duration // of a connection without request
 	PeerTimeout       time.Duration // of one call to a peer
 	PlatformTimeout   time.Duration // of one call to the table, object store or list
-	DrainDelay        time.Duration // how long it accepts requests while listed as leaving
+	DrainDelay        time.Duration // how long it accepts requests while not ready
 	ShutdownTimeout   time.Duration // how long running requests may take after that
 	LogLevel          string
 	LogFormat         string
@@ -53,9 +53,9 @@
 	fs.StringVar(&s.InstanceID, "instance-id", "", "unique name of this instance (required)")
 	fs.StringVar(&s.Domain, "failure-domain", "", "failure domain of this instance as named in the questionnaire (required)")
 	s.registerListeners(fs)
-	fs.StringVar(&s.Table, "table", "http://127.0.0.1:9000", "URL of the table service")
-	fs.StringVar(&s.Objects, "objects", "http://127.0.0.1:9001", "URL of the object store")
-	fs.StringVar(&s.List, "list", "http://127.0.0.1:9002", "URL of the instance list")
+	fs.StringVar(&s.Table, "table", "127.0.0.1:9000", "address of the table service")
+	fs.StringVar(&s.Objects, "objects", "127.0.0.1:9001", "address of the object store")
+	fs.StringVar(&s.List, "list", "127.0.0.1:9002", "address of the instance list")
 	s.registerLimits(fs)
 	s.peerCredential.register(fs, "peer-credential", "the credential that instances show each other")
 	s.adminCredential.register(fs, "admin-credential", "the credential of the administration service")
@@ -84,7 +84,7 @@
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", 2*time.Minute, "time after which an unused connection is closed")
 	fs.DurationVar(&s.PeerTimeout, "peer-timeout", 500*time.Millisecond, "time of one call to another instance; below the freshness window of 2s")
 	fs.DurationVar(&s.PlatformTimeout, "platform-timeout", time.Second, "time of one call to the table, object store or list; below the freshness window of 2s")
-	fs.DurationVar(&s.DrainDelay, "drain-delay", 5*time.Second, "time during which a stopping instance, already listed as leaving, still accepts requests")
+	fs.DurationVar(&s.DrainDelay, "drain-delay", 5*time.Second, "time during which a stopping instance still accepts requests although /readyz fails")
 	fs.DurationVar(&s.ShutdownTimeout, "shutdown-timeout", 2*time.Minute, "time that running requests get after the drain delay")
 }
 
@@ -102,9 +102,9 @@
 	}
 	add(name("instance-id", s.InstanceID))
 	add(name("failure-domain", s.Domain))
-	add(endpoint("table", s.Table))
-	add(endpoint("objects", s.Objects))
-	add(endpoint("list", s.List))
+	add(service("table", s.Table))
+	add(service("objects", s.Objects))
+	add(service("list", s.List))
 	add(oneOf("log-level", s.LogLevel, "trace", "debug", "info", "warn", "error"))
 	add(oneOf("log-format", s.LogFormat, "text", "json"))
 	var err error
@@ -223,3 +223,10 @@
 	}
 	return nil
 }
+
+// DefaultServe returns the settings with every flag at its default.
+func DefaultServe() *Serve {
+	s := new(Serve)
+	s.Register(flag.NewFlagSet("serve", flag.ContinueOnError))
+	return s
+}
