Release orders whose key is revoked before they are sent

Cause: a claim that waited for a slow table was sent although its key had been revoked meanwhile; an engine that refused work with 409, 429 or 503 was reported like a refused connection, which ejects it at once. Change: an order whose context ended is released instead of sent; refusals are reported as cancelled. Tests of both and of answers that are cut. Conclusion: a revoked key starts no order.

--- a/pkg/controller/orders/orders.go
+++ b/pkg/controller/orders/orders.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
@@ -111,17 +112,22 @@
 }
 
 // Do runs one order: it claims it, calls send at most once, records the
-// outcome and returns the answer or a *code.Error. From the claim on, the order
+// outcome and returns the answer or a *code.Error. An order whose ctx ends before
+// it is sent is released, for example because its key was revoked. Once sent, it
 // does not depend on ctx; send gets a context with the order's deadline.
 func (s *Service) Do(ctx context.Context, q order.Request, send func(context.Context) order.Outcome) (*chain.Response, error) {
 	call := order.NewCall(q, requestid.New(), s.options.Owner, s.options.Limits)
 	detached := context.WithoutCancel(ctx)
 	action := call.Start(s.options.Now())
 	for action.Kind != order.Finish {
-		if action.Kind == order.Wait && ctx.Err() != nil && !call.HasSent() {
+		switch {
+		case action.Kind == order.Wait && ctx.Err() != nil && !call.HasSent():
 			return nil, s.abandon(call)
+		case action.Kind == order.Send && ctx.Err() != nil:
+			action = call.Sent(s.options.Now(), order.Outcome{NotSent: true, Err: gone(ctx)})
+		default:
+			action = s.perform(detached, call, action, send)
 		}
-		action = s.perform(detached, call, action, send)
 	}
 	if action.Cleanup != nil {
 		s.startCleanup(*action.Cleanup)
@@ -139,6 +145,16 @@
 		WithReference(order.Reference(call.RowKey()))
 }
 
+// gone returns why ctx ended as an error for the caller.
+func gone(ctx context.Context) *code.Error {
+	cause := context.Cause(ctx)
+	var e *code.Error
+	if errors.As(cause, &e) {
+		return e
+	}
+	return code.New(code.BodyReadTimeout, "the caller left before the order was sent").WithCause(cause)
+}
+
 func (s *Service) perform(ctx context.Context, call *order.Call, a order.Action, send func(context.Context) order.Outcome) order.Action {
 	switch a.Kind {
 	case order.Commit:
--- a/pkg/controller/orders/orders_test.go
+++ b/pkg/controller/orders/orders_test.go
@@ -164,6 +164,21 @@
 	})
 }
 
+// TestRevokedBeforeSending guards against an order that is sent although its key
+// was revoked while the claim waited for the table.
+func TestRevokedBeforeSending(t *testing.T) {
+	run(t, func(t *testing.T, x *fixture) {
+		x.table.Faults.Set(table.Faults{Latency: 500 * time.Millisecond})
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { cancel(code.New(code.KeyRevoked, "revoked")) })
+		_, err := x.a.Do(ctx, req("1"), x.answers(0))
+		wants(t, err, code.KeyRevoked, code.NotRun)
+		if _, err := x.b.Do(t.Context(), req("1"), x.answers(0)); err != nil || x.ran.Load() != 1 {
+			t.Errorf("with another key: %v; ran %d times", err, x.ran.Load())
+		}
+	})
+}
+
 // TestOperator guards against an unknown order that is not listed, that can be
 // resolved while it may run, or that stays blocked after its resolution.
 func TestOperator(t *testing.T) {
--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -150,17 +150,19 @@
 	return code.New(code.NoUpstream, "no upstream takes work").WithCause(err)
 }
 
+// resultOf tells a refused connection, which ejects the upstream at once, from
+// an upstream that answered that it takes no work now.
 func resultOf(ctx context.Context, r *chain.Request, err error) upstream.Result {
+	var e *code.Error
 	switch {
 	case err == nil:
 		return upstream.OK
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return upstream.Cancelled
-	case !r.Outcome.Sent:
-		return upstream.Unreachable
-	default:
+	case r.Outcome.Sent && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)):
 		return upstream.Failed
+	case ctx.Err() == nil && errors.As(err, &e) && e.Code == code.UpstreamUnreachable:
+		return upstream.Unreachable
 	}
+	return upstream.Cancelled
 }
 
 func (f *Filter) query(r *chain.Request) upstream.Query {
--- a/pkg/filter/idempotency/idempotency.go
+++ b/pkg/filter/idempotency/idempotency.go
@@ -6,9 +6,9 @@
 // the number, runs the rest of the chain at most once and records the answer.
 // The caller sees the answer only after it was recorded.
 //
-// From the claim on, the order no longer depends on the caller's connection or
-// key: it is completed and recorded within the application's timeout even if
-// the caller leaves or the key is revoked. An answer with a status of 500 or
+// An order whose caller leaves or whose key is revoked before it is sent does not
+// run. Once sent, it is completed and recorded within the application's timeout
+// whatever happens to caller and key. An answer with a status of 500 or
 // above does not say whether the order took effect, so its outcome is unknown.
 package idempotency
 
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,7 +197,7 @@
 	} else {
 		out.run = c.next.Err.Run
 	}
-	if out.run == code.NotRun && contains(w.ran[c.key], c.id) {
+	if out.run == code.NotRun && slices.Contains(w.ran[c.key], c.id) {
 		w.t.Fatalf("call %d ran and was told %v", c.id, c.next.Err)
 	}
 	w.record(c, out)
@@ -326,15 +327,6 @@
 	})
 }
 
-func contains(list []int, v int) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
-
 // ranBy is the state of one order: the call that ran it and its body.
 type ranBy struct{ call, body int }
 
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -116,6 +116,7 @@
 	mu      sync.Mutex
 	targets map[string][]chain.Target
 	open    atomic.Int64 // slots not yet done
+	results []upstream.Result
 }
 
 type slot struct {
@@ -137,7 +138,13 @@
 
 func (s slot) Target() chain.Target { return s.t }
 func (s slot) FirstToken(int)       {}
-func (s slot) Done(upstream.Result) { s.p.open.Add(-1) }
+
+func (s slot) Done(r upstream.Result) {
+	s.p.mu.Lock()
+	s.p.results = append(s.p.results, r)
+	s.p.mu.Unlock()
+	s.p.open.Add(-1)
+}
 
 // metrics keeps the result codes.
 type metrics struct {
--- a/pkg/router/stream_test.go
+++ b/pkg/router/stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
 var streamCall = call{http.MethodPost, "/v1/chat/completions", testKey, streamBody, nil}
@@ -208,6 +210,48 @@
 	}
 }
 
+// TestCutAnswer guards against a part of an answer that is not a stream reaching
+// the caller.
+func TestCutAnswer(t *testing.T) {
+	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		abort()
+	})
+	in := start(t, map[string][]http.Handler{"plume": {cut}, "atelier": {cut}}, nil)
+	for _, c := range []call{
+		{http.MethodPost, "/v1/chat/completions", testKey, goodBody, nil},
+		{http.MethodGet, "/atelier/orders", testKey, "", nil},
+	} {
+		_, body, data := in.do(t, c)
+		if body.Error.ResultCode != code.UpstreamFailed || body.Error.Run != code.MayHaveRun || strings.Contains(data, "half") {
+			t.Errorf("%s: %s", c.path, data)
+		}
+	}
+}
+
+// TestRefusingEngine guards against an engine that answers that it takes no work
+// being ejected like one that refuses connections, or being charged for.
+func TestRefusingEngine(t *testing.T) {
+	for _, status := range []int{http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		refusing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+			w.WriteHeader(status)
+		})
+		in := start(t, map[string][]http.Handler{"plume": {refusing, refusing, &engineFake{words: 2}}}, nil)
+		if _, _, data := in.do(t, streamCall); !strings.HasSuffix(data, "data: [DONE]\n\n") {
+			t.Errorf("status %d: %s", status, data)
+		}
+		want := []upstream.Result{upstream.Cancelled, upstream.Cancelled, upstream.OK}
+		in.pools.mu.Lock()
+		if !slices.Equal(in.pools.results, want) {
+			t.Errorf("status %d: results %v, want %v", status, in.pools.results, want)
+		}
+		in.pools.mu.Unlock()
+	}
+}
+
 func closedAddr(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
