--- a/pkg/admin/handler.go
+++ b/pkg/admin/handler.go
@@ -43,7 +43,7 @@
 		token, ok := keys.ParseBearer(r.Header.Get("Authorization"))
 		got := sha256.Sum256([]byte(token))
 		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 || !ok {
-			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("send the administration credential in the header Authorization: Bearer"))
+			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the administration credential is missing or wrong; send it in the header Authorization: Bearer"))
 			return
 		}
 		next.ServeHTTP(w, r)
