--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -251,3 +251,39 @@
 		t.Error("a body beyond the limit was accepted")
 	}
 }
+
+// TestBadInput guards against malformed calls that change something, end in a
+// server error or stop the service.
+func TestBadInput(t *testing.T) {
+	f := newFleet(t)
+	server := httptest.NewServer(Handler(newService(f, nil), "0123456789abcdef"))
+	defer server.Close()
+	for _, c := range []struct{ path, contentType, body string }{
+		{"Apply", "application/json", "{"},
+		{"Apply", "application/json", `{"questionnaire": 7}`},
+		{"Apply", "application/json", `{"questionnaire": "\ud800"}`},
+		{"Apply", "application/protobuf", "\xff\xff\xff"},
+		{"Apply", "text/plain", "{}"},
+		{"CreateKey", "application/json", `{"customer": "shops", "team": "` + strings.Repeat("x", 1<<20) + `"}`},
+		{"RevokeKey", "application/json", "[]"},
+		{"ResolveOrder", "application/json", `{"reference": "o1", "by": "ana", "finding": "MAYBE"}`},
+		{"ResolveOrder", "application/json", `{"reference": "o1", "by": "ana", "finding": 99}`},
+		{"UnresolvedOrders", "application/json", `{"limit": -1}`},
+		{"Nothing", "application/json", "{}"},
+	} {
+		req, _ := http.NewRequest(http.MethodPost, server.URL+"/twirp/fescuestep.admin.Admin/"+c.path, strings.NewReader(c.body))
+		req.Header.Set("Content-Type", c.contentType)
+		req.Header.Set("Authorization", "Bearer 0123456789abcdef")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode < 400 || resp.StatusCode >= 500 {
+			t.Errorf("%s %.60q: status %d", c.path, c.body, resp.StatusCode)
+		}
+	}
+	if f.Snapshot().Revision != 7 || len(f.resolved) != 0 {
+		t.Errorf("revision %d, resolved %v", f.Snapshot().Revision, f.resolved)
+	}
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -167,3 +167,25 @@
 		t.Error(diff)
 	}
 }
+
+// FuzzParse guards against arguments that crash the start or are ignored
+// silently: what is not reported must have been taken as a flag or be left as
+// a positional argument.
+func FuzzParse(f *testing.F) {
+	for _, args := range []string{"-instance-id r1", "--list", "-=", "---table=x", "-x -y z", "-- -table", "-body-limit=-1", "- x"} {
+		f.Add(args)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		args := strings.Split(text, " ")
+		fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+		(&Serve{}).Register(fs)
+		err := Parse(fs, args)
+		var wrong Errors
+		if errors.As(err, &wrong) && len(wrong) == 0 {
+			t.Error("an error without content")
+		}
+		if err == nil && fs.NFlag() == 0 && fs.NArg() < len(args)-1 {
+			t.Errorf("%q: %d of %d arguments left and no flag set", args, fs.NArg(), len(args))
+		}
+	})
+}
