--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -16,6 +16,7 @@
 		{"running", &serveCmd{streams: s}},
 		{"running", &demoCmd{streams: s}},
 		{"testing", &standinCmd{streams: s}},
+		{"testing", &replayCmd{streams: s}},
 		{"testing", &loadCmd{streams: s}},
 		{"other", &versionCmd{}},
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -47,6 +47,7 @@
 	self      config.Member
 	listeners listeners
 	tls       tlsConfigs
+	record    *recording // nil unless inputs are recorded
 
 	table   *platform.TableClient
 	objects *platform.ObjectClient
@@ -73,9 +74,12 @@
 	if i.tls, err = loadTLS(s, o.Log); err != nil {
 		return nil, err
 	}
-	if i.listeners, err = bind(s, i.tls); err != nil {
+	if i.record, err = openRecording(s.RecordFile); err != nil {
 		return nil, err
 	}
+	if i.listeners, err = bind(s, i.tls); err != nil {
+		return nil, errors.CombineErrors(err, i.record.close())
+	}
 	i.self = config.Member{
 		ID:          s.InstanceID,
 		Incarnation: requestid.New(),
@@ -134,7 +138,11 @@
 		Peers: peers,
 		Log:   i.log.Named("quota"),
 	})
-	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
+	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines}
+	if i.record != nil {
+		pools.Record = i.record.recorder
+	}
+	i.pools = upstream.NewPools(pools)
 	i.feed = collect.NewFeed(i.pools, i.metrics)
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
 	i.rollout = rollout.New(rollout.Options{
@@ -230,6 +238,9 @@
 	if err := i.metrics.Close(); err != nil {
 		i.log.Debug("metrics not closed", "error", err)
 	}
+	if err := i.record.close(); err != nil {
+		i.log.Error("recording is incomplete", "error", err)
+	}
 }
 
 // Fresh reports whether keyed requests are served.
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -44,6 +44,7 @@
 	shares  *accounts
 	request pick.Request // scratch
 	export  func(Transfer)
+	rec     *recording // nil unless inputs are recorded
 }
 
 // Wait is a request that waits for a slot. Decided is called once, with Grant
@@ -105,6 +106,7 @@
 // Configure applies a changed configuration of the pool. The seed and the
 // policy's name stay.
 func (c *Core) Configure(set Settings) {
+	c.rec.addUntimed(Entry{Kind: EntryConfigure, Settings: &set})
 	set.Seed, set.Policy = c.set.Seed, c.set.Policy
 	c.set = set
 	c.store.Limits = c.limits()
@@ -119,12 +121,16 @@
 }
 
 // SetInstances sets the number of router instances that share the upstreams.
-func (c *Core) SetInstances(n int) { c.store.Instances = max(1, n) }
+func (c *Core) SetInstances(n int) {
+	c.rec.addUntimed(Entry{Kind: EntryInstances, Instances: n})
+	c.store.Instances = max(1, n)
+}
 
 // Submit asks for a slot. decided is called at once or from a later call; the
 // caller runs Tick by NextTick at the latest.
 func (c *Core) Submit(now time.Time, q *Query, decided func(*Wait)) *Wait {
 	w := &Wait{query: *q, decided: decided}
+	c.rec.submit(now, w)
 	w.item = fair.Item[*Wait]{
 		Customer: q.Customer,
 		Weight:   q.Weight,
@@ -229,24 +235,27 @@
 
 func (c *Core) grant(now time.Time, w *Wait, choice pick.Choice) {
 	u := choice.Upstream
-	g := &Grant{query: &w.query, choice: choice, incarnation: u.Incarnation}
+	g := &Grant{wait: w, query: &w.query, choice: choice, incarnation: u.Incarnation}
 	g.flight = c.store.Start(now, u, choice.Uncached)
 	c.shares.start(w.query.Customer, w.query.Weight)
 	c.lead(now, g)
 	w.Grant = g
 	w.state = finished
+	c.rec.outcome(w)
 	w.decided(w)
 }
 
 func (c *Core) refuse(w *Wait, err *code.Error) {
 	w.Err = err.WithRun(code.NotRun)
 	w.state = finished
+	c.rec.outcome(w)
 	w.decided(w)
 }
 
 // Cancel withdraws a request that is still undecided. It reports whether it
 // was; otherwise the caller owns the grant and calls Done.
 func (c *Core) Cancel(w *Wait) bool {
+	c.rec.request(EntryCancel, w)
 	switch w.state {
 	case waiting:
 		c.queue.Remove(&w.item)
@@ -261,6 +270,7 @@
 
 // Expire refuses a request whose deadline has passed while it waited.
 func (c *Core) Expire(w *Wait) {
+	c.rec.request(EntryExpire, w)
 	if c.Cancel(w) {
 		c.refuse(w, code.New(code.DeadlineUnreachable, "no slot became free before the deadline").
 			WithRetryAfter(retryNoUpstream))
@@ -273,6 +283,7 @@
 		return
 	}
 	g.first = true
+	c.rec.grant(now, g, Entry{Kind: EntryFirstToken, Tokens: cachedTokens})
 	u := g.flight.Upstream
 	u.FirstToken(g.flight)
 	u.Outlier.Success()
@@ -290,6 +301,7 @@
 		return
 	}
 	g.done = true
+	c.rec.end(now, g, r)
 	u := g.flight.Upstream
 	u.Finish(now, g.flight)
 	c.shares.end(g.query.Customer)
@@ -327,6 +339,7 @@
 
 // Tick releases requests whose hold has ended and hands out slots.
 func (c *Core) Tick(now time.Time) {
+	c.rec.add(now, Entry{Kind: EntryTick})
 	c.endHolds(now)
 	c.Dispatch(now)
 }
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -13,6 +13,7 @@
 // upstream that is no longer listed takes no new work; its flights end as
 // usual.
 func (c *Core) OnList(now time.Time, instances []platform.Instance) {
+	c.rec.add(now, Entry{Kind: EntryList, List: instances})
 	listed := map[string]bool{}
 	for i := range instances {
 		in := &instances[i]
@@ -47,6 +48,7 @@
 // OnReport applies a load report, which also proves that the upstream is
 // reachable.
 func (c *Core) OnReport(now time.Time, id string, r *engine.LoadReport) {
+	c.rec.add(now, Entry{Kind: EntryReport, Upstream: id, Report: r})
 	u := c.store.Get(id)
 	if u == nil {
 		return
@@ -68,6 +70,7 @@
 // OnPollFailed records that a poll of the upstream got no answer. It takes no
 // new work until a poll succeeds.
 func (c *Core) OnPollFailed(id string) {
+	c.rec.addUntimed(Entry{Kind: EntryPollFailed, Upstream: id})
 	if u := c.store.Get(id); u != nil {
 		u.PollFailed = true
 	}
@@ -75,6 +78,7 @@
 
 // OnEvents applies cache events.
 func (c *Core) OnEvents(now time.Time, id string, b *engine.EventBatch) cacheindex.Applied {
+	c.rec.add(now, Entry{Kind: EntryEvents, Upstream: id, Events: b})
 	u := c.store.Get(id)
 	if u == nil {
 		return cacheindex.Ignored
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -22,6 +22,8 @@
 	// KV moves blocks between engines and the KV stores of pools that name
 	// one; nil leaves imports and exports out.
 	KV KVClient
+	// Record receives every input of every pool; nil records nothing.
+	Record Recorder
 }
 
 // Pools holds the pools of one router instance. It is safe for concurrent use.
@@ -149,7 +151,9 @@
 // abandon withdraws w, or gives its slot back when it was granted meanwhile.
 func (p *pool) abandon(ctx context.Context, w *Wait) error {
 	p.with(func(now time.Time, c *Core) {
-		if !c.Cancel(w) && w.Grant != nil {
+		if c.Cancel(w) {
+			c.rec.forget(w)
+		} else if w.Grant != nil {
 			c.Done(now, w.Grant, Cancelled)
 		}
 	})
@@ -190,10 +194,14 @@
 	}
 	pl := old[c.Name]
 	if pl == nil {
-		core, err := NewCore(time.Now(), set)
+		now := time.Now()
+		core, err := NewCore(now, set)
 		if err != nil {
 			return // only for an unknown policy, which settings reject
 		}
+		if p.opts.Record != nil {
+			core.Record(now, p.opts.Record)
+		}
 		pl = &pool{core: core}
 		if p.exports != nil {
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
--- /dev/null
+++ b/pkg/upstream/record.go
@@ -0,0 +1,201 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+// EntryKind names an input or output of a pool's state machine.
+type EntryKind string
+
+// Inputs of the state machine, and its output EntryOutcome.
+const (
+	EntryCreate     EntryKind = "create"
+	EntryConfigure  EntryKind = "configure"
+	EntryInstances  EntryKind = "instances"
+	EntrySubmit     EntryKind = "submit"
+	EntryCancel     EntryKind = "cancel"
+	EntryExpire     EntryKind = "expire"
+	EntryFirstToken EntryKind = "first_token"
+	EntryDone       EntryKind = "done"
+	EntryTick       EntryKind = "tick"
+	EntryList       EntryKind = "list"
+	EntryReport     EntryKind = "report"
+	EntryPollFailed EntryKind = "poll_failed"
+	EntryEvents     EntryKind = "events"
+	EntryImport     EntryKind = "import"
+	EntryImported   EntryKind = "imported"
+	EntryExported   EntryKind = "exported"
+	EntryPauseKV    EntryKind = "pause_kv"
+	EntryOutcome    EntryKind = "outcome"
+)
+
+// Entry is one recorded input or output. It holds neither prompts nor keys.
+type Entry struct {
+	At        time.Duration       `json:"at"` // since the creation of the pool, ns
+	Kind      EntryKind           `json:"kind"`
+	Pool      string              `json:"pool"`
+	Request   int                 `json:"request,omitempty"` // number, from 1
+	Settings  *Settings           `json:"settings,omitempty"`
+	Instances int                 `json:"instances,omitempty"`
+	Query     *RecordedQuery      `json:"query,omitempty"`
+	List      []platform.Instance `json:"list,omitempty"`
+	Upstream  string              `json:"upstream,omitempty"`
+	Report    *engine.LoadReport  `json:"report,omitempty"`
+	Events    *engine.EventBatch  `json:"events,omitempty"`
+	Tokens    int                 `json:"tokens,omitempty"` // cached tokens of a first token
+	Result    Result              `json:"result,omitempty"`
+	Transfer  *Transfer           `json:"transfer,omitempty"`
+	Blocks    int                 `json:"blocks,omitempty"` // transferred
+	Outcome   *Outcome            `json:"outcome,omitempty"`
+}
+
+// RecordedQuery is a Query whose deadline counts from its submission.
+type RecordedQuery struct {
+	Customer   string        `json:"customer,omitempty"`
+	Weight     float64       `json:"weight,omitempty"`
+	FromDomain string        `json:"from_domain,omitempty"`
+	Priority   int           `json:"priority,omitempty"`
+	Tokens     int           `json:"tokens,omitempty"`
+	MaxOutput  int           `json:"max_output,omitempty"`
+	Blocks     []block.Hash  `json:"blocks,omitempty"`
+	Deadline   time.Duration `json:"deadline,omitempty"` // ns after the submission, 0 for none
+	Exclude    []string      `json:"exclude,omitempty"`
+}
+
+// Query returns the query of a request to the pool that was submitted at now.
+func (r *RecordedQuery) Query(pool string, now time.Time) Query {
+	q := Query{
+		Pool: pool, Customer: r.Customer, Weight: r.Weight, FromDomain: r.FromDomain, Priority: r.Priority,
+		Tokens: r.Tokens, MaxOutput: r.MaxOutput, Blocks: r.Blocks, Exclude: r.Exclude,
+	}
+	if r.Deadline != 0 {
+		q.Deadline = now.Add(r.Deadline)
+	}
+	return q
+}
+
+func recordQuery(q *Query, now time.Time) *RecordedQuery {
+	r := &RecordedQuery{
+		Customer: q.Customer, Weight: q.Weight, FromDomain: q.FromDomain, Priority: q.Priority,
+		Tokens: q.Tokens, MaxOutput: q.MaxOutput, Blocks: q.Blocks, Exclude: q.Exclude,
+	}
+	if !q.Deadline.IsZero() {
+		r.Deadline = q.Deadline.Sub(now)
+	}
+	return r
+}
+
+// Outcome is the decision about one request.
+type Outcome struct {
+	Upstream  string    `json:"upstream,omitempty"`
+	HitTokens int       `json:"hit_tokens,omitempty"`
+	Code      code.Code `json:"code,omitempty"` // of a refusal
+}
+
+// Outcome returns the decision, or false while there is none.
+func (w *Wait) Outcome() (Outcome, bool) {
+	switch {
+	case w.Grant != nil:
+		return Outcome{Upstream: w.Grant.flight.Upstream.ID, HitTokens: w.Grant.choice.HitTokens}, true
+	case w.Err != nil:
+		return Outcome{Code: w.Err.Code}, true
+	}
+	return Outcome{}, false
+}
+
+// Recorder receives entries in the order in which a pool's state machine
+// processed them. It must not block for long: it is called under the lock.
+type Recorder interface {
+	Record(e Entry)
+}
+
+// recording adds what all entries of a pool have in common. A nil recording
+// records nothing.
+type recording struct {
+	to      Recorder
+	pool    string
+	start   time.Time
+	last    time.Duration
+	numbers map[*Wait]int
+	next    int
+}
+
+// Record sends every input and outcome from now on to the recorder. It is
+// called right after NewCore, so that a replay starts from the same state.
+func (c *Core) Record(now time.Time, to Recorder) {
+	c.rec = &recording{to: to, pool: c.set.Pool.Name, start: now, numbers: map[*Wait]int{}}
+	set := c.set
+	c.rec.add(now, Entry{Kind: EntryCreate, Settings: &set})
+}
+
+func (r *recording) add(now time.Time, e Entry) {
+	if r == nil {
+		return
+	}
+	r.last = now.Sub(r.start)
+	r.addUntimed(e)
+}
+
+// addUntimed records an input that has no time of its own.
+func (r *recording) addUntimed(e Entry) {
+	if r == nil {
+		return
+	}
+	e.At, e.Pool = r.last, r.pool
+	r.to.Record(e)
+}
+
+func (r *recording) submit(now time.Time, w *Wait) {
+	if r == nil {
+		return
+	}
+	r.next++
+	r.numbers[w] = r.next
+	r.add(now, Entry{Kind: EntrySubmit, Request: r.next, Query: recordQuery(&w.query, now)})
+}
+
+// request records an input about a request without a time of its own.
+func (r *recording) request(kind EntryKind, w *Wait) {
+	if r != nil {
+		r.addUntimed(Entry{Kind: kind, Request: r.numbers[w]})
+	}
+}
+
+// grant records an input about a request that has a slot.
+func (r *recording) grant(now time.Time, g *Grant, e Entry) {
+	if r != nil {
+		e.Request = r.numbers[g.wait]
+		r.add(now, e)
+	}
+}
+
+func (r *recording) outcome(w *Wait) {
+	if r == nil {
+		return
+	}
+	o, _ := w.Outcome()
+	r.addUntimed(Entry{Kind: EntryOutcome, Request: r.numbers[w], Outcome: &o})
+	if w.Err != nil {
+		delete(r.numbers, w)
+	}
+}
+
+// end records the end of a request and forgets its number.
+func (r *recording) end(now time.Time, g *Grant, result Result) {
+	if r != nil {
+		r.grant(now, g, Entry{Kind: EntryDone, Result: result})
+		delete(r.numbers, g.wait)
+	}
+}
+
+// forget drops the number of a request that was withdrawn undecided.
+func (r *recording) forget(w *Wait) {
+	if r != nil {
+		delete(r.numbers, w)
+	}
+}
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -45,6 +45,7 @@
 	if g.choice.Import <= g.choice.Held {
 		return Transfer{}, false
 	}
+	c.rec.request(EntryImport, g.wait)
 	g.flight.Importing()
 	return c.transfer(g, g.choice.Held, g.choice.Import), true
 }
@@ -67,6 +68,7 @@
 // Imported records that the engine now holds the first done blocks of t and
 // that the request is sent.
 func (c *Core) Imported(now time.Time, g *Grant, t Transfer, done int) {
+	c.rec.grant(now, g, Entry{Kind: EntryImported, Transfer: &t, Blocks: done})
 	g.flight.SentNow(now)
 	if u := c.store.Get(t.UpstreamID); u != nil {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, t.Incarnation, t.Blocks[:done])
@@ -94,6 +96,7 @@
 
 // Exported records that the KV store now holds the first done blocks of t.
 func (c *Core) Exported(now time.Time, t Transfer, done int) {
+	c.rec.add(now, Entry{Kind: EntryExported, Transfer: &t, Blocks: done})
 	c.inKV(c.store.IndexTime(now), t.Blocks[:done], 0)
 }
 
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -58,6 +58,7 @@
 
 // Grant is a slot in the state machine.
 type Grant struct {
+	wait        *Wait
 	flight      *pick.Flight
 	incarnation string
 	query       *Query
