upstream: move requests that wait behind unseen work

Cause: the tail consists of requests sent to an engine on which another instance's long prefill was not yet reported. Change: when a report sampled after a request was sent shows other work ahead of it and another engine is expected to answer at least 100 ms sooner, the state machine asks to withdraw the request and submit it again, at most twice. Long prefills move only on reports sampled within 60 ms: later ones also show what came after. The model follows; the shell does not yet.

--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -23,7 +23,8 @@
 	rng    *rand.Rand
 	starts int
 	down   bool
-	ticks  time.Duration // time of the next scheduled tick, 0 for none
+	ticks  time.Duration              // time of the next scheduled tick, 0 for none
+	sent   map[*upstream.Grant]func() // withdraws a request from its engine
 }
 
 func (v *virtualRun) newInstance(number int, policy string) (*instance, error) {
@@ -52,6 +53,10 @@
 	in.core, in.retry, in.ticks = core, retry.NewPolicy(), 0
 	core.SetInstances(v.options.Profile.Instances)
 	core.OnExport(in.export)
+	in.sent = map[*upstream.Grant]func(){}
+	if policy == "fescuestep" {
+		core.OnMove(in.move)
+	}
 	core.OnList(v.clock.time(), v.listed)
 	in.every(listPoll, func() { core.OnList(v.clock.time(), v.listed) })
 	for _, e := range v.fleet.engines {
@@ -137,6 +142,7 @@
 	in      *instance
 	arrival *Arrival
 	attempt int
+	moves   int
 	exclude []string
 	start   int // incarnation of the instance
 	ended   bool
@@ -168,7 +174,7 @@
 	q := upstream.Query{
 		Pool: in.run.options.Profile.Pool, Customer: customer.ID, Weight: customer.Weight,
 		FromDomain: in.domain, Tokens: a.Tokens, MaxOutput: a.MaxOutput, Blocks: a.Blocks,
-		Deadline: in.run.clock.origin.Add(a.At + a.Timeout), Exclude: r.exclude,
+		Deadline: in.run.clock.origin.Add(a.At + a.Timeout), Exclude: r.exclude, Moves: r.moves,
 	}
 	w := in.core.Submit(in.run.clock.time(), &q, r.decided)
 	in.run.clock.at(a.At+a.Timeout, func() { in.core.Expire(w) })
@@ -233,6 +239,9 @@
 	delay := in.delay(e)
 	j := &job{arrival: r.arrival}
 	j.firstToken = func(cachedTokens int) {
+		if j.finished {
+			return
+		}
 		r.timings.CachedTokens, r.timings.PromptTokens = cachedTokens, r.arrival.Tokens
 		in.run.clock.after(delay, func() {
 			r.timings.TTFT = in.run.clock.now - r.arrival.At
@@ -245,6 +254,7 @@
 	j.done = func(ok, started bool) {
 		in.run.clock.after(delay, func() { r.over(e, g, ok, started) })
 	}
+	in.sent[g] = func() { r.withdraw(e, g, j) }
 	if !e.submit(j) {
 		in.run.clock.after(delay, func() { r.refusedBy(e, g) })
 	}
@@ -327,3 +337,23 @@
 		r.in.run.recorder.Record(r.arrival, t)
 	}
 }
+
+// move withdraws a request that is stuck and submits it again.
+func (in *instance) move(g *upstream.Grant) {
+	if withdraw := in.sent[g]; withdraw != nil {
+		in.later(0, withdraw)
+	}
+}
+
+func (r *request) withdraw(e *modelEngine, g *upstream.Grant, j *job) {
+	if r.ended || j.finished || r.timings.TTFT > 0 {
+		return
+	}
+	in := r.in
+	in.run.clock.after(in.delay(e), func() { e.cancel(j) })
+	in.core.Done(in.run.clock.time(), g, upstream.Cancelled)
+	r.moves++
+	r.exclude = append(r.exclude, e.id)
+	in.run.moved++
+	r.submit()
+}
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -41,7 +41,6 @@
 	ShortTTFTP99           float64 `json:"short_ttft_p99_ms"`
 	RateLimited            int     `json:"rate_limited"`
 	Revoked                int     `json:"revoked"`
-	RefusedExcess          int     `json:"refused_above_rate"`
 	PrefilledTokens        int     `json:"prefilled_tokens"`
 	FailedAfterStart       int     `json:"failed"`
 	RefusedWithinRateShare float64 `json:"refused_within_rate_share"`
@@ -73,6 +72,8 @@
 	all       *hdrhistogram.Histogram
 	short     *hdrhistogram.Histogram
 	customers []*hdrhistogram.Histogram
+	refusals  []int // by customer
+	above     []int // arrivals above rate and burst by customer
 	windows   []window
 	prompt    int
 	cached    int
@@ -85,6 +86,7 @@
 	for range p.Customers {
 		r.customers = append(r.customers, newHistogram())
 	}
+	r.refusals, r.above = make([]int, len(p.Customers)), make([]int, len(p.Customers))
 	r.result.Name = policy
 	return r
 }
@@ -94,15 +96,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.result.Requests++
+	if !a.Within {
+		r.above[a.Customer]++
+	}
 	switch {
 	case t.Revoked:
 		r.result.Revoked++
-	case t.Refused && a.Within:
-		r.result.RefusedWithinRate++
-	case t.RateLimited:
-		r.result.RateLimited++
 	case t.Refused:
-		r.result.RefusedExcess++
+		r.refusals[a.Customer]++
+		if t.RateLimited {
+			r.result.RateLimited++
+		}
 	case t.Unanswered:
 		r.result.Unanswered++
 	case t.Truncated:
@@ -147,6 +151,11 @@
 	if r.prompt > 0 {
 		out.PrefixHitRate = float64(r.cached) / float64(r.prompt)
 	}
+	// Which of a customer's requests are above its rate depends on the order of
+	// charges; their number hardly does.
+	for i, n := range r.refusals {
+		out.RefusedWithinRate += max(0, n-r.above[i])
+	}
 	out.TTFTP50 = quantile(r.all, 50)
 	out.TTFTP99 = quantile(r.all, 99)
 	out.ShortTTFTP99 = quantile(r.short, 99)
--- a/pkg/load/model.go
+++ b/pkg/load/model.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/block"
@@ -190,7 +191,7 @@
 	work := time.Duration(float64(uncached) / modelPrefillPerSec * float64(time.Second))
 	start := e.starts
 	e.fleet.clock.after(work, func() {
-		if e.starts == start && !e.down {
+		if e.starts == start && !e.down && !j.finished {
 			e.prefilled(j, hit)
 		}
 	})
@@ -215,13 +216,7 @@
 
 func (e *modelEngine) complete(j *job) {
 	delete(e.running, j)
-	if len(e.waiting) > 0 {
-		e.ready = append(e.ready, e.waiting[0])
-		e.waiting = e.waiting[1:]
-		e.next()
-	} else {
-		e.slots--
-	}
+	e.leaveBatch()
 	e.finish(j, true)
 }
 
@@ -236,3 +231,37 @@
 		}
 	}
 }
+
+// cancel ends a job without calling it back. A running prefill stops.
+func (e *modelEngine) cancel(j *job) {
+	if j.finished || j.started {
+		return
+	}
+	j.finished = true
+	e.queued -= j.queued
+	if i := slices.Index(e.waiting, j); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		return
+	}
+	if i := slices.Index(e.ready, j); i >= 0 {
+		e.ready = slices.Delete(e.ready, i, i+1)
+	} else if e.running[j] {
+		delete(e.running, j)
+		e.busy = false
+	} else {
+		return // of an earlier incarnation
+	}
+	e.leaveBatch()
+	e.next()
+}
+
+// leaveBatch gives the place of an ended job to the next waiting one.
+func (e *modelEngine) leaveBatch() {
+	if len(e.waiting) > 0 {
+		e.ready = append(e.ready, e.waiting[0])
+		e.waiting = e.waiting[1:]
+		e.next()
+		return
+	}
+	e.slots--
+}
--- a/pkg/load/overshoot.go
+++ b/pkg/load/overshoot.go
@@ -6,18 +6,25 @@
 	"time"
 )
 
-// excess returns the most tokens by which any interval exceeds rate times
-// length plus burst: the highest level of a bucket that uses fill and the rate
-// drains, above the burst.
-func (u *rateUse) excess(at func(use) time.Duration) int {
-	uses := slices.Clone(u.uses)
-	slices.SortFunc(uses, func(a, b use) int { return cmp.Compare(at(a), at(b)) })
-	level, highest := 0.0, 0.0
-	var last time.Duration
-	for _, x := range uses {
-		level = max(level-(at(x)-last).Seconds()*u.quota.rate, 0) + float64(x.tokens)
-		last = at(x)
-		highest = max(highest, level)
+// excess returns a lower bound of the tokens above rate and burst. When a use
+// was charged between its arrival and its first token is not known, so that
+// only uses that lie within an interval with both ends count for it.
+func (u *rateUse) excess() int {
+	byFirst := slices.Clone(u.uses)
+	slices.SortFunc(byFirst, func(a, b use) int { return cmp.Compare(a.first, b.first) })
+	highest := 0.0
+	for _, from := range u.uses {
+		sum := 0.0
+		for _, x := range byFirst {
+			if x.arrived < from.arrived {
+				continue
+			}
+			sum += float64(x.tokens)
+			highest = max(highest, sum-u.quota.allowed(x.first-from.arrived))
+		}
 	}
-	return int(max(highest-u.quota.burst, 0))
+	return int(highest)
 }
+
+// allowed returns the most tokens that may be used over d.
+func (b *bucket) allowed(d time.Duration) float64 { return b.burst + b.rate*d.Seconds() }
--- a/pkg/load/text.go
+++ b/pkg/load/text.go
@@ -68,9 +68,7 @@
 	return m.wasted
 }
 
-// rateCheck compares the tokens used with each customer's rate and burst. When
-// a charge happened between arrival and first token is not known from outside;
-// only an excess under both assumptions counts.
+// rateCheck compares the tokens used with each customer's rate and burst.
 type rateCheck struct {
 	mu        sync.Mutex
 	customers []rateUse
@@ -107,10 +105,7 @@
 	defer c.mu.Unlock()
 	total := 0
 	for i := range c.customers {
-		u := &c.customers[i]
-		byArrival := u.excess(func(x use) time.Duration { return x.arrived })
-		byFirst := u.excess(func(x use) time.Duration { return x.first })
-		total += min(byArrival, byFirst)
+		total += c.customers[i].excess()
 	}
 	return total
 }
--- a/pkg/load/virtual.go
+++ b/pkg/load/virtual.go
@@ -13,7 +13,7 @@
 // Intervals at which instances poll engines and the list, before jitter.
 const (
 	reportPoll = 100 * time.Millisecond
-	eventPoll  = 100 * time.Millisecond
+	eventPoll  = 200 * time.Millisecond
 	listPoll   = time.Second
 	listLag    = 2 * time.Second // of the platform's list
 )
@@ -66,6 +66,7 @@
 	instances []*instance
 	recorder  *Recorder
 	quota     []bucket
+	moved     int                 // requests withdrawn from an engine and submitted again
 	listed    []platform.Instance // as the list shows them
 }
 
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -85,6 +85,21 @@
 	return f
 }
 
+// Held reports whether f is held back for an import.
+func (f *Flight) Held() bool { return f.importing }
+
+// TokensSentAfter returns the uncached tokens of this instance's requests that
+// were sent after f and are not prefilled.
+func (u *Upstream) TokensSentAfter(f *Flight) int {
+	sum := 0
+	for _, o := range u.flights {
+		if o != f && !o.prefilled && o.Sent.After(f.Sent) {
+			sum += o.Tokens
+		}
+	}
+	return sum
+}
+
 // FirstToken records that the engine finished the prefill of f.
 func (u *Upstream) FirstToken(f *Flight) { f.prefilled = true }
 
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -44,6 +44,8 @@
 	shares  *accounts
 	request pick.Request // scratch
 	export  func(Transfer)
+	move    func(*Grant)
+	grants  map[*pick.Upstream][]*Grant // open ones
 }
 
 // Wait is a request that waits for a slot. Decided is called once, with Grant
@@ -77,6 +79,7 @@
 		rng:     rand.New(rand.NewPCG(set.Seed, 0x9e3779b97f4a7c15)),
 		leaders: map[block.Hash]*leader{},
 		shares:  newAccounts(),
+		grants:  map[*pick.Upstream][]*Grant{},
 	}
 	c.store = pick.NewStore(now, c.limits())
 	c.store.Weights = set.Pool.Weights
@@ -231,6 +234,7 @@
 	u := choice.Upstream
 	g := &Grant{query: &w.query, choice: choice, incarnation: u.Incarnation}
 	g.flight = c.store.Start(now, u, choice.Uncached)
+	c.grants[u] = append(c.grants[u], g)
 	c.shares.start(w.query.Customer, w.query.Weight)
 	c.lead(now, g)
 	w.Grant = g
@@ -293,6 +297,7 @@
 	u := g.flight.Upstream
 	u.Finish(now, g.flight)
 	c.shares.end(g.query.Customer)
+	c.forget(u, g)
 	cfg := &c.store.Limits.Outlier
 	switch r {
 	case OK:
@@ -333,3 +338,13 @@
 
 // Customer returns the customer that the request belongs to.
 func (w *Wait) Customer() string { return w.query.Customer }
+
+// forget drops a grant that ended.
+func (c *Core) forget(u *pick.Upstream, g *Grant) {
+	rest := slices.DeleteFunc(c.grants[u], func(o *Grant) bool { return o == g })
+	if len(rest) == 0 {
+		delete(c.grants, u)
+		return
+	}
+	c.grants[u] = rest
+}
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -56,12 +56,14 @@
 	u.ReportedLeaving = r.Leaving
 	u.Weights = r.Weights
 	u.Outlier.Return(now)
-	u.OnReport(pick.Report{
+	report := pick.Report{
 		Sampled:      now.Add(-r.Age),
 		Running:      r.Running,
 		Waiting:      r.Waiting,
 		QueuedTokens: r.QueuedTokens,
-	})
+	}
+	u.OnReport(report)
+	c.reconsider(now, u, report)
 	c.Dispatch(now)
 }
 
--- /dev/null
+++ b/pkg/upstream/move.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/pick"
+)
+
+// Moving a request that waits behind unseen work of other instances.
+const (
+	// moveMargin is the expected gain that justifies giving up a place in an
+	// engine's queue: the estimates of both sides are as good as load reports.
+	moveMargin = 100 * time.Millisecond
+	// maxMoves bounds the moves of one request.
+	maxMoves = 2
+	// headWindow is the time after sending within which a report shows mostly
+	// work that was ahead of a long prefill. Later ones show what came after,
+	// and the prefill itself may be under way.
+	headWindow = 60 * time.Millisecond
+	// shortPrefill is the prefill below which a missing first token shows that
+	// the prefill has not begun.
+	shortPrefill = 60 * time.Millisecond
+)
+
+// OnMove sets the function that is called when a request should be withdrawn
+// from its engine and submitted again because other work is ahead of it. The
+// caller may ignore it; it must not call back into the Core before it returns.
+func (c *Core) OnMove(move func(*Grant)) { c.move = move }
+
+// reconsider looks for requests on u that a report shows to be stuck.
+func (c *Core) reconsider(now time.Time, u *pick.Upstream, r pick.Report) {
+	if c.move == nil || u.PrefillPerSec <= 0 {
+		return
+	}
+	for _, g := range c.grants[u] {
+		if c.stuck(now, u, r, g) {
+			g.moved = true
+			c.move(g)
+		}
+	}
+}
+
+func (c *Core) stuck(now time.Time, u *pick.Upstream, r pick.Report, g *Grant) bool {
+	f := g.flight
+	if g.first || g.moved || g.query.Moves >= maxMoves || f.Held() || !r.Sampled.After(f.Sent) {
+		return false
+	}
+	own := time.Duration(float64(f.Tokens) / u.PrefillPerSec * float64(time.Second))
+	if own > shortPrefill && r.Sampled.Sub(f.Sent) > headWindow {
+		return false
+	}
+	ahead := float64(r.QueuedTokens - f.Tokens - u.TokensSentAfter(f))
+	wait := time.Duration(ahead/u.PrefillPerSec*float64(time.Second)) - now.Sub(r.Sampled)
+	if wait < moveMargin {
+		return false
+	}
+	q := *g.query
+	q.Exclude = append(append([]string(nil), q.Exclude...), u.ID)
+	choice, verdict := c.policy.Pick(now, c.pickRequest(&q), c.store, c.rng)
+	return verdict == pick.Chosen && choice.Estimate+moveMargin < wait+own
+}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -22,6 +22,7 @@
 	Blocks         []block.Hash // nil for services
 	Deadline       time.Time    // zero for none
 	Exclude        []string     // upstream IDs already tried
+	Moves          int          // times this request was withdrawn from an engine's queue
 }
 
 // Result is the end of a request on an upstream.
@@ -64,6 +65,7 @@
 	choice      pick.Choice
 	led         []block.Hash // blocks that others may wait for
 	first       bool
+	moved       bool // was asked to move
 	done        bool
 }
 
