Move stuck requests in the router, poll reports every 100 ms

Cause: the state machine asks for moves that no shell performed; reports every 250 ms let most requests of other instances go unseen. Change: a slot signals a move before the first token; the endpoint filter ends the attempt and acquires another slot, without backoff or budget; the relay writes nothing once an attempt was given up. Reports are polled every 100 ms, with at least 6 ms between two polls.

--- a/pkg/controller/poll/poll.go
+++ b/pkg/controller/poll/poll.go
@@ -18,6 +18,10 @@
 // Loop polls targets until its context ends.
 type Loop struct {
 	Interval    time.Duration // between two polls of one target
+	// Spacing is the least pause between two polls of any targets. With many
+	// targets it stretches the interval, up to MaxInterval.
+	Spacing     time.Duration
+	MaxInterval time.Duration // 0 means Interval
 	Timeout     time.Duration // of one poll
 	Concurrency int           // polls that run at a time
 	Rand        *rand.Rand    // order of the targets; used by Run only
@@ -35,7 +39,7 @@
 	for ctx.Err() == nil {
 		targets := l.Targets()
 		l.Rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-		pause := l.Interval / time.Duration(max(1, len(targets)))
+		pause := l.pause(len(targets))
 		if len(targets) == 0 {
 			wait(ctx, pause)
 			continue
@@ -58,6 +62,13 @@
 	return nil
 }
 
+// pause returns the time between two polls of n targets.
+func (l *Loop) pause(n int) time.Duration {
+	n = max(1, n)
+	longest := max(l.Interval, l.MaxInterval) / time.Duration(n)
+	return min(max(l.Interval/time.Duration(n), l.Spacing), longest)
+}
+
 func (l *Loop) one(ctx context.Context, t Target) {
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -48,8 +48,13 @@
 const (
 	listInterval   = 500 * time.Millisecond
 	listTimeout    = 2 * time.Second
-	reportInterval = 250 * time.Millisecond
+	reportInterval = 100 * time.Millisecond // engines sample their load as often
 	eventInterval  = 200 * time.Millisecond
+	// pollSpacing bounds an instance's polls of one kind to about 160 a second;
+	// with many upstreams reports and events are older. maxInterval plus
+	// pollTimeout still stays below the 2 s.
+	pollSpacing = 6 * time.Millisecond
+	maxInterval = time.Second
 	pollTimeout    = 800 * time.Millisecond
 	concurrency    = 64
 )
@@ -79,6 +84,8 @@
 func (c *Controller) loop(ctx context.Context, stream uint64, interval time.Duration, targets func() []poll.Target, f func(context.Context, poll.Target)) func() error {
 	l := &poll.Loop{
 		Interval:    interval,
+		Spacing:     pollSpacing,
+		MaxInterval: maxInterval,
 		Timeout:     pollTimeout,
 		Concurrency: concurrency,
 		Rand:        rand.New(rand.NewPCG(c.o.Seed, stream)),
--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,7 +91,7 @@
 		sent := false
 		var last error
 		for number := range MaxAttempts {
-			err := f.attempt(ctx, r, q, number, next)
+			err := f.moving(ctx, r, &q, number, next, &sent)
 			sent = sent || r.Outcome.Sent
 			if err == nil {
 				r.Outcome.Sent = sent
@@ -113,6 +114,31 @@
 // errNoSlot marks errors of Acquire.
 var errNoSlot = errors.New("no slot")
 
+// errMoved is the cause with which an attempt ends that waits behind other work
+// while another upstream is free. Nothing of its answer was relayed.
+var errMoved = errors.New("moved to another upstream")
+
+// moving makes an attempt and makes it again elsewhere when it is moved. A move
+// is no failure: it has no backoff and takes nothing from the retry budgets.
+func (f *Filter) moving(ctx context.Context, r *chain.Request, q *upstream.Query, number int, next chain.Handler, sent *bool) error {
+	for {
+		err := f.attempt(ctx, r, *q, number, next)
+		if !errors.Is(err, errMoved) {
+			return err
+		}
+		*sent = true
+		again := *q
+		again.Moves++
+		again.Exclude = append(slices.Clone(q.Exclude), r.Target.ID)
+		q.Moves = again.Moves
+		err = f.attempt(ctx, r, again, number, next)
+		if !errors.Is(err, errNoSlot) && !errors.Is(err, errMoved) {
+			return err
+		}
+		// The other upstream is taken meanwhile: the first one counts again.
+	}
+}
+
 func (f *Filter) attempt(ctx context.Context, r *chain.Request, q upstream.Query, number int, next chain.Handler) error {
 	r.Outcome.Sent = false
 	slot, err := f.pools.Acquire(ctx, q)
@@ -126,11 +152,23 @@
 	if number == 0 {
 		f.countRequest(r)
 	}
-	err = next(ctx, r)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if m, ok := slot.(movable); ok && Idempotent(r.Application, r.Route) {
+		m.OnMove(func() { cancel(errMoved) })
+	}
+	err = next(attemptCtx, r)
+	if err != nil && ctx.Err() == nil && !r.Outcome.Started && errors.Is(context.Cause(attemptCtx), errMoved) {
+		result = upstream.Cancelled
+		return errMoved
+	}
 	result = resultOf(ctx, r, err)
 	return err
 }
 
+// movable is a slot that may ask to be given up before the first token.
+type movable interface{ OnMove(f func()) }
+
 // refused maps an error of Acquire; a cancelled context has its own reasons.
 func refused(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
--- /dev/null
+++ b/pkg/filter/endpoint/move_test.go
@@ -0,0 +1,102 @@
+package endpoint
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/prompt"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
+)
+
+// fakeSlot is a slot that a test can move.
+type fakeSlot struct {
+	id   string
+	move func()
+	done []upstream.Result
+}
+
+func (s *fakeSlot) Target() chain.Target   { return chain.Target{ID: s.id} }
+func (s *fakeSlot) FirstToken(int)         {}
+func (s *fakeSlot) OnMove(f func())        { s.move = f }
+func (s *fakeSlot) Done(r upstream.Result) { s.done = append(s.done, r) }
+
+// fakePools hands out a for the first request and b when a is excluded.
+type fakePools struct {
+	slots   []*fakeSlot
+	queries []upstream.Query
+	full    bool // b has no slot
+}
+
+func (p *fakePools) Acquire(_ context.Context, q upstream.Query) (Slot, error) {
+	p.queries = append(p.queries, q)
+	s := &fakeSlot{id: "a"}
+	if slices.Contains(q.Exclude, "a") {
+		if p.full {
+			return nil, code.New(code.NoUpstream, "none")
+		}
+		s.id = "b"
+	}
+	p.slots = append(p.slots, s)
+	return s, nil
+}
+
+func modelRequest(kind config.Kind) *chain.Request {
+	return &chain.Request{
+		Application: &config.Application{Kind: kind}, Pool: &config.Pool{Name: "lm"},
+		Prompt: &prompt.Prompt{}, Deadline: time.Now().Add(time.Hour),
+	}
+}
+
+// TestMove guards against a moved request that ends with an error, keeps its
+// slot, counts as a failure of the upstream or is lost when the other upstream
+// is taken meanwhile.
+func TestMove(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		pools := &fakePools{full: full}
+		f := New(pools, "d", 1, time.Now)
+		calls := 0
+		err := f.Wrap(func(ctx context.Context, _ *chain.Request) error {
+			if calls++; calls > 1 {
+				return nil
+			}
+			pools.slots[0].move()
+			<-ctx.Done()
+			return ctx.Err()
+		})(t.Context(), modelRequest(config.Model))
+		last := pools.slots[len(pools.slots)-1]
+		want := "b"
+		if full {
+			want = "a"
+		}
+		if err != nil || last.id != want || pools.queries[len(pools.queries)-1].Moves != 1 {
+			t.Fatalf("full %v: served by %s: %v", full, last.id, err)
+		}
+		if pools.slots[0].done[0] != upstream.Cancelled || last.done[0] != upstream.OK {
+			t.Errorf("full %v: results %v and %v", full, pools.slots[0].done, last.done)
+		}
+	}
+}
+
+// TestNoMove guards against a call that must not be repeated being moved, and
+// against a stream that is cut because of a move after it began.
+func TestNoMove(t *testing.T) {
+	pools := &fakePools{}
+	f := New(pools, "d", 1, time.Now)
+	err := f.Wrap(func(context.Context, *chain.Request) error { return nil })(t.Context(), modelRequest(config.Service))
+	if err != nil || pools.slots[0].move != nil {
+		t.Errorf("a plain service's call can be moved: %v", err)
+	}
+	err = f.Wrap(func(ctx context.Context, r *chain.Request) error {
+		r.Outcome.Sent, r.Outcome.Started = true, true
+		pools.slots[1].move()
+		return code.New(code.StreamTruncated, "cut")
+	})(t.Context(), modelRequest(config.Model))
+	if err == nil || len(pools.slots) != 2 {
+		t.Errorf("a started answer was repeated: %v", err)
+	}
+}
--- a/pkg/filter/relay/stream.go
+++ b/pkg/filter/relay/stream.go
@@ -27,15 +27,23 @@
 // cut.
 func (a *attempt) relayStream(ctx context.Context, resp *http.Response) error {
 	a.limitWrites(a.r.Deadline)
-	stop := context.AfterFunc(ctx, func() { a.limitWrites(time.Now()) })
-	defer stop()
-	err := a.copyEvents(resp.Body)
+	limited := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		a.limitWrites(time.Now())
+		close(limited)
+	})
+	defer func() {
+		if !stop() {
+			<-limited // a later attempt sets the limit anew
+		}
+	}()
+	err := a.copyEvents(ctx, resp.Body)
 	for resumes := 0; err != nil && resumable(ctx, err) && resumes < a.relay.limits.Resumes; resumes++ {
 		resumed, resumeErr := a.resume(ctx)
 		if resumeErr != nil {
 			break // the cut is what the caller is told
 		}
-		err = a.copyEvents(resumed.Body)
+		err = a.copyEvents(ctx, resumed.Body)
 		_ = resumed.Body.Close()
 	}
 	if err == nil {
@@ -69,7 +77,7 @@
 
 // copyEvents relays events up to the end marker. It returns an error of
 // engine.ReadStream, or a *code.Error when the caller is gone.
-func (a *attempt) copyEvents(body io.Reader) error {
+func (a *attempt) copyEvents(ctx context.Context, body io.Reader) error {
 	check := engine.StreamCheck{RequestID: a.id, After: a.lastSeq}
 	for e, err := range engine.ReadStream(body, check) {
 		if err != nil {
@@ -78,6 +86,11 @@
 		if !e.Done {
 			a.observeToken(e)
 		}
+		// An attempt that was given up before its first event writes nothing,
+		// so that it can be repeated elsewhere.
+		if err := ctx.Err(); err != nil && !a.r.Outcome.Started {
+			return err
+		}
 		a.lastSeq = e.Seq
 		a.usage(e.Usage)
 		if err := a.write(e.Data); err != nil {
--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -339,10 +339,13 @@
 }
 
 // move withdraws a request that is stuck and submits it again.
-func (in *instance) move(g *upstream.Grant) {
-	if withdraw := in.sent[g]; withdraw != nil {
-		in.later(0, withdraw)
+func (in *instance) move(g *upstream.Grant) bool {
+	withdraw := in.sent[g]
+	if withdraw == nil {
+		return false
 	}
+	in.later(0, withdraw)
+	return true
 }
 
 func (r *request) withdraw(e *modelEngine, g *upstream.Grant, j *job) {
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -44,7 +44,7 @@
 	shares  *accounts
 	request pick.Request // scratch
 	export  func(Transfer)
-	move    func(*Grant)
+	move    func(*Grant) bool
 	grants  map[*pick.Upstream][]*Grant // open ones
 }
 
--- a/pkg/upstream/move.go
+++ b/pkg/upstream/move.go
@@ -23,9 +23,10 @@
 )
 
 // OnMove sets the function that is called when a request should be withdrawn
-// from its engine and submitted again because other work is ahead of it. The
-// caller may ignore it; it must not call back into the Core before it returns.
-func (c *Core) OnMove(move func(*Grant)) { c.move = move }
+// from its engine and submitted again because other work is ahead of it. It
+// reports whether that will happen and must not call back into the Core before
+// it returns.
+func (c *Core) OnMove(move func(*Grant) bool) { c.move = move }
 
 // reconsider looks for requests on u that a report shows to be stuck.
 func (c *Core) reconsider(now time.Time, u *pick.Upstream, r pick.Report) {
@@ -34,8 +35,7 @@
 	}
 	for _, g := range c.grants[u] {
 		if c.stuck(now, u, r, g) {
-			g.moved = true
-			c.move(g)
+			g.moved = c.move(g)
 		}
 	}
 }
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -195,6 +195,9 @@
 			return // only for an unknown policy, which settings reject
 		}
 		pl = &pool{core: core}
+		if product {
+			core.OnMove((*Grant).signalMove)
+		}
 		if p.exports != nil {
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
 		}
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -52,6 +52,14 @@
 	s.pool.with(func(now time.Time, c *Core) { c.FirstToken(now, s.grant, cachedTokens) })
 }
 
+// OnMove sets a function that is called at most once, before the first token,
+// when the request should be withdrawn from this upstream and acquire another
+// slot with Query.Moves raised. f runs under the pool's lock and only signals.
+// Once f has been called, nothing of an answer may be passed on.
+func (s *Slot) OnMove(f func()) {
+	s.pool.with(func(time.Time, *Core) { s.grant.onMove = f })
+}
+
 // Done releases the slot.
 func (s *Slot) Done(r Result) {
 	s.pool.with(func(now time.Time, c *Core) { c.Done(now, s.grant, r) })
@@ -66,8 +74,17 @@
 	led         []block.Hash // blocks that others may wait for
 	first       bool
 	moved       bool // was asked to move
+	onMove      func()
 	done        bool
 }
 
 // Choice returns the decision behind the grant.
 func (g *Grant) Choice() pick.Choice { return g.choice }
+
+func (g *Grant) signalMove() bool {
+	if g.onMove == nil {
+		return false
+	}
+	g.onMove()
+	return true
+}
