--- a/pkg/replay/pool.go
+++ b/pkg/replay/pool.go
@@ -16,9 +16,10 @@
 type poolPlayer struct {
 	core     *upstream.Core
 	requests map[int]*upstream.Wait
+	moved    map[*upstream.Wait]bool // what the shell answers during the present input
 }
 
-func (p *player) playPool(e *upstream.Entry) error {
+func (p *player) playPool(e *upstream.Entry, next []numbered) error {
 	now := start.Add(e.At)
 	if e.Kind == upstream.EntryCreate {
 		return p.createPool(now, e)
@@ -27,10 +28,14 @@
 	if pool == nil {
 		return errors.Newf("pool %q was not created", e.Pool)
 	}
-	if e.Kind == upstream.EntryOutcome {
+	switch e.Kind {
+	case upstream.EntryOutcome:
 		return pool.outcome(p, e)
+	case upstream.EntryMove:
+		return nil // taken into account with the input before it
 	}
 	p.input()
+	pool.lookAhead(e.Pool, next)
 	return pool.input(now, e)
 }
 
@@ -45,11 +50,31 @@
 	// Recorded exports come from the shell; the replay only needs the machine
 	// to behave as if it had one.
 	core.OnExport(func(upstream.Transfer) {})
-	p.pools[e.Pool] = &poolPlayer{core: core, requests: map[int]*upstream.Wait{}}
+	pool := &poolPlayer{core: core, requests: map[int]*upstream.Wait{}, moved: map[*upstream.Wait]bool{}}
+	core.OnMove(func(g *upstream.Grant) bool { return pool.moved[g.Request()] })
+	p.pools[e.Pool] = pool
 	p.input()
 	return nil
 }
 
+// lookAhead notes what the shell answered during the input that is followed by
+// the entries next.
+func (p *poolPlayer) lookAhead(pool string, next []numbered) {
+	clear(p.moved)
+	for _, l := range next {
+		e := l.line.Pool
+		if e == nil || e.Pool != pool {
+			continue
+		}
+		if e.Kind != upstream.EntryMove && e.Kind != upstream.EntryOutcome {
+			return
+		}
+		if e.Kind == upstream.EntryMove {
+			p.moved[p.requests[e.Request]] = e.Moved
+		}
+	}
+}
+
 // outcome compares a stated decision with the one that the machine made.
 func (p *poolPlayer) outcome(to *player, e *upstream.Entry) error {
 	w := p.requests[e.Request]
--- a/pkg/replay/replay.go
+++ b/pkg/replay/replay.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Mismatch is a decision that differs from the one stated in the trace.
@@ -28,9 +30,15 @@
 // decisions that differ are in the report.
 func Run(in io.Reader) (*Report, error) {
 	p := &player{report: new(Report), pools: map[string]*poolPlayer{}, fresh: newFreshPlayer(), quota: newQuotaPlayer()}
-	if err := read(in, p.play); err != nil {
+	lines, err := read(in)
+	if err != nil {
 		return nil, err
 	}
+	for i := range lines {
+		if err := p.play(lines[i:]); err != nil {
+			return nil, errors.Wrapf(err, "line %d", lines[i].number)
+		}
+	}
 	return p.report, nil
 }
 
@@ -43,11 +51,14 @@
 	quota  *quotaPlayer
 }
 
-func (p *player) play(number int, line *Line) error {
-	p.line = number
+// play applies the first of the lines. The others show what the shell answered
+// while the first was processed.
+func (p *player) play(lines []numbered) error {
+	p.line = lines[0].number
+	line := lines[0].line
 	switch {
 	case line.Pool != nil:
-		return p.playPool(line.Pool)
+		return p.playPool(line.Pool, lines[1:])
 	case line.Fresh != nil:
 		return p.fresh.play(p, line.Fresh)
 	}
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -46,9 +46,16 @@
 	return line, nil
 }
 
-// read calls each with every line of a trace. Blank lines and lines that start
-// with # are skipped.
-func read(in io.Reader, each func(number int, line *Line) error) error {
+// numbered is a line with its number in the file.
+type numbered struct {
+	number int
+	line   *Line
+}
+
+// read returns the lines of a trace. Blank lines and lines that start with #
+// are skipped.
+func read(in io.Reader) ([]numbered, error) {
+	var lines []numbered
 	scanner := bufio.NewScanner(in)
 	scanner.Buffer(nil, maxLine)
 	for number := 1; scanner.Scan(); number++ {
@@ -58,13 +65,11 @@
 		}
 		line, err := decode(data)
 		if err != nil {
-			return errors.Wrapf(err, "line %d", number)
-		}
-		if err := each(number, line); err != nil {
-			return errors.Wrapf(err, "line %d", number)
+			return nil, errors.Wrapf(err, "line %d", number)
 		}
+		lines = append(lines, numbered{number, line})
 	}
-	return errors.Wrap(scanner.Err(), "reading the trace")
+	return lines, errors.Wrap(scanner.Err(), "reading the trace")
 }
 
 // Recorder writes the entries of a running instance as a trace. It implements
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -44,7 +44,9 @@
 	shares  *accounts
 	request pick.Request // scratch
 	export  func(Transfer)
-	rec     *recording // nil unless inputs are recorded
+	move    func(*Grant) bool
+	grants  map[*pick.Upstream][]*Grant // open ones
+	rec     *recording                  // nil unless inputs are recorded
 }
 
 // Wait is a request that waits for a slot. Decided is called once, with Grant
@@ -78,6 +80,7 @@
 		rng:     rand.New(rand.NewPCG(set.Seed, 0x9e3779b97f4a7c15)),
 		leaders: map[block.Hash]*leader{},
 		shares:  newAccounts(),
+		grants:  map[*pick.Upstream][]*Grant{},
 	}
 	c.store = pick.NewStore(now, c.limits())
 	c.store.Weights = set.Pool.Weights
@@ -237,6 +240,7 @@
 	u := choice.Upstream
 	g := &Grant{wait: w, query: &w.query, choice: choice, incarnation: u.Incarnation}
 	g.flight = c.store.Start(now, u, choice.Uncached)
+	c.grants[u] = append(c.grants[u], g)
 	c.shares.start(w.query.Customer, w.query.Weight)
 	c.lead(now, g)
 	w.Grant = g
@@ -305,6 +309,7 @@
 	u := g.flight.Upstream
 	u.Finish(now, g.flight)
 	c.shares.end(g.query.Customer)
+	c.forget(u, g)
 	cfg := &c.store.Limits.Outlier
 	switch r {
 	case OK:
@@ -346,3 +351,13 @@
 
 // Customer returns the customer that the request belongs to.
 func (w *Wait) Customer() string { return w.query.Customer }
+
+// forget drops a grant that ended.
+func (c *Core) forget(u *pick.Upstream, g *Grant) {
+	rest := slices.DeleteFunc(c.grants[u], func(o *Grant) bool { return o == g })
+	if len(rest) == 0 {
+		delete(c.grants, u)
+		return
+	}
+	c.grants[u] = rest
+}
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -203,6 +203,9 @@
 			core.Record(now, p.opts.Record)
 		}
 		pl = &pool{core: core}
+		if product {
+			core.OnMove((*Grant).signalMove)
+		}
 		if p.exports != nil {
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
 		}
--- a/pkg/upstream/record.go
+++ b/pkg/upstream/record.go
@@ -12,7 +12,8 @@
 // EntryKind names an input or output of a pool's state machine.
 type EntryKind string
 
-// Inputs of the state machine, and its output EntryOutcome.
+// Inputs of the state machine, and its output EntryOutcome. EntryMove is the
+// answer that the shell gave during the entry before it.
 const (
 	EntryCreate     EntryKind = "create"
 	EntryConfigure  EntryKind = "configure"
@@ -31,6 +32,7 @@
 	EntryImported   EntryKind = "imported"
 	EntryExported   EntryKind = "exported"
 	EntryPauseKV    EntryKind = "pause_kv"
+	EntryMove       EntryKind = "move"
 	EntryOutcome    EntryKind = "outcome"
 )
 
@@ -51,6 +53,7 @@
 	Result    Result              `json:"result,omitempty"`
 	Transfer  *Transfer           `json:"transfer,omitempty"`
 	Blocks    int                 `json:"blocks,omitempty"` // transferred
+	Moved     bool                `json:"moved,omitempty"`
 	Outcome   *Outcome            `json:"outcome,omitempty"`
 }
 
@@ -65,13 +68,14 @@
 	Blocks     []block.Hash  `json:"blocks,omitempty"`
 	Deadline   time.Duration `json:"deadline,omitempty"` // ns after the submission, 0 for none
 	Exclude    []string      `json:"exclude,omitempty"`
+	Moves      int           `json:"moves,omitempty"`
 }
 
 // Query returns the query of a request to the pool that was submitted at now.
 func (r *RecordedQuery) Query(pool string, now time.Time) Query {
 	q := Query{
 		Pool: pool, Customer: r.Customer, Weight: r.Weight, FromDomain: r.FromDomain, Priority: r.Priority,
-		Tokens: r.Tokens, MaxOutput: r.MaxOutput, Blocks: r.Blocks, Exclude: r.Exclude,
+		Tokens: r.Tokens, MaxOutput: r.MaxOutput, Blocks: r.Blocks, Exclude: r.Exclude, Moves: r.Moves,
 	}
 	if r.Deadline != 0 {
 		q.Deadline = now.Add(r.Deadline)
@@ -82,7 +86,7 @@
 func recordQuery(q *Query, now time.Time) *RecordedQuery {
 	r := &RecordedQuery{
 		Customer: q.Customer, Weight: q.Weight, FromDomain: q.FromDomain, Priority: q.Priority,
-		Tokens: q.Tokens, MaxOutput: q.MaxOutput, Blocks: q.Blocks, Exclude: q.Exclude,
+		Tokens: q.Tokens, MaxOutput: q.MaxOutput, Blocks: q.Blocks, Exclude: q.Exclude, Moves: q.Moves,
 	}
 	if !q.Deadline.IsZero() {
 		r.Deadline = q.Deadline.Sub(now)
@@ -185,6 +189,13 @@
 	}
 }
 
+// move records what the shell answered to the wish to move a request.
+func (r *recording) move(g *Grant, moved bool) {
+	if r != nil {
+		r.addUntimed(Entry{Kind: EntryMove, Request: r.numbers[g.wait], Moved: moved})
+	}
+}
+
 // end records the end of a request and forgets its number.
 func (r *recording) end(now time.Time, g *Grant, result Result) {
 	if r != nil {
