--- a/pkg/controller/poll/poll.go
+++ b/pkg/controller/poll/poll.go
@@ -17,7 +17,7 @@
 
 // Loop polls targets until its context ends.
 type Loop struct {
-	Interval    time.Duration // between two polls of one target
+	Interval time.Duration // between two polls of one target
 	// Spacing is the least pause between two polls of any targets. With many
 	// targets it stretches the interval, up to MaxInterval.
 	Spacing     time.Duration
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -55,8 +55,8 @@
 	// pollTimeout still stays below the 2 s.
 	pollSpacing = 6 * time.Millisecond
 	maxInterval = time.Second
-	pollTimeout    = 800 * time.Millisecond
-	concurrency    = 64
+	pollTimeout = 800 * time.Millisecond
+	concurrency = 64
 )
 
 // Controller polls the list and the upstreams.
