Refuse calls that name two different orders; test a caller that does not read

Cause: with an Idempotency-Key and an order field that differ, a repeat that carries only one of them counted as another order and ran again. Change: all places that name an order must agree, and a field that stands twice counts twice. Test that a stream is held back while its caller does not read. Conclusion: an order has one name.

--- a/pkg/filter/idempotency/idempotency.go
+++ b/pkg/filter/idempotency/idempotency.go
@@ -2,9 +2,9 @@
 //
 // It applies to calls of plain services that are not idempotent. The order
 // number is the header Idempotency-Key, the header or the JSON body field that
-// the route names; without one the call is refused. The order service claims
-// the number, runs the rest of the chain at most once and records the answer.
-// The caller sees the answer only after it was recorded.
+// the route names; without one, or with two different ones, the call is refused.
+// The order service claims the number, runs the rest of the chain at most once
+// and records the answer. The caller sees the answer only after it was recorded.
 //
 // An order whose caller leaves or whose key is revoked before it is sent does not
 // run. Once sent, it is completed and recorded within the application's timeout
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
@@ -130,14 +131,18 @@
 	}, nil
 }
 
-// Key returns the order number of a call, or an OrderKeyMissing error.
+// Key returns the order number of a call, or an OrderKeyMissing error. A call
+// that names several must name the same one in every place: otherwise a repeat
+// that carries only some of them would be another order.
 func Key(route *config.Route, h http.Header, body []byte) (string, error) {
-	key := h.Get(HeaderKey)
-	if key == "" && route.OrderHeader != "" {
-		key = h.Get(route.OrderHeader)
-	}
-	if key == "" && route.OrderField != "" {
-		key = field(body, route.OrderField)
+	key := ""
+	for _, found := range candidates(route, h, body) {
+		if found != "" && key != "" && found != key {
+			return "", code.New(code.BadRequest, "the call names two different idempotency keys")
+		}
+		if found != "" {
+			key = found
+		}
 	}
 	if key == "" {
 		return "", code.New(code.OrderKeyMissing, "the call may not be repeated and needs an idempotency key")
@@ -148,21 +153,30 @@
 	return key, nil
 }
 
-// field returns a string or number of the JSON body.
-func field(body []byte, name string) string {
-	fields := map[string]json.RawMessage{}
-	if json.Unmarshal(body, &fields) != nil {
-		return ""
+func candidates(route *config.Route, h http.Header, body []byte) []string {
+	list := append([]string(nil), h.Values(HeaderKey)...)
+	if route.OrderHeader != "" {
+		list = append(list, h.Values(route.OrderHeader)...)
 	}
-	var s string
-	if json.Unmarshal(fields[name], &s) == nil {
-		return s
+	if route.OrderField != "" {
+		list = append(list, fields(body, route.OrderField)...)
 	}
-	var n json.Number
-	if json.Unmarshal(fields[name], &n) == nil {
-		return n.String()
+	return list
+}
+
+// fields returns the strings and numbers of the JSON body under the name. A name
+// that stands twice counts twice: the upstream may take either.
+func fields(body []byte, name string) (list []string) {
+	if !json.Valid(body) {
+		return nil
 	}
-	return ""
+	gjson.ParseBytes(body).ForEach(func(key, value gjson.Result) bool {
+		if key.String() == name && (value.Type == gjson.String || value.Type == gjson.Number) {
+			list = append(list, value.String())
+		}
+		return true
+	})
+	return list
 }
 
 // fingerprint covers what makes two requests the same order. The application is
--- a/pkg/router/badinput_test.go
+++ b/pkg/router/badinput_test.go
@@ -111,6 +111,8 @@
 		"no key":                {call{http.MethodPost, "/v1/chat/completions", "", goodBody, nil}, code.KeyMissing},
 		"unknown key":           {call{http.MethodPost, "/v1/chat/completions", "x", goodBody, nil}, code.KeyUnknown},
 		"not permitted":         {call{http.MethodGet, "/atelier/orders", otherKey, "", nil}, code.NotPermitted},
+		"two order numbers":     {call{http.MethodPost, "/atelier/orders", testKey, `{"order_no":"1"}`, http.Header{"Idempotency-Key": {"2"}}}, code.BadRequest},
+		"order number twice":    {call{http.MethodPost, "/atelier/orders", testKey, `{"order_no":"1","order_no":"2"}`, nil}, code.BadRequest},
 		"no order number":       {call{http.MethodPost, "/atelier/orders", testKey, "{}", nil}, code.OrderKeyMissing},
 	} {
 		resp, body, _ := in.do(t, c.call)
--- a/pkg/router/stream_test.go
+++ b/pkg/router/stream_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
@@ -210,6 +211,33 @@
 	}
 }
 
+// TestSlowReader guards against a stream that is buffered in the router while its
+// caller does not read.
+func TestSlowReader(t *testing.T) {
+	const events, size = 400, 100 << 10
+	var sent atomic.Int64
+	fake := &engineFake{words: events, edit: func(seq int, line string) string {
+		sent.Store(int64(seq))
+		return strings.Replace(line, `"content":"`, `"content":"`+strings.Repeat("x", size), 1)
+	}}
+	in := start(t, map[string][]http.Handler{"plume": {fake}}, nil)
+	before := memory()
+	stream := in.open(t, streamCall)
+	for last := int64(-1); last != sent.Load(); time.Sleep(100 * time.Millisecond) {
+		last = sent.Load() // until the engine is held back
+	}
+	if n := sent.Load(); n > events {
+		t.Errorf("the engine sent all %d events to a caller that reads nothing", n)
+	}
+	if grown := memory() - before; grown > 8<<20 {
+		t.Errorf("%d bytes are held for a caller that reads nothing", grown)
+	}
+	data := readAll(&http.Response{Body: stream})
+	if !strings.HasSuffix(data, "data: [DONE]\n\n") || len(data) < events*size {
+		t.Errorf("got %d bytes without the end marker", len(data))
+	}
+}
+
 // TestCutAnswer guards against a part of an answer that is not a stream reaching
 // the caller.
 func TestCutAnswer(t *testing.T) {
