Answer an engine's errors in the router's shape

Cause: statuses other than 200 of engines were passed through with their body, without result code and run state; a panic in mid-stream ended the answer as if it were complete. Change: every status other than 200 becomes a numbered error; requests that an engine finds malformed are not repeated elsewhere and not charged; after a panic the connection is aborted. Conclusion: callers see one error shape.

--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -101,7 +101,7 @@
 			if !noSlot || last == nil || ctx.Err() != nil {
 				last = err // otherwise the failed attempt says more
 			}
-			if noSlot || !f.waitToRepeat(ctx, r, number) {
+			if noSlot || callersFault(err) || !f.waitToRepeat(ctx, r, number) {
 				break
 			}
 			q.Exclude = append(q.Exclude, r.Target.ID)
@@ -188,12 +188,19 @@
 	return code.New(code.NoUpstream, "no upstream takes work").WithCause(err)
 }
 
+// callersFault reports whether an upstream found the request itself at fault:
+// another would too.
+func callersFault(err error) bool {
+	var e *code.Error
+	return errors.As(err, &e) && e.Code == code.BadRequest
+}
+
 // resultOf tells a refused connection, which ejects the upstream at once, from
 // an upstream that answered that it takes no work now.
 func resultOf(ctx context.Context, r *chain.Request, err error) upstream.Result {
 	var e *code.Error
 	switch {
-	case err == nil:
+	case err == nil, callersFault(err):
 		return upstream.OK
 	case r.Outcome.Sent && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)):
 		return upstream.Failed
--- a/pkg/filter/ratelimit/ratelimit.go
+++ b/pkg/filter/ratelimit/ratelimit.go
@@ -2,7 +2,8 @@
 //
 // A model request is charged its prompt tokens plus its maximum output before
 // it runs. Afterwards the charge is settled with what the engine reports as
-// used. The whole charge is returned when no upstream received the request.
+// used. The whole charge is returned when no upstream received the request or
+// the engine refused it.
 // When the request was sent and no usage is known, the whole charge counts as
 // used: the engine may have generated the maximum. Calls of plain services
 // cost no tokens.
@@ -10,6 +11,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/config"
@@ -56,7 +58,8 @@
 }
 
 func used(o chain.Outcome, charged int) int {
-	if !o.Sent {
+	refused := o.Status >= http.StatusBadRequest && o.Status < http.StatusInternalServerError
+	if !o.Sent || refused {
 		return 0
 	}
 	reported := o.PromptTokens + o.OutputTokens
--- a/pkg/filter/relay/relay.go
+++ b/pkg/filter/relay/relay.go
@@ -62,6 +62,7 @@
 
 // Handle is the last handler of the chain.
 func (l *Relay) Handle(ctx context.Context, r *chain.Request) error {
+	r.Outcome.Status = 0 // of an earlier attempt
 	a := &attempt{relay: l, r: r, id: r.ID + "-" + requestid.New()[:16]}
 	resp, err := a.send(ctx, "")
 	if err != nil {
@@ -76,7 +77,7 @@
 	if err := a.checkModelStatus(resp); err != nil {
 		return err
 	}
-	if r.Prompt.Stream && resp.StatusCode == http.StatusOK {
+	if r.Prompt.Stream {
 		return a.relayStream(ctx, resp)
 	}
 	return a.relayModelAnswer(ctx, resp)
@@ -165,18 +166,23 @@
 	}
 }
 
-// checkModelStatus turns answers with which an engine refuses work into
-// errors. Engines answer 409 for other weights and 429 or 503 before any work.
+// checkModelStatus turns every answer of an engine other than 200 into an
+// error. Engines answer 409 for other weights and 429 or 503 before any work,
+// and other statuses below 500 for requests that they cannot take.
 func (a *attempt) checkModelStatus(resp *http.Response) error {
-	switch status := resp.StatusCode; {
-	case status == http.StatusConflict, status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+	switch status := resp.StatusCode; status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		a.r.Outcome.Sent = false
 		return code.New(code.NoUpstream, "the engine takes no work (status %d)", status).
 			WithRetryAfter(time.Second)
-	case status >= http.StatusInternalServerError:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return code.New(code.BadRequest, "the engine does not take this request (status %d)", status).
+			WithRun(code.MayHaveRun)
+	default:
 		return code.New(code.UpstreamFailed, "the engine answered with status %d", status)
 	}
-	return nil
 }
 
 // relayService relays the answer of a plain service. Its status is its own.
@@ -199,13 +205,11 @@
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode == http.StatusOK {
-		usage, err := engine.ParseAnswer(body, a.id)
-		if err != nil {
-			return code.New(code.AnswerMismatch, "the engine's answer belongs to another request").WithCause(err)
-		}
-		a.usage(usage)
+	usage, err := engine.ParseAnswer(body, a.id)
+	if err != nil {
+		return code.New(code.AnswerMismatch, "the engine's answer belongs to another request").WithCause(err)
 	}
+	a.usage(usage)
 	a.r.Writer.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
 	return a.writeWhole(resp, body)
 }
--- a/pkg/router/listener/listener.go
+++ b/pkg/router/listener/listener.go
@@ -159,8 +159,12 @@
 	if e.Code == code.Internal {
 		l.log.Error("unexpected failure", "request", r.ID, "error", err)
 	}
-	if !r.Outcome.Started {
+	switch {
+	case !r.Outcome.Started:
 		WriteError(r, e)
+	case e.Code == code.Internal:
+		// Nobody has told the caller that the answer is not complete.
+		panic(http.ErrAbortHandler)
 	}
 	return nil
 }
--- a/pkg/router/stream_test.go
+++ b/pkg/router/stream_test.go
@@ -259,6 +259,29 @@
 	}
 }
 
+// TestEngineErrors guards against an engine's own error reaching the caller in
+// another shape, and against a bad request being repeated at every engine.
+func TestEngineErrors(t *testing.T) {
+	for status, want := range map[int]code.Code{
+		http.StatusBadRequest: code.BadRequest, http.StatusFound: code.UpstreamFailed, http.StatusInternalServerError: code.UpstreamFailed,
+	} {
+		var runs atomic.Int64
+		failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+			http.Error(w, "internals", status)
+		})
+		in := start(t, map[string][]http.Handler{"plume": {failing, failing}}, nil)
+		_, body, data := in.do(t, streamCall)
+		if body.Error.ResultCode != want || body.Error.Run != code.MayHaveRun || strings.Contains(data, "internals") {
+			t.Errorf("status %d: %s", status, data)
+		}
+		if repeated := runs.Load() > 1; repeated == (want == code.BadRequest) {
+			t.Errorf("status %d: %d attempts", status, runs.Load())
+		}
+	}
+}
+
 // TestRefusingEngine guards against an engine that answers that it takes no work
 // being ejected like one that refuses connections, or being charged for.
 func TestRefusingEngine(t *testing.T) {
