Bound the search in a saturated pool, find an upstream's pool directly

Cause: without a free candidate every choice scanned the whole pool, and every event and report took the locks of all pools. Change: at most 64 random upstreams are examined; a map leads from the upstream to its pool. The embedded load systems wait until quota buckets are full. Conclusion: the cost under the lock no longer grows with pools and upstreams.

--- a/pkg/load/embedded/system.go
+++ b/pkg/load/embedded/system.go
@@ -32,10 +32,12 @@
 	fleet   *standin.Fleet
 	callers *callers
 	revoked []atomic.Bool // by customer: the spare key is in use
-	stop    context.CancelFunc
-	ctx     context.Context
-	work    sync.WaitGroup
-	nodes   []*node
+	// fillTime is how long quota buckets take from empty to full.
+	fillTime time.Duration
+	stop     context.CancelFunc
+	ctx      context.Context
+	work     sync.WaitGroup
+	nodes    []*node
 }
 
 // node is one instance and the function that stops its process.
@@ -48,12 +50,21 @@
 	leaving bool // it reports not ready, and the load balancer has seen that
 }
 
-// Start is a load.Starter.
+// quotaLease is the time for which quota holders that start grant nothing.
+const quotaLease = time.Second
+
+// Start is a load.Starter. It returns when the quota buckets, which begin
+// empty, are full.
 func Start(ctx context.Context, o load.Options, policy string, arrivals []load.Arrival) (load.System, error) {
 	s := &System{profile: o.Profile, policy: policy, callers: newCallers(o.Profile, time.Now())}
 	s.ctx, s.stop = context.WithCancel(context.WithoutCancel(ctx))
 	s.revoked = make([]atomic.Bool, len(o.Profile.Customers))
-	if err := s.start(ctx, load.Quotas(o.Profile, arrivals, o.Duration)); err != nil {
+	quotas := load.Quotas(o.Profile, arrivals, o.Duration)
+	for _, q := range quotas {
+		fill := time.Duration(q.Burst / max(q.Rate, 1) * float64(time.Second))
+		s.fillTime = max(s.fillTime, quotaLease+fill)
+	}
+	if err := s.start(ctx, quotas); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -154,9 +165,12 @@
 			}
 		}
 	}
-	// Quota holders grant nothing for one lease after they start.
-	time.Sleep(2 * time.Second)
-	return nil
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(s.fillTime):
+		return nil
+	}
 }
 
 func (n *node) fresh() bool {
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -99,27 +99,29 @@
 	return !b.admitted && b.score+b.score/4 < a.score
 }
 
-// fallback scans the whole pool in random order when no candidate has a slot.
+// maxFallback bounds the upstreams examined when no candidate has a slot, which
+// happens for every request while a large pool is saturated.
+const maxFallback = 64
+
+// fallback examines upstreams in random order when no candidate has a slot.
 func (p *Estimate) fallback(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
 	n := len(s.list)
 	if n == 0 {
 		return Choice{}, None
 	}
-	verdict := None
 	start := rng.IntN(n)
-	for i := range n {
+	for i := range min(n, maxFallback) {
 		u := s.list[(start+i)%n]
-		if !s.Selectable(now, u, r) {
-			continue
-		}
-		verdict = Busy
-		if s.Admits(now, u, r) {
+		if s.Selectable(now, u, r) && s.Admits(now, u, r) {
 			c := p.candidate(now, r, s, u)
 			p.score(now, r, s, &c)
 			return p.choice(r, &c), Chosen
 		}
 	}
-	return Choice{}, verdict
+	if s.AnySelectable(now, r) {
+		return Choice{}, Busy
+	}
+	return Choice{}, None
 }
 
 // collect fills the candidates: holders of the longest prefixes, the upstream
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -31,6 +31,7 @@
 	opts    Options
 	exports *exporter // nil without a KV client
 	pools   atomic.Pointer[map[string]*pool]
+	owners  atomic.Pointer[map[string]*pool] // by upstream ID
 
 	mu        sync.Mutex // serializes changes to pools and instances
 	instances []platform.Instance
@@ -53,6 +54,7 @@
 		p.exports = newExporter(opts.KV)
 	}
 	p.pools.Store(&map[string]*pool{})
+	p.owners.Store(&map[string]*pool{})
 	return p
 }
 
@@ -226,40 +228,43 @@
 }
 
 func (p *Pools) applyList(pools map[string]*pool) {
+	owners := make(map[string]*pool, len(p.instances))
+	for i := range p.instances {
+		if pl := pools[p.instances[i].Pool]; pl != nil {
+			owners[p.instances[i].ID] = pl
+		}
+	}
+	p.owners.Store(&owners)
 	for _, pl := range pools {
 		pl.with(func(now time.Time, c *Core) { c.OnList(now, p.instances) })
 	}
 }
 
-// each runs f on the pool that lists the upstream.
-func (p *Pools) each(upstreamID string, f func(now time.Time, c *Core)) {
-	for _, pl := range *p.pools.Load() {
-		pl.with(func(now time.Time, c *Core) {
-			if c.store.Get(upstreamID) != nil {
-				f(now, c)
-			}
-		})
+// of runs f on the pool that lists the upstream, if any.
+func (p *Pools) of(upstreamID string, f func(now time.Time, c *Core)) {
+	if pl := (*p.owners.Load())[upstreamID]; pl != nil {
+		pl.with(f)
 	}
 }
 
 // OnEvents applies cache events of an upstream.
 func (p *Pools) OnEvents(upstreamID string, batch engine.EventBatch) {
-	p.each(upstreamID, func(now time.Time, c *Core) { c.OnEvents(now, upstreamID, &batch) })
+	p.of(upstreamID, func(now time.Time, c *Core) { c.OnEvents(now, upstreamID, &batch) })
 }
 
 // OnReport applies a load report of an upstream.
 func (p *Pools) OnReport(upstreamID string, report engine.LoadReport) {
-	p.each(upstreamID, func(now time.Time, c *Core) { c.OnReport(now, upstreamID, &report) })
+	p.of(upstreamID, func(now time.Time, c *Core) { c.OnReport(now, upstreamID, &report) })
 }
 
 // OnPollFailed records that a poll of an upstream got no answer.
 func (p *Pools) OnPollFailed(upstreamID string) {
-	p.each(upstreamID, func(_ time.Time, c *Core) { c.OnPollFailed(upstreamID) })
+	p.of(upstreamID, func(_ time.Time, c *Core) { c.OnPollFailed(upstreamID) })
 }
 
 // Position returns from where the upstream's cache events are read next.
 func (p *Pools) Position(upstreamID string) engine.Position {
 	var at engine.Position
-	p.each(upstreamID, func(_ time.Time, c *Core) { at = c.Position(upstreamID) })
+	p.of(upstreamID, func(_ time.Time, c *Core) { at = c.Position(upstreamID) })
 	return at
 }
