--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -196,3 +196,20 @@
 		})
 	}
 }
+
+// BenchmarkPickSaturated measures a choice that finds no slot.
+func BenchmarkPickSaturated(b *testing.B) {
+	s, p, r := store(2800, 1), tail(), request(8)
+	random := rng(1)
+	for i := range s.list {
+		cache(s, i, r.Blocks[:1+i%8])
+		s.list[i].Start(start, 10)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, v := p.Pick(start, r, s, random); v != Busy {
+			b.Fatal(v)
+		}
+	}
+}
