Add the property test of quota and fix a repeated grant

Cause: the test showed overshoot when a grant arrived again after it had been spent: the stock only knew grants that still had tokens. Change: the stock remembers arrivals until their lease ends.

--- /dev/null
+++ b/pkg/quota/property_test.go
@@ -0,0 +1,366 @@
+package quota_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/quota"
+)
+
+// TestMain fixes the seed and the number of rapid's checks unless flags say
+// otherwise: go test ./pkg/quota -rapid.seed=N -rapid.checks=N.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "80"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Quota of the customer in the property test.
+const (
+	rate  = 1000.0
+	burst = 600.0
+)
+
+// node is one instance as holder and as entry. Its clock runs at its own speed.
+type node struct {
+	id       string
+	starts   int
+	speed    float64
+	holder   *quota.Holder
+	stock    *quota.Stock
+	revision uint64
+	sequence uint64
+	messages []func()
+	charges  []*charge
+}
+
+// charge is one admitted request.
+type charge struct {
+	entry  *admitted
+	parts  []quota.Part
+	own    int
+	ownAt  time.Duration
+	holder *quota.Holder
+	since  map[quota.Source]time.Duration
+}
+
+type admitted struct {
+	at     float64
+	tokens float64
+}
+
+// world follows the rules that pkg/fresh guarantees: an instance acts on its
+// revision only while it is fresh, and no revision is accepted while an
+// instance is fresh with an older one.
+type world struct {
+	t         *rapid.T
+	now       float64 // ns
+	snapshots []*config.Snapshot
+	accepted  uint64
+	nodes     []*node
+	log       []*admitted
+}
+
+func (w *world) clock(n *node) time.Duration {
+	return time.Duration(w.now*n.speed) + time.Hour*time.Duration(1+len(n.id))
+}
+
+func (n *node) incarnation() string { return fmt.Sprint(n.starts) }
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t}
+	s := config.NewSnapshot()
+	var m config.Membership
+	for i := range rapid.IntRange(1, 4).Draw(t, "nodes") {
+		n := &node{id: fmt.Sprint("r", i), speed: rapid.Float64Range(0.995, 1.005).Draw(t, "clock")}
+		w.nodes = append(w.nodes, n)
+		m.Members = append(m.Members, config.Member{ID: n.id, Incarnation: n.incarnation()})
+	}
+	s.Members = m
+	w.snapshots = []*config.Snapshot{s}
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	w.change(nil)
+	w.accept(nil)
+	for range 3 { // the shares are in force and the buckets full
+		for _, n := range w.nodes {
+			w.sync(n, true)
+			w.tend(n)
+		}
+		w.now += 2 * float64(quota.Lease)
+	}
+	return w
+}
+
+func (w *world) start(n *node) {
+	n.holder = quota.NewHolder(n.id, n.incarnation(), quota.Lease)
+	n.stock = quota.NewStock(quota.Lease)
+	n.messages, n.charges = nil, nil
+	w.sync(n, false)
+}
+
+// sync makes the newest revision the held one.
+func (w *world) sync(n *node, contiguous bool) {
+	from := n.revision + 1
+	if !contiguous {
+		from = w.head()
+	}
+	for r := from; r <= w.head(); r++ {
+		n.holder.OnSnapshot(w.clock(n), w.snapshots[r], contiguous)
+	}
+	n.revision = w.head()
+}
+
+func (w *world) head() uint64 { return uint64(len(w.snapshots) - 1) }
+
+func (w *world) tend(n *node) { n.holder.OnAccepted(w.clock(n), min(w.accepted, n.revision)) }
+
+func (w *world) fresh(n *node) bool { return n.revision >= w.accepted }
+
+func (w *world) pick(label string) *node {
+	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, label)]
+}
+
+func (w *world) tick(t *rapid.T) {
+	ms := rapid.SampledFrom([]float64{0, 1, 20, 200, 500, 990, 1010}).Draw(t, "ms")
+	w.now += ms * float64(time.Millisecond)
+	for _, n := range w.nodes {
+		if rapid.IntRange(0, 3).Draw(t, "paused") > 0 {
+			w.tend(n)
+		}
+	}
+}
+
+// request admits one request at an instance from grants, own share or both.
+func (w *world) request(t *rapid.T) {
+	n := w.pick("entry")
+	want := rapid.SampledFrom([]int{1, 50, 300, 2000}).Draw(t, "tokens") // or all there is
+	c := &charge{holder: n.holder, ownAt: w.clock(n), since: map[quota.Source]time.Duration{}}
+	fromStock := min(want, n.stock.Total(w.clock(n)))
+	c.parts, _ = n.stock.Take(w.clock(n), fromStock, nil)
+	if rest := want - fromStock; rest > 0 && w.fresh(n) {
+		c.own = n.holder.Spend(w.clock(n), "guild", rest)
+	}
+	c.entry = &admitted{w.now, float64(fromStock + c.own)}
+	if c.entry.tokens > 0 {
+		w.log = append(w.log, c.entry)
+		n.charges = append(n.charges, c)
+	}
+}
+
+// acquire asks a holder for tokens; the grant arrives later, twice or never.
+func (w *world) acquire(t *rapid.T) {
+	n, h := w.pick("entry"), w.pick("holder")
+	if n == h || !w.fresh(h) {
+		return
+	}
+	sent := w.clock(n)
+	g := h.holder.Lend(w.clock(h), "guild", rapid.SampledFrom([]int{10, 100, 1000}).Draw(t, "tokens"))
+	part := quota.Part{Tokens: g.Tokens, Source: quota.Source{
+		Holder: h.id, Incarnation: h.incarnation(), Number: g.Number, GrantedAt: g.GrantedAt}}
+	n.messages = append(n.messages, func() { n.stock.Add(w.clock(n), sent, part) })
+}
+
+// settle ends a request: the rest it did not use goes back.
+func (w *world) settle(t *rapid.T) {
+	n := w.pick("entry")
+	if len(n.charges) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(n.charges)-1).Draw(t, "charge")
+	c := n.charges[i]
+	n.charges = append(n.charges[:i:i], n.charges[i+1:]...)
+	unused := int(c.entry.tokens) * rapid.IntRange(0, 2).Draw(t, "unused") / 2
+	c.entry.tokens -= float64(unused)
+	own := min(unused, c.own)
+	c.holder.Unspend(w.clock(n), "guild", own, c.ownAt)
+	unused -= own
+	for _, p := range c.parts {
+		back := min(unused, p.Tokens)
+		unused -= back
+		s := quota.Settlement{Customer: "guild", Number: p.Number, GrantedAt: p.GrantedAt, Unused: back}
+		if since, ok := c.since[p.Source]; ok {
+			s.Since = since
+		} else {
+			s.Spent = p.Tokens - back
+		}
+		w.send(n, p.Source, s, nil)
+	}
+}
+
+// report tells the holders that the parts of a running request are spent.
+func (w *world) report(*rapid.T) {
+	n := w.pick("entry")
+	for _, c := range n.charges {
+		for _, p := range c.parts {
+			if _, ok := c.since[p.Source]; ok {
+				continue
+			}
+			c.since[p.Source] = p.GrantedAt
+			s := quota.Settlement{Customer: "guild", Number: p.Number, GrantedAt: p.GrantedAt, Spent: p.Tokens}
+			w.send(n, p.Source, s, func(at time.Duration) { c.since[p.Source] = at })
+		}
+	}
+}
+
+// giveUp returns unspent grants.
+func (w *world) giveUp(*rapid.T) {
+	n := w.pick("entry")
+	for _, p := range n.stock.GiveUp(w.clock(n), 0, 0, nil) {
+		w.send(n, p.Source, quota.Settlement{Customer: "guild", Number: p.Number, GrantedAt: p.GrantedAt, Unused: p.Tokens}, nil)
+	}
+}
+
+// send puts a settlement on its way: it may arrive late, repeatedly or never,
+// and so may the answer with the time at which it was processed.
+func (w *world) send(from *node, to quota.Source, s quota.Settlement, answer func(time.Duration)) {
+	from.sequence++
+	sequence, incarnation := from.sequence, from.incarnation()
+	for _, h := range w.nodes {
+		if h.id != to.Holder {
+			continue
+		}
+		h.messages = append(h.messages, func() {
+			if h.incarnation() != to.Incarnation {
+				return
+			}
+			at := w.clock(h)
+			h.holder.Return(at, from.id, incarnation, sequence, []quota.Settlement{s})
+			if answer != nil {
+				answer(at)
+			}
+		})
+	}
+}
+
+func (w *world) deliver(t *rapid.T) {
+	n := w.pick("receiver")
+	if len(n.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(n.messages)-1).Draw(t, "message")
+	m := n.messages[i]
+	if rapid.IntRange(0, 3).Draw(t, "again") > 0 {
+		n.messages = append(n.messages[:i:i], n.messages[i+1:]...)
+	}
+	m()
+}
+
+// crash restarts an instance without memory. Charges of its own share stay in
+// the log with what they charged.
+func (w *world) crash(*rapid.T) {
+	n := w.pick("crashed")
+	n.starts++
+	w.start(n)
+}
+
+// change commits a configuration with another rate, or the first one.
+func (w *world) change(*rapid.T) {
+	d := &config.Deployment{Name: "ucab", Customers: []config.Customer{{ID: "guild", RatePerSecond: rate, Burst: burst}}}
+	w.commit(config.Change{Deployment: d})
+}
+
+// joinOrLeave commits another membership.
+func (w *world) joinOrLeave(t *rapid.T) {
+	var m config.Membership
+	for _, n := range w.nodes {
+		if rapid.IntRange(0, 3).Draw(t, "member") > 0 {
+			m.Members = append(m.Members, config.Member{ID: n.id, Incarnation: n.incarnation()})
+		}
+	}
+	w.commit(config.Change{Members: &m})
+}
+
+func (w *world) removeOrAdd(*rapid.T) {
+	if w.snapshots[w.head()].Customer("guild") == nil {
+		w.change(nil)
+		return
+	}
+	w.commit(config.Change{Deployment: &config.Deployment{Name: "ucab"}})
+}
+
+func (w *world) commit(c config.Change) {
+	c.Revision = w.head() + 1
+	s, err := w.snapshots[w.head()].Apply(c)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.snapshots = append(w.snapshots, s)
+	if w.t != nil {
+		for _, n := range w.nodes {
+			if rapid.Bool().Draw(w.t, "learns") {
+				w.sync(n, true)
+			}
+		}
+	}
+}
+
+func (w *world) learn(*rapid.T) { w.sync(w.pick("learner"), true) }
+
+// accept accepts the newest revision; instances that do not hold it are no
+// longer fresh.
+func (w *world) accept(*rapid.T) { w.accepted = w.head() }
+
+// disturb does something rare.
+func (w *world) disturb(t *rapid.T) {
+	actions := []func(*rapid.T){w.crash, w.joinOrLeave, w.joinOrLeave, w.removeOrAdd, w.change}
+	if i := rapid.IntRange(0, 12).Draw(t, "disturbance"); i < len(actions) {
+		actions[i](t)
+	}
+}
+
+// check keeps the level of one bucket with the whole quota.
+func (w *world) check(*rapid.T) {
+	level, last := burst, 0.0
+	for _, a := range w.log {
+		level = min(burst, level+rate*1.005*(a.at-last)/1e9)
+		last = a.at
+		level -= a.tokens
+		if level < -1e-3 {
+			w.t.Fatalf("%.3f tokens more than rate and burst allow", -level)
+		}
+	}
+}
+
+// Guards against overshoot of a customer's rate and burst with crashes, pauses,
+// late, lost and repeated messages, refunds, changes of membership and
+// configuration, and drifting clocks. The rate is checked with the speed of the
+// fastest clock.
+func TestNoOvershoot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":         w.check,
+			"tick":     w.tick,
+			"tick2":    w.tick,
+			"request":  w.request,
+			"request2": w.request,
+			"acquire":  w.acquire,
+			"acquire2": w.acquire,
+			"deliver":  w.deliver,
+			"deliver2": w.deliver,
+			"deliver3": w.deliver,
+			"settle":   w.settle,
+			"report":   w.report,
+			"giveup":   w.giveUp,
+			"disturb":  w.disturb,
+			"learn":    w.learn,
+			"accept":   w.accept,
+		})
+	})
+}
--- a/pkg/quota/stock.go
+++ b/pkg/quota/stock.go
@@ -28,31 +28,39 @@
 	expires time.Duration // own clock
 }
 
+// arrival remembers a grant until its lease ends, even if it has been spent, so
+// that a repeated answer does not add it again.
+type arrival struct {
+	source  Source
+	expires time.Duration
+}
+
 // Stock is the granted, unspent tokens of one customer at an entry instance.
 // It is not safe for concurrent use.
 type Stock struct {
 	lease  time.Duration
 	pieces []piece // in the order in which they expire
+	seen   []arrival
 }
 
 // NewStock returns an empty stock of grants with the lease.
 func NewStock(lease time.Duration) *Stock { return &Stock{lease: lease} }
 
 // Add adds a grant that was asked for at sent. It reports false for a grant
-// whose lease has ended and for one that is already in stock.
+// whose lease has ended and for one that was added before.
 func (s *Stock) Add(now, sent time.Duration, p Part) bool {
 	expires := sent + s.lease - LeaseMargin
 	if now >= expires || p.Tokens <= 0 {
 		return false
 	}
-	at := len(s.pieces)
-	for i, x := range s.pieces {
-		if x.Source == p.Source {
-			return false
-		}
-		if x.expires > expires && i < at {
-			at = i
-		}
+	s.seen = slices.DeleteFunc(s.seen, func(a arrival) bool { return a.expires <= now })
+	if slices.ContainsFunc(s.seen, func(a arrival) bool { return a.source == p.Source }) {
+		return false
+	}
+	s.seen = append(s.seen, arrival{p.Source, expires})
+	at := slices.IndexFunc(s.pieces, func(x piece) bool { return x.expires > expires })
+	if at < 0 {
+		at = len(s.pieces)
 	}
 	s.pieces = slices.Insert(s.pieces, at, piece{p, expires})
 	return true
