Add directed tests of freshness

Cause: the random walk rarely reaches the cases with non-members. Change: one test per rule: non-members, vouching, incarnations, relayed age, evidence ahead of its revision, electorates.

--- /dev/null
+++ b/pkg/fresh/fresh_test.go
@@ -0,0 +1,129 @@
+package fresh_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/fresh"
+)
+
+func membership(ids ...string) config.Membership {
+	var m config.Membership
+	for _, id := range ids {
+		m.Members = append(m.Members, config.Member{ID: id, Incarnation: id + "1"})
+	}
+	return m
+}
+
+func holding(revision uint64, member bool) *fresh.Tracker {
+	t := fresh.NewTracker(fresh.DefaultParams())
+	t.Hold(revision, member)
+	return t
+}
+
+// Guards against freshness of an instance that nobody waits for: a non-member
+// reads the table, the next change is acknowledged by all members, and the
+// non-member still acts on the older one.
+func TestNonMemberIsNotFreshByTable(t *testing.T) {
+	x := holding(3, false)
+	x.Head(time.Second, 3)
+	if x.Fresh(time.Second) {
+		t.Fatal("a non-member is fresh after a read of the table")
+	}
+	x.Relayed(time.Second, 0, 3)
+	if !x.Fresh(time.Second) {
+		t.Fatal("a non-member is not fresh after a member vouched for it")
+	}
+}
+
+// Guards against unanimous acceptance while a non-member may still rely on what
+// a member told it before.
+func TestVouchDelaysUnanimousAcceptance(t *testing.T) {
+	p := fresh.DefaultParams()
+	speaker := holding(3, true)
+	speaker.Head(0, 3)
+	if s := speaker.State(time.Second, false); !s.Fresh {
+		t.Fatal("the member is not fresh")
+	}
+	speaker.Hold(4, true)
+	a := fresh.NewAcceptance(p, 4, []config.Membership{membership("a")})
+	a.Acknowledge(time.Second, "a", "a1", 4, speaker.Clear(time.Second))
+	if a.Accepted(time.Second) {
+		t.Fatal("accepted while the vouched window is open")
+	}
+	end := time.Second + p.Window + p.Margin
+	a.Acknowledge(end-1, "a", "a1", 4, speaker.Clear(end))
+	if !a.Accepted(end - 1) {
+		t.Fatal("not accepted although the only member acknowledged clearly")
+	}
+}
+
+// Guards against a vote of a restarted instance: its predecessor may have
+// acknowledged a revision that the instance does not remember.
+func TestPollCountsRecordedIncarnationsOnly(t *testing.T) {
+	poll := fresh.NewPoll(0, 3, membership("a", "b", "c"))
+	yes := fresh.Statement{Revision: 3, Member: true}
+	poll.Answer("a", "a1", yes)
+	poll.Answer("a", "a1", yes)
+	poll.Answer("b", "b2", yes)
+	poll.Answer("c", "c1", fresh.Statement{Revision: 3})
+	if poll.Majority() {
+		t.Fatal("a repeated vote, another incarnation or an instance without state counted")
+	}
+	poll.Answer("b", "b1", yes)
+	if !poll.Majority() {
+		t.Fatal("two of three members are no majority")
+	}
+}
+
+// Guards against evidence that lasts longer because it was passed on.
+func TestRelayedEvidenceKeepsItsAge(t *testing.T) {
+	x := holding(3, true)
+	x.Relayed(10*time.Second, 1500*time.Millisecond, 3)
+	if end := 10500 * time.Millisecond; !x.Fresh(end-1) || x.Fresh(end) {
+		t.Fatal("the window does not start at the relay's own evidence")
+	}
+	x.Relayed(10*time.Second, -time.Second, 3)
+	if x.Fresh(10500 * time.Millisecond) {
+		t.Fatal("a negative age extended the window")
+	}
+}
+
+// Guards against evidence about a revision that is not held yet.
+func TestEvidenceWaitsForItsRevision(t *testing.T) {
+	x := holding(3, true)
+	x.Head(time.Second, 5)
+	if x.Fresh(time.Second) {
+		t.Fatal("fresh with an older revision than the head")
+	}
+	x.Hold(4, true)
+	if x.Fresh(time.Second) {
+		t.Fatal("fresh with an older revision than the head")
+	}
+	x.Hold(5, true)
+	if !x.Fresh(time.Second) {
+		t.Fatal("not fresh with the head's revision")
+	}
+	if x.Hold(4, true) || x.Revision() != 5 {
+		t.Fatal("the revision went back")
+	}
+}
+
+// Guards against acceptance by the newest membership alone: members that were
+// removed since the last accepted revision may still be fresh.
+func TestAcceptanceNeedsEveryElectorate(t *testing.T) {
+	p := fresh.DefaultParams()
+	a := fresh.NewAcceptance(p, 2, []config.Membership{membership("a", "b", "c"), membership("a")})
+	a.Acknowledge(0, "a", "a1", 2, true)
+	if a.Accepted(time.Hour) {
+		t.Fatal("accepted without a majority of the older membership")
+	}
+	a.Acknowledge(0, "b", "b1", 2, true)
+	if a.Accepted(p.Window) || !a.Accepted(p.Window+p.Margin) {
+		t.Fatal("the window of the third member is not waited for")
+	}
+	if got := a.Pending(); len(got) != 1 || got[0] != "c" {
+		t.Fatalf("pending %v, want c", got)
+	}
+}
--- a/pkg/fresh/property_test.go
+++ b/pkg/fresh/property_test.go
@@ -293,6 +293,36 @@
 	}
 }
 
+// settle makes every member acknowledge the head clearly, so that it is accepted.
+func (w *world) settle(*rapid.T) {
+	a := fresh.NewAcceptance(params, w.head(), w.members[w.accepted:])
+	for _, x := range w.instances {
+		if x.tracker.HasState() {
+			w.hold(x, w.head())
+		}
+		if x.tracker.Member() {
+			a.Acknowledge(w.acceptorClock(), x.id, x.incarnation(), w.head(), x.tracker.Clear(w.clock(x)))
+		}
+	}
+	if a.Accepted(w.acceptorClock()) {
+		w.accepted = w.head()
+	}
+}
+
+// restart crashes an instance that then loads its state from another one.
+func (w *world) restart(t *rapid.T) {
+	w.crash(t)
+	w.refresh(t)
+}
+
+// disturb does something rare.
+func (w *world) disturb(t *rapid.T) {
+	actions := []func(*rapid.T){w.crash, w.restart, w.join, w.remove}
+	if i := rapid.IntRange(0, 7).Draw(t, "disturbance"); i < len(actions) {
+		actions[i](t)
+	}
+}
+
 // Guards against an authorization that is exercised after its revocation was
 // accepted, with crashes, restarts without memory, pauses, lost, repeated and
 // late messages, table outages, membership changes and drifting clocks. An
@@ -317,10 +347,9 @@
 			"majority":    w.majority,
 			"spread":      w.spread,
 			"accept2":     w.accept,
+			"settle":      w.settle,
 			"change":      w.change,
-			"join":        w.join,
-			"remove":      w.remove,
-			"crash":       w.crash,
+			"disturb":     w.disturb,
 		})
 	})
 }
--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -19,7 +19,7 @@
 	flag.Parse()
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.steps": "80"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "10000", "rapid.steps": "80"} {
 		if !given[name] {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -14,7 +14,9 @@
  * NEWEST_ELECTORATE, ANY_INCARNATION, STATELESS_VOTE.
  */
 #define N 3
+#ifndef W
 #define W 2          /* window, ticks */
+#endif
 #define M 1          /* margin, ticks: the acceptor's clock may gain one tick */
 #ifndef MAXREV
 #define MAXREV 2
