Check the key again before sending and end streams that cannot be confirmed

Cause: an order no longer depends on its caller's context once its claim starts, so that an order whose claim or slot took seconds was sent although its key had been revoked meanwhile. A stream on an instance that is cut off ran on to its deadline although its key was revoked elsewhere. A key that the caller repeated in path, query or body reached the upstream. Change: auth.Confirm repeats the check of key and freshness when a slot is held; the watch of a running request also ends it 0.5 s to 1 s after freshness; route refuses requests that repeat their key.

--- a/pkg/filter/auth/auth.go
+++ b/pkg/filter/auth/auth.go
@@ -9,7 +9,11 @@
 //
 // While a keyed request runs, the filter watches for new snapshots and cancels
 // the request's context with a KeyRevoked error as cause once the key is
-// revoked or gone. Later filters read the cause with context.Cause.
+// revoked or gone, and with a NotFresh error once the instance has lost contact
+// for so long that a revocation may be in force elsewhere. Later filters read
+// the cause with context.Cause. Confirm repeats the check just before a request
+// is sent: an order no longer depends on the request's context, and a paused
+// process resumes with admissions of any age.
 package auth
 
 import (
@@ -29,6 +33,14 @@
 // fresh: the next read of the head revision is due within half a second.
 const RetryNotFresh = time.Second
 
+// Bounds of running requests on an instance that is not fresh. Freshness ends
+// at most fresh.Window (2 s) after a revocation; with one interval and the grace
+// the requests of the key end within 3 s.
+const (
+	confirmInterval = 250 * time.Millisecond
+	confirmGrace    = 500 * time.Millisecond
+)
+
 // State is the configuration held by this instance.
 type State interface {
 	Snapshot() *config.Snapshot
@@ -67,9 +79,10 @@
 		if err := admit(r, fresh); err != nil {
 			return err
 		}
-		ctx, cancel := context.WithCancelCause(ctx)
+		a := &admission{state: f.state, digest: r.Key.Digest, strict: needsFresh(r.Customer, nil)}
+		ctx, cancel := context.WithCancelCause(context.WithValue(ctx, admissionKey{}, a))
 		defer cancel(nil)
-		go f.watch(ctx, cancel, changed, r.Key.Digest)
+		go a.watch(ctx, cancel, changed)
 		return next(ctx, r)
 	}
 }
@@ -81,8 +94,7 @@
 	}
 	key, customer, err := keys.Authenticate(r.Snapshot, r.HTTP.Header)
 	if !fresh && needsFresh(customer, err) {
-		return code.New(code.NotFresh, "this instance cannot confirm that its keys are current").
-			WithRetryAfter(RetryNotFresh)
+		return notFresh()
 	}
 	if err != nil {
 		return err
@@ -103,18 +115,72 @@
 	return customer.WhenUnconfirmed != config.ServeLastKnown
 }
 
-// watch cancels ctx once the key is revoked. It ends with ctx.
-func (f *Filter) watch(ctx context.Context, cancel context.CancelCauseFunc, changed <-chan struct{}, digest config.Digest) {
+type admissionKey struct{}
+
+// admission is the key that a running request was admitted with.
+type admission struct {
+	state  State
+	digest config.Digest
+	strict bool // the customer is not served with the last known keys
+}
+
+// Confirm reports why the request of ctx may no longer be sent, or nil. The
+// value outlives context.WithoutCancel.
+func Confirm(ctx context.Context) *code.Error {
+	a, ok := ctx.Value(admissionKey{}).(*admission)
+	if !ok {
+		return nil // an open route
+	}
+	// Freshness comes first; the snapshot is then at least as new.
+	fresh := a.state.Fresh()
+	if e := a.revoked(); e != nil {
+		return e
+	}
+	if a.strict && !fresh {
+		return notFresh()
+	}
+	return nil
+}
+
+func notFresh() *code.Error {
+	return code.New(code.NotFresh, "this instance cannot confirm that its keys are current").
+		WithRetryAfter(RetryNotFresh)
+}
+
+func (a *admission) revoked() *code.Error {
+	key := a.state.Snapshot().Keys[a.digest]
+	if key == nil || key.Revoked {
+		return code.New(code.KeyRevoked, "the key has been revoked")
+	}
+	return nil
+}
+
+// watch cancels ctx once the key is revoked or can no longer be confirmed. It
+// ends with ctx.
+func (a *admission) watch(ctx context.Context, cancel context.CancelCauseFunc, changed <-chan struct{}) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	stale := time.Duration(0) // since when the instance is not fresh
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			if !a.strict || a.state.Fresh() {
+				stale = 0
+				continue
+			}
+			if stale > confirmGrace {
+				cancel(notFresh())
+				return
+			}
+			stale += confirmInterval
+			continue
 		case <-changed:
 		}
-		changed = f.state.Changed()
-		key := f.state.Snapshot().Keys[digest]
-		if key == nil || key.Revoked {
-			cancel(code.New(code.KeyRevoked, "the key has been revoked"))
+		changed = a.state.Changed()
+		if e := a.revoked(); e != nil {
+			cancel(e)
 			return
 		}
 	}
--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -7,6 +7,9 @@
 // is idempotent. Model requests are idempotent. Between attempts it waits with
 // jittered exponential backoff.
 //
+// The caller's key is checked again when a slot is held: the request may have
+// waited for longer than a revocation may take.
+//
 // Outcome.Sent stays set once any attempt may have reached an upstream, and the
 // final error then never says "not run".
 package endpoint
@@ -22,6 +25,7 @@
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/filter/auth"
 	"github.com/fescuestep/fescuestep/pkg/retry"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
@@ -121,6 +125,10 @@
 	}
 	result := upstream.Failed
 	defer func() { slot.Done(result) }()
+	if e := auth.Confirm(ctx); e != nil {
+		result = upstream.Cancelled
+		return errors.Mark(e.WithRun(code.NotRun), errNoSlot)
+	}
 	r.Target = slot.Target()
 	r.OnFirstToken = slot.FirstToken
 	if number == 0 {
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -82,6 +82,9 @@
 		}
 		r.Body = body
 		r.Path = target.Path
+		if err := refuseKeyCopies(r); err != nil {
+			return err
+		}
 		if err := resolve(r, target); err != nil {
 			return err
 		}
