--- a/pkg/router/drain_test.go
+++ b/pkg/router/drain_test.go
@@ -46,7 +46,7 @@
 // TestGracefulStops guards against streams cut, refused or shortened by planned
 // stops of instances under load.
 func TestGracefulStops(t *testing.T) {
-	const instances, clients, stops = 4, 24, 40
+	const instances, clients, stops = 4, 24, 200
 	upstream := &engineFake{words: 12, event: func(int, string) { time.Sleep(time.Millisecond) }}
 	b := &balancer{}
 	add := func() *member {
