Replay moves only where the shell allows them

Cause: the replay allowed requests to be moved although the recorded pool did not, so it drew more random numbers and decided otherwise. Change: one rule, Settings.Product, decides in the shell and in the replay.

--- a/pkg/replay/pool.go
+++ b/pkg/replay/pool.go
@@ -51,7 +51,9 @@
 	// to behave as if it had one.
 	core.OnExport(func(upstream.Transfer) {})
 	pool := &poolPlayer{core: core, requests: map[int]*upstream.Wait{}, moved: map[*upstream.Wait]bool{}}
-	core.OnMove(func(g *upstream.Grant) bool { return pool.moved[g.Request()] })
+	if e.Settings.Product() { // as the shell does; a baseline never moves requests
+		core.OnMove(func(g *upstream.Grant) bool { return pool.moved[g.Request()] })
+	}
 	p.pools[e.Pool] = pool
 	p.input()
 	return nil
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -37,6 +37,7 @@
 	}
 	core.Record(now, recorder)
 	core.OnExport(func(upstream.Transfer) {})
+	core.OnMove(func(*upstream.Grant) bool { return rng.IntN(2) == 0 })
 	var engines []platform.Instance
 	for i := range 4 {
 		engines = append(engines, platform.Instance{ID: fmt.Sprint("e", i), Addr: fmt.Sprint("127.0.0.1:", 7000+i), Pool: "plume", State: platform.Live})
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -26,6 +26,10 @@
 	Seed        uint64 // of this instance's random source
 }
 
+// Product reports whether the pool uses the product's policy instead of a
+// baseline.
+func (s *Settings) Product() bool { return s.Policy == "" || s.Policy == pick.NameFescuestep }
+
 // DefaultMaxQueue bounds the engines' first-come queues, so that waiting
 // requests keep their fair order here. Bounds below a cold prefill (0.8 s for
 // 16,000 tokens) send requests away from the engine that holds their prefix.
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -11,7 +11,6 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/fair"
-	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
@@ -182,7 +181,6 @@
 }
 
 func (p *Pools) configure(pools, old map[string]*pool, d *config.Deployment, c *config.Pool) {
-	product := p.opts.Policy == "" || p.opts.Policy == pick.NameFescuestep
 	set := Settings{
 		Pool:        *c,
 		Priority:    d.Priority,
@@ -190,10 +188,11 @@
 		Policy:      p.opts.Policy,
 		Queue:       fair.DefaultLimits,
 		MaxQueue:    DefaultMaxQueue,
-		Coalesce:    product,
-		KVTransfer:  product && p.exports != nil,
 		Seed:        p.opts.Seed,
 	}
+	product := set.Product()
+	set.Coalesce = product
+	set.KVTransfer = product && p.exports != nil
 	pl := old[c.Name]
 	if pl == nil {
 		now := time.Now()
