load: keep state of a restarted instance out of the virtual run

Change: deadlines and imports check that the instance still runs. Requests in an instance that crashes count as lost with it, all others that get no answer as unanswered. Conclusion: the defect was in the model; the state machine is unchanged.

--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -177,7 +177,11 @@
 		Deadline: in.run.clock.origin.Add(a.At + a.Timeout), Exclude: r.exclude, Moves: r.moves,
 	}
 	w := in.core.Submit(in.run.clock.time(), &q, r.decided)
-	in.run.clock.at(a.At+a.Timeout, func() { in.core.Expire(w) })
+	in.run.clock.at(a.At+a.Timeout, func() {
+		if r.alive() {
+			in.core.Expire(w)
+		}
+	})
 	in.arm()
 }
 
@@ -197,6 +201,10 @@
 // transfer imports blocks from the KV store, then sends the request.
 func (r *request) transfer(e *modelEngine, g *upstream.Grant) {
 	in := r.in
+	if !r.alive() {
+		r.end(Timings{Lost: true})
+		return
+	}
 	t, ok := in.core.Import(g)
 	if !ok || e.down {
 		r.send(e, g)
@@ -265,7 +273,7 @@
 
 func (r *request) over(e *modelEngine, g *upstream.Grant, ok, started bool) {
 	if !r.alive() {
-		r.end(Timings{TTFT: r.timings.TTFT, Truncated: started, Unanswered: !started})
+		r.end(Timings{TTFT: r.timings.TTFT, Truncated: started, Lost: !started})
 		return
 	}
 	result := upstream.OK
@@ -288,7 +296,7 @@
 
 func (r *request) refusedBy(e *modelEngine, g *upstream.Grant) {
 	if !r.alive() {
-		r.end(Timings{Unanswered: true})
+		r.end(Timings{Lost: true})
 		return
 	}
 	r.in.core.Done(r.in.run.clock.time(), g, upstream.Unreachable)
@@ -314,7 +322,7 @@
 		if r.alive() {
 			r.submit()
 		} else {
-			r.end(Timings{Unanswered: true})
+			r.end(Timings{Lost: true})
 		}
 	})
 }
@@ -325,7 +333,7 @@
 	if r.timings.TTFT == 0 && !r.ended {
 		r.in.run.clock.after(time.Millisecond, func() {
 			if !r.ended && r.timings.TTFT == 0 {
-				r.end(Timings{Unanswered: true})
+				r.end(Timings{Lost: !r.alive(), Unanswered: r.alive()})
 			}
 		})
 	}
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -20,6 +20,7 @@
 	Truncated    bool // the stream ended without its end marker
 	Failed       bool // an error after the request may have run
 	Unanswered   bool // nothing was answered before the deadline
+	Lost         bool // the instance crashed; its connections broke
 }
 
 // Result is the measurement of one policy.
@@ -42,6 +43,7 @@
 	RateLimited            int     `json:"rate_limited"`
 	Revoked                int     `json:"revoked"`
 	PrefilledTokens        int     `json:"prefilled_tokens"`
+	LostWithInstance       int     `json:"lost_with_instance"`
 	FailedAfterStart       int     `json:"failed"`
 	RefusedWithinRateShare float64 `json:"refused_within_rate_share"`
 }
@@ -107,6 +109,8 @@
 		if t.RateLimited {
 			r.result.RateLimited++
 		}
+	case t.Lost:
+		r.result.LostWithInstance++
 	case t.Unanswered:
 		r.result.Unanswered++
 	case t.Truncated:
