Tolerate a single failed poll, keep decisions replayable

Change: (1) after one failed poll an upstream is avoided, after two in a row it takes no work; with polls every 100 ms and a timeout of 0.8 s that is within 2 s of the first. The test now expects one failed poll of the only upstream to be tolerated and two to refuse. (2) estimates for moves are always made, and reading a rate changes nothing.

--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -28,6 +28,10 @@
 	shortAside  = 25 * time.Millisecond
 )
 
+// suspectPenalty keeps work from an upstream whose last poll failed unless the
+// others are clearly worse.
+const suspectPenalty = time.Second
+
 // Estimate is the product's policy: the least estimated time to first token.
 type Estimate struct {
 	params     Params
@@ -49,7 +53,7 @@
 	levels   int     // blocks held according to the index
 	blocks   float64 // expected cached blocks
 	imports  int     // leading blocks that the engine holds after an import
-	meeting  bool    // where other instances send the same cold block
+	hashed   bool    // the upstream that the cold block is hashed to
 	admitted bool
 	estimate time.Duration // time to first token
 	score    time.Duration // weighted estimate
@@ -144,7 +148,7 @@
 		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.longLane))
 		p.consider(now, r, s, s.longLane[at])
 		for i := range p.candidates {
-			p.candidates[i].meeting = p.candidates[i].upstream == s.longLane[at]
+			p.candidates[i].hashed = p.candidates[i].upstream == s.longLane[at]
 		}
 	}
 	for range samples {
@@ -203,6 +207,9 @@
 	// An import runs while other requests are prefilled.
 	wait := max(queue, transfer)
 	c.estimate = wait + prefill + network
+	if u.FailedPolls > 0 {
+		network += suspectPenalty
+	}
 	w := &p.params.Weights
 	c.score = time.Duration(w.Queue*float64(wait)+w.Prefill*float64(prefill)) + network + lane(u, prefill)
 }
@@ -275,7 +282,7 @@
 func (p *Estimate) preferred(r *Request, cold int, near []int) int {
 	best, top := near[0], uint64(0)
 	for _, i := range near {
-		if p.candidates[i].meeting {
+		if p.candidates[i].hashed {
 			return i
 		}
 		if v := rendezvous(r.Blocks[cold], p.candidates[i].upstream); v >= top {
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -3,6 +3,7 @@
 package pick
 
 import (
+	"math"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -50,7 +51,7 @@
 	// of its own kind.
 	ListedLeaving   bool
 	ReportedLeaving bool
-	PollFailed      bool
+	FailedPolls     int  // in a row
 	Removed         bool // no longer listed; flights may remain
 
 	PrefillPerSec float64 // tokens per second
@@ -72,9 +73,18 @@
 	return u.idHash
 }
 
+// maxFailedPolls is the number of failed polls in a row after which an upstream
+// takes no work. A single one may be a delay on this machine, which would hit
+// the polls of all upstreams at once; it only makes the upstream less
+// preferred. With polls every 100 ms and a timeout of 0.8 s, two fit into 2 s.
+const maxFailedPolls = 2
+
+// Unreachable reports whether polls of the upstream fail.
+func (u *Upstream) Unreachable() bool { return u.FailedPolls >= maxFailedPolls }
+
 // Usable reports whether the upstream may take new work at all.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.ListedLeaving && !u.ReportedLeaving && !u.PollFailed && !u.Removed && !u.Outlier.Ejected(now)
+	return !u.ListedLeaving && !u.ReportedLeaving && !u.Unreachable() && !u.Removed && !u.Outlier.Ejected(now)
 }
 
 // Start records a request that is sent to the upstream now.
@@ -203,23 +213,18 @@
 	last  time.Time
 }
 
-func (m *rateMeter) decay(now time.Time) {
-	if elapsed := now.Sub(m.last); elapsed > 0 && !m.last.IsZero() {
-		// First-order decay without exp: exact enough for short steps and
-		// never negative for long ones.
-		m.value /= 1 + float64(elapsed)/float64(rateTime)
-	}
-	m.last = now
-}
-
 func (m *rateMeter) add(now time.Time, tokens float64) {
-	m.decay(now)
-	m.value += tokens / rateTime.Seconds()
+	m.value = m.perSecond(now) + tokens/rateTime.Seconds()
+	m.last = now
 }
 
+// perSecond does not change the meter, so that reading a status leaves later
+// decisions as they are.
 func (m *rateMeter) perSecond(now time.Time) float64 {
-	m.decay(now)
-	return m.value
+	if m.value == 0 {
+		return 0
+	}
+	return m.value * math.Exp(-float64(max(now.Sub(m.last), 0))/float64(rateTime))
 }
 
 // slotWait estimates the time until one of the upstream's slots is free.
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -54,7 +54,7 @@
 		return
 	}
 	c.sawIncarnation(now, u, r.Incarnation)
-	u.PollFailed = false
+	u.FailedPolls = 0
 	u.ReportedLeaving = r.Leaving
 	u.Weights = r.Weights
 	u.Outlier.Return(now)
@@ -69,12 +69,12 @@
 	c.Dispatch(now)
 }
 
-// OnPollFailed records that a poll of the upstream got no answer. It takes no
-// new work until a poll succeeds.
+// OnPollFailed records that a poll of the upstream got no answer. After one it is
+// avoided, after two in a row it takes no new work until a poll succeeds.
 func (c *Core) OnPollFailed(id string) {
 	c.rec.addUntimed(Entry{Kind: EntryPollFailed, Upstream: id})
 	if u := c.store.Get(id); u != nil {
-		u.PollFailed = true
+		u.FailedPolls++
 	}
 }
 
--- a/pkg/upstream/move.go
+++ b/pkg/upstream/move.go
@@ -30,12 +30,14 @@
 
 // reconsider looks for requests on u that a report shows to be stuck.
 func (c *Core) reconsider(now time.Time, u *pick.Upstream, r pick.Report) {
-	if c.move == nil || u.PrefillPerSec <= 0 {
+	// A replay has to draw the same random numbers, so that the estimates are
+	// made even where nobody acts on them.
+	if _, ok := c.policy.(*pick.Estimate); !ok || u.PrefillPerSec <= 0 {
 		return
 	}
 	for _, g := range c.grants[u] {
 		if c.stuck(now, u, r, g) {
-			g.moved = c.move(g)
+			g.moved = c.move != nil && c.move(g)
 			c.rec.move(g, g.moved)
 		}
 	}
--- a/pkg/upstream/pools_test.go
+++ b/pkg/upstream/pools_test.go
@@ -105,6 +105,12 @@
 		}
 		s.Done(OK)
 		p.OnPollFailed("a")
+		s, err = p.Acquire(t.Context(), query(time.Second))
+		if err != nil {
+			t.Fatalf("one failed poll of the only upstream: %v", err)
+		}
+		s.Done(OK)
+		p.OnPollFailed("a")
 		_, err = p.Acquire(t.Context(), query(time.Second))
 		wantNotRun(t, err, code.NoUpstream)
 		q := query(time.Second)
--- a/pkg/upstream/status.go
+++ b/pkg/upstream/status.go
@@ -64,7 +64,7 @@
 	switch {
 	case u.ListedLeaving, u.ReportedLeaving:
 		return StateLeaving
-	case u.PollFailed:
+	case u.Unreachable():
 		return StateUnreachable
 	case u.Outlier.Ejected(now):
 		return StateEjected
