--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -7,6 +7,9 @@
 // is idempotent. Model requests are idempotent. Between attempts it waits with
 // jittered exponential backoff.
 //
+// The caller's key is checked again when a slot is held: the request may have
+// waited for longer than a revocation may take.
+//
 // Outcome.Sent stays set once any attempt may have reached an upstream, and the
 // final error then never says "not run".
 package endpoint
@@ -23,6 +26,7 @@
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/filter/auth"
 	"github.com/fescuestep/fescuestep/pkg/retry"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
@@ -101,7 +105,7 @@
 			if !noSlot || last == nil || ctx.Err() != nil {
 				last = err // otherwise the failed attempt says more
 			}
-			if noSlot || !f.waitToRepeat(ctx, r, number) {
+			if noSlot || callersFault(err) || !f.waitToRepeat(ctx, r, number) {
 				break
 			}
 			q.Exclude = append(q.Exclude, r.Target.ID)
@@ -147,6 +151,10 @@
 	}
 	result := upstream.Failed
 	defer func() { slot.Done(result) }()
+	if e := auth.Confirm(ctx); e != nil {
+		result = upstream.Cancelled
+		return errors.Mark(e.WithRun(code.NotRun), errNoSlot)
+	}
 	r.Target = slot.Target()
 	r.OnFirstToken = slot.FirstToken
 	if number == 0 {
@@ -188,17 +196,26 @@
 	return code.New(code.NoUpstream, "no upstream takes work").WithCause(err)
 }
 
+// callersFault reports whether an upstream found the request itself at fault:
+// another would too.
+func callersFault(err error) bool {
+	var e *code.Error
+	return errors.As(err, &e) && e.Code == code.BadRequest
+}
+
+// resultOf tells a refused connection, which ejects the upstream at once, from
+// an upstream that answered that it takes no work now.
 func resultOf(ctx context.Context, r *chain.Request, err error) upstream.Result {
+	var e *code.Error
 	switch {
-	case err == nil:
+	case err == nil, callersFault(err):
 		return upstream.OK
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return upstream.Cancelled
-	case !r.Outcome.Sent:
-		return upstream.Unreachable
-	default:
+	case r.Outcome.Sent && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)):
 		return upstream.Failed
+	case ctx.Err() == nil && errors.As(err, &e) && e.Code == code.UpstreamUnreachable:
+		return upstream.Unreachable
 	}
+	return upstream.Cancelled
 }
 
 func (f *Filter) query(r *chain.Request) upstream.Query {
