load: count refusals by result code; examine 32 upstreams when saturated

Cause: the reason of refusals was not recorded. Change: results list refusals by code. The fallback of a choice examines 32 instead of 64 upstreams, which keeps its cost at that of a usual choice.

--- a/pkg/load/http.go
+++ b/pkg/load/http.go
@@ -82,7 +82,7 @@
 	if c == code.KeyRevoked {
 		return Timings{Revoked: true}
 	}
-	return Timings{Refused: true, RateLimited: c == code.RateExceeded || c == code.RequestExceedsBurst}
+	return Timings{Refused: true, Code: c, RateLimited: c == code.RateExceeded || c == code.RequestExceedsBurst}
 }
 
 // chunk is one event of a completion stream.
--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -161,7 +161,7 @@
 	}
 	r := &request{in: in, arrival: a, start: in.starts}
 	if !v.options.NoQuota && !v.quota[a.Customer].take(v.clock.now, a.charge()) {
-		r.end(Timings{Refused: true, RateLimited: true})
+		r.end(Timings{Refused: true, RateLimited: true, Code: code.RateExceeded})
 		return
 	}
 	v.clock.at(a.At+a.Timeout, r.timeout)
@@ -187,7 +187,7 @@
 
 func (r *request) decided(w *upstream.Wait) {
 	if w.Err != nil {
-		r.end(Timings{Refused: true, RateLimited: w.Err.Code == code.RateExceeded})
+		r.end(Timings{Refused: true, Code: w.Err.Code})
 		return
 	}
 	g := w.Grant
@@ -313,7 +313,7 @@
 		Deadline: in.run.clock.origin.Add(r.arrival.At + r.arrival.Timeout),
 	}, in.rng)
 	if !ok {
-		r.end(Timings{Refused: run == code.NotRun, Failed: run != code.NotRun})
+		r.end(Timings{Refused: run == code.NotRun, Failed: run != code.NotRun, Code: code.UpstreamUnreachable})
 		return
 	}
 	r.attempt++
--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -1,10 +1,13 @@
 package load
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/fescuestep/fescuestep/pkg/code"
 )
 
 // Timings is the outcome of one request as its sender saw it.
@@ -14,38 +17,40 @@
 	PromptTokens int
 	CachedTokens int
 	OutputTokens int
-	Refused      bool // answered with "not run"
-	RateLimited  bool // refused because the customer's rate was used up
-	Revoked      bool // refused or ended because the key was revoked
-	Truncated    bool // the stream ended without its end marker
-	Failed       bool // an error after the request may have run
-	Unanswered   bool // nothing was answered before the deadline
-	Lost         bool // the instance crashed; its connections broke
+	Code         code.Code // of a refusal or failure
+	Refused      bool      // answered with "not run"
+	RateLimited  bool      // refused because the customer's rate was used up
+	Revoked      bool      // refused or ended because the key was revoked
+	Truncated    bool      // the stream ended without its end marker
+	Failed       bool      // an error after the request may have run
+	Unanswered   bool      // nothing was answered before the deadline
+	Lost         bool      // the instance crashed; its connections broke
 }
 
 // Result is the measurement of one policy.
 type Result struct {
-	Name                   string  `json:"name"`
-	PrefixHitRate          float64 `json:"prefix_hit_rate"`
-	HitRateBound           float64 `json:"hit_rate_bound"`
-	TTFTP50                float64 `json:"ttft_p50_ms"`
-	TTFTP99                float64 `json:"ttft_p99_ms"`
-	WastedTokens           int     `json:"wasted_tokens"`
-	WorstCustomerTTFTP99   float64 `json:"worst_customer_ttft_p99_ms"`
-	RefusedWithinRate      int     `json:"refused_within_rate"`
-	Requests               int     `json:"requests"`
-	OvershootTokens        int     `json:"overshoot_tokens"`
-	TruncatedStreams       int     `json:"truncated_streams"`
-	DuplicateOrders        int     `json:"duplicate_orders"`
-	Unanswered             int     `json:"unanswered"`
-	WorstCustomerWithout   float64 `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
-	ShortTTFTP99           float64 `json:"short_ttft_p99_ms"`
-	RateLimited            int     `json:"rate_limited"`
-	Revoked                int     `json:"revoked"`
-	PrefilledTokens        int     `json:"prefilled_tokens"`
-	LostWithInstance       int     `json:"lost_with_instance"`
-	FailedAfterStart       int     `json:"failed"`
-	RefusedWithinRateShare float64 `json:"refused_within_rate_share"`
+	Name                   string         `json:"name"`
+	PrefixHitRate          float64        `json:"prefix_hit_rate"`
+	HitRateBound           float64        `json:"hit_rate_bound"`
+	TTFTP50                float64        `json:"ttft_p50_ms"`
+	TTFTP99                float64        `json:"ttft_p99_ms"`
+	WastedTokens           int            `json:"wasted_tokens"`
+	WorstCustomerTTFTP99   float64        `json:"worst_customer_ttft_p99_ms"`
+	RefusedWithinRate      int            `json:"refused_within_rate"`
+	Requests               int            `json:"requests"`
+	OvershootTokens        int            `json:"overshoot_tokens"`
+	TruncatedStreams       int            `json:"truncated_streams"`
+	DuplicateOrders        int            `json:"duplicate_orders"`
+	Unanswered             int            `json:"unanswered"`
+	WorstCustomerWithout   float64        `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
+	ShortTTFTP99           float64        `json:"short_ttft_p99_ms"`
+	RefusedByCode          map[string]int `json:"refused_by_code,omitempty"`
+	RateLimited            int            `json:"rate_limited"`
+	Revoked                int            `json:"revoked"`
+	PrefilledTokens        int            `json:"prefilled_tokens"`
+	LostWithInstance       int            `json:"lost_with_instance"`
+	FailedAfterStart       int            `json:"failed"`
+	RefusedWithinRateShare float64        `json:"refused_within_rate_share"`
 }
 
 // Range of the histograms in microseconds: a request may wait for its whole
@@ -74,8 +79,9 @@
 	all       *hdrhistogram.Histogram
 	short     *hdrhistogram.Histogram
 	customers []*hdrhistogram.Histogram
-	refusals  []int // by customer
-	above     []int // arrivals above rate and burst by customer
+	refusals  []int          // by customer
+	byCode    map[string]int // refusals by the name of their result code
+	above     []int          // arrivals above rate and burst by customer
 	windows   []window
 	prompt    int
 	cached    int
@@ -88,6 +94,7 @@
 	for range p.Customers {
 		r.customers = append(r.customers, newHistogram())
 	}
+	r.byCode = map[string]int{}
 	r.refusals, r.above = make([]int, len(p.Customers)), make([]int, len(p.Customers))
 	r.result.Name = policy
 	return r
@@ -106,6 +113,7 @@
 		r.result.Revoked++
 	case t.Refused:
 		r.refusals[a.Customer]++
+		r.byCode[t.Code.Info().Name]++
 		if t.RateLimited {
 			r.result.RateLimited++
 		}
@@ -152,6 +160,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := r.result
+	out.RefusedByCode = maps.Clone(r.byCode)
 	if r.prompt > 0 {
 		out.PrefixHitRate = float64(r.cached) / float64(r.prompt)
 	}
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -105,7 +105,7 @@
 
 // maxFallback bounds the upstreams examined when no candidate has a slot, which
 // happens for every request while a large pool is saturated.
-const maxFallback = 64
+const maxFallback = 32
 
 // fallback examines upstreams in random order when no candidate has a slot.
 func (p *Estimate) fallback(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
