pick: spread the work of plain services by their load

Cause: the lanes for long prefills also applied to plain services, so that one of 4 servers got all calls until its 32 slots were full; their queue was never estimated. Holds for a cold prefix ignored blocks that the KV store has, and their number was not bounded. Change: lanes need a prefill rate; the wait on a service is its share of slots in use times the mean duration; holds count importable blocks as known and are bounded by the queue's total. Figures: 40 calls to 4 idle services: 32 on one and then none before, 10 to 20 on the nearest after.

--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -196,6 +196,9 @@
 	u := c.upstream
 	c.admitted = s.Admits(now, u, r)
 	queue := u.QueueWait(now, s.Instances) + s.unseen(now, u)
+	if u.PrefillPerSec <= 0 {
+		queue = u.loadWait(s.Limits.Slots)
+	}
 	if !c.admitted {
 		queue += u.slotWait()
 	}
@@ -221,6 +224,8 @@
 func lane(u *Upstream, prefill time.Duration) time.Duration {
 	long := prefill >= longPrefill
 	switch {
+	case u.PrefillPerSec <= 0:
+		return 0 // a plain service
 	case long && !u.longLane:
 		return longAside
 	case !long && u.longLane:
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -168,6 +168,29 @@
 	}
 }
 
+// TestServiceLoad guards against plain services whose nearest upstream gets all
+// work while the others are idle.
+func TestServiceLoad(t *testing.T) {
+	s, p := store(4, 32), NewEstimate(Params{Weights: WeightsFor(config.TailLatency), OneWayDelay: time.Millisecond})
+	chosen := map[string]int{}
+	for i, u := range s.list {
+		u.PrefillPerSec, u.Domain = 0, fmt.Sprint(i)
+		u.Finish(start.Add(20*time.Millisecond), u.Start(start, 0)) // requests take 20 ms
+	}
+	random := rng(1)
+	for range 40 {
+		c, v := p.Pick(start, &Request{Domain: "0"}, s, random)
+		if v != Chosen {
+			t.Fatalf("verdict %v after %v", v, chosen)
+		}
+		c.Upstream.Start(start, 0)
+		chosen[c.Upstream.ID]++
+	}
+	if near := chosen[s.list[0].ID]; len(chosen) != 4 || near < 10 || near > 20 {
+		t.Errorf("chosen %v", chosen)
+	}
+}
+
 // BenchmarkPick measures one choice with 8 nested prefix levels, of which the
 // first is held everywhere and each next by a third of the engines before.
 func BenchmarkPick(b *testing.B) {
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -227,6 +227,13 @@
 	return m.value * math.Exp(-float64(max(now.Sub(m.last), 0))/float64(rateTime))
 }
 
+// loadWait estimates the delay by the requests in progress on an upstream
+// without a prefill rate, such as a plain service: their share of its slots in
+// the mean time of a request.
+func (u *Upstream) loadWait(slots int) time.Duration {
+	return u.duration * time.Duration(u.Total()) / time.Duration(max(1, slots))
+}
+
 // slotWait estimates the time until one of the upstream's slots is free.
 func (u *Upstream) slotWait() time.Duration {
 	return u.duration / time.Duration(max(1, u.Total()))
--- a/pkg/upstream/coalesce.go
+++ b/pkg/upstream/coalesce.go
@@ -46,14 +46,14 @@
 // hold keeps w back while a request in flight computes blocks that w needs and
 // that no engine has, when that saves more than it delays.
 func (c *Core) hold(now time.Time, w *Wait) bool {
-	if !c.set.Coalesce || w.held || len(w.query.Blocks) == 0 || c.set.Pool.PrefillPerSec <= 0 {
+	if !c.set.Coalesce || w.held || len(c.held) >= c.set.Queue.Total || len(w.query.Blocks) == 0 || c.set.Pool.PrefillPerSec <= 0 {
 		return false
 	}
 	l, depth := c.deepestLeader(w.query.Blocks)
 	if l == nil {
 		return false
 	}
-	known := c.store.Index.Known(w.query.Blocks)
+	known := c.known(now, w.query.Blocks)
 	if known >= depth {
 		return false
 	}
@@ -72,6 +72,16 @@
 	return true
 }
 
+// known returns the number of leading blocks that an engine holds or that the
+// KV store has.
+func (c *Core) known(now time.Time, blocks []block.Hash) int {
+	n := c.store.Index.Known(blocks)
+	for n < len(blocks) && c.store.KV.Has(blocks[n], c.store.IndexTime(now)) {
+		n++
+	}
+	return n
+}
+
 func (c *Core) deepestLeader(blocks []block.Hash) (*leader, int) {
 	for i := len(blocks) - 1; i >= 0; i-- {
 		if l := c.leaders[blocks[i]]; l != nil {
