Probe the best candidates before a long prefill

Cause: reports every 100 ms improve the tail but exceed the network budget; most of it serves no decision. Change: before a prefill of 80 ms and more the load reports of the 8 best candidates are read, for 10 ms at most; engines' regular reports are polled every 250 ms again.

--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -48,10 +48,10 @@
 const (
 	listInterval = 500 * time.Millisecond
 	listTimeout  = 2 * time.Second
-	// Engines' reports decide the tail of the time to first token: polls every
-	// 100 ms lower it by 3 to 7%, but take the network budget of an instance
-	// for control (25 KB/s) alone (docs/measurements.md).
-	reportInterval  = 200 * time.Millisecond
+	// Shorter intervals lower the tail of short calls, but polls take most of
+	// the network budget of an instance for control, 25 KB/s
+	// (docs/measurements.md). Long prefills are preceded by probes.
+	reportInterval  = 250 * time.Millisecond
 	serviceInterval = 500 * time.Millisecond // plain services have no cache and short queues
 	eventInterval   = 200 * time.Millisecond
 	// pollSpacing bounds an instance's polls of one kind to about 160 a second;
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -138,7 +138,7 @@
 		Peers: peers,
 		Log:   i.log.Named("quota"),
 	})
-	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines}
+	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines, Load: i.engines}
 	if i.record != nil {
 		pools.Record = i.record.recorder
 	}
--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -56,6 +56,13 @@
 	in.sent = map[*upstream.Grant]func(){}
 	if policy == "fescuestep" {
 		core.OnMove(in.move)
+		core.OnProbe(func(ids []string) {
+			for _, id := range ids {
+				e := in.engine(id)
+				in.run.probes++
+				in.later(in.delay(e), func() { in.pollReport(e) })
+			}
+		})
 	}
 	core.OnList(v.clock.time(), v.listed)
 	in.every(listPoll, func() { core.OnList(v.clock.time(), v.listed) })
--- a/pkg/load/virtual.go
+++ b/pkg/load/virtual.go
@@ -12,7 +12,7 @@
 
 // Intervals at which instances poll engines and the list, before jitter.
 const (
-	reportPoll = 200 * time.Millisecond
+	reportPoll = 250 * time.Millisecond
 	eventPoll  = 200 * time.Millisecond
 	listPoll   = time.Second
 	listLag    = 2 * time.Second // of the platform's list
@@ -66,6 +66,7 @@
 	instances []*instance
 	recorder  *Recorder
 	quota     []bucket
+	probes    int                 // reports polled for a choice
 	moved     int                 // requests withdrawn from an engine and submitted again
 	listed    []platform.Instance // as the list shows them
 }
@@ -113,6 +114,7 @@
 		MaxQueue:    upstream.DefaultMaxQueue,
 		Coalesce:    product,
 		KVTransfer:  product,
+		Probe:       product,
 		Seed:        seed,
 	}
 }
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -1,7 +1,9 @@
 package pick
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/cacheindex"
@@ -96,6 +98,19 @@
 	return p.choice(r, &p.candidates[p.amongNear(r, admitted, rng)]), Chosen
 }
 
+// Contenders returns the up to n admitted candidates with the best scores of
+// the last Pick.
+func (p *Estimate) Contenders(n int) []*Upstream {
+	slices.SortStableFunc(p.candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	var out []*Upstream
+	for i := range p.candidates {
+		if c := &p.candidates[i]; c.admitted && len(out) < n {
+			out = append(out, c.upstream)
+		}
+	}
+	return out
+}
+
 // worthWaiting reports whether the best upstream has no slot now but is still
 // expected to answer clearly sooner than the best one that has.
 func (p *Estimate) worthWaiting(best, admitted int) bool {
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -22,6 +22,7 @@
 	Queue       fair.Limits
 	MaxQueue    time.Duration // estimated engine queue above which requests wait here
 	Coalesce    bool
+	Probe       bool   // reports are polled before long prefills
 	KVTransfer  bool   // engines import from and export to the pool's KV store
 	Seed        uint64 // of this instance's random source
 }
@@ -45,6 +46,8 @@
 	request pick.Request // scratch
 	export  func(Transfer)
 	move    func(*Grant) bool
+	probe   func(upstreamIDs []string)
+	probed  []*Wait                     // waiting for answers of probes
 	grants  map[*pick.Upstream][]*Grant // open ones
 	rec     *recording                  // nil unless inputs are recorded
 }
@@ -62,6 +65,8 @@
 	leader  *leader
 	until   time.Time // end of a hold
 	held    bool      // was held once; a request is held for one leader only
+	probed  bool      // probes were made or not needed
+	awaited []string  // upstreams whose probe is not answered
 }
 
 type waitState int
@@ -69,6 +74,7 @@
 const (
 	waiting waitState = iota
 	holding
+	probing
 	finished
 )
 
@@ -204,6 +210,9 @@
 			choice, verdict := c.policy.Pick(now, c.pickRequest(&w.query), c.store, c.rng)
 			switch verdict {
 			case pick.Chosen:
+				if c.wantsProbe(now, w, &choice) {
+					return 0, true
+				}
 				c.grant(now, w, choice)
 				return c.cost(&w.query, choice.Uncached), true
 			case pick.None:
@@ -265,6 +274,8 @@
 		c.queue.Remove(&w.item)
 	case holding:
 		c.unhold(w)
+	case probing:
+		c.probed = slices.DeleteFunc(c.probed, func(o *Wait) bool { return o == w })
 	case finished:
 		return false
 	}
@@ -335,17 +346,22 @@
 	if c.queue.Len() > 0 {
 		return now.Add(idleTick), true
 	}
-	if len(c.held) == 0 {
-		return time.Time{}, false
+	var first time.Time
+	for _, waits := range [][]*Wait{c.held, c.probed} {
+		for _, w := range waits {
+			if first.IsZero() || w.until.Before(first) {
+				first = w.until
+			}
+		}
 	}
-	first := slices.MinFunc(c.held, func(a, b *Wait) int { return a.until.Compare(b.until) })
-	return first.until, true
+	return first, !first.IsZero()
 }
 
 // Tick releases requests whose hold has ended and hands out slots.
 func (c *Core) Tick(now time.Time) {
 	c.rec.add(now, Entry{Kind: EntryTick})
 	c.endHolds(now)
+	c.endProbes(now, func(w *Wait) bool { return !now.Before(w.until) })
 	c.Dispatch(now)
 }
 
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -66,6 +66,7 @@
 	}
 	u.OnReport(report)
 	c.reconsider(now, u, report)
+	c.answered(now, id)
 	c.Dispatch(now)
 }
 
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -22,6 +22,8 @@
 	// KV moves blocks between engines and the KV stores of pools that name
 	// one; nil leaves imports and exports out.
 	KV KVClient
+	// Load reads load reports before long prefills; nil leaves probes out.
+	Load LoadClient
 	// Record receives every input of every pool; nil records nothing.
 	Record Recorder
 }
@@ -30,6 +32,7 @@
 type Pools struct {
 	opts    Options
 	exports *exporter // nil without a KV client
+	probes  *prober   // nil without a load client
 	pools   atomic.Pointer[map[string]*pool]
 	owners  atomic.Pointer[map[string]*pool] // by upstream ID
 
@@ -53,6 +56,9 @@
 	if opts.KV != nil {
 		p.exports = newExporter(opts.KV)
 	}
+	if opts.Load != nil {
+		p.probes = newProber(opts.Load)
+	}
 	p.pools.Store(&map[string]*pool{})
 	p.owners.Store(&map[string]*pool{})
 	return p
@@ -60,6 +66,9 @@
 
 // Close ends background work. Slots stay valid.
 func (p *Pools) Close() {
+	if p.probes != nil {
+		p.probes.close()
+	}
 	if p.exports != nil {
 		p.exports.close()
 	}
@@ -192,6 +201,7 @@
 		MaxQueue:    DefaultMaxQueue,
 		Coalesce:    product,
 		KVTransfer:  product && p.exports != nil,
+		Probe:       product && p.probes != nil,
 		Seed:        p.opts.Seed,
 	}
 	pl := old[c.Name]
@@ -208,6 +218,9 @@
 		if product {
 			core.OnMove((*Grant).signalMove)
 		}
+		if p.probes != nil {
+			core.OnProbe(func(ids []string) { p.probes.start(pl, ids) })
+		}
 		if p.exports != nil {
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
 		}
--- /dev/null
+++ b/pkg/upstream/prober.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/engine"
+)
+
+// LoadClient reads the load report of an upstream. *engine.Client implements
+// it.
+type LoadClient interface {
+	Load(ctx context.Context, addr string) (engine.LoadReport, error)
+}
+
+// Bounds of probes. A probe that is left out or late delays its request by
+// probeWait at most.
+const (
+	maxProbes    = 64
+	probeTimeout = 100 * time.Millisecond
+)
+
+// prober polls load reports on demand.
+type prober struct {
+	client LoadClient
+	slots  chan struct{}
+	ctx    context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+}
+
+func newProber(client LoadClient) *prober {
+	ctx, stop := context.WithCancel(context.Background())
+	return &prober{client: client, slots: make(chan struct{}, maxProbes), ctx: ctx, stop: stop}
+}
+
+// start probes the upstreams in the background. It is called under the pool's
+// lock.
+func (p *prober) start(pl *pool, ids []string) {
+	for _, id := range ids {
+		u := pl.core.store.Get(id)
+		if u == nil {
+			continue
+		}
+		select {
+		case p.slots <- struct{}{}:
+			addr := u.Addr
+			p.work.Go(func() { p.one(pl, id, addr) })
+		default:
+		}
+	}
+}
+
+// one makes one probe. A failure is left to the regular polls, whose timeout
+// is long enough to be evidence.
+func (p *prober) one(pl *pool, id, addr string) {
+	defer func() { <-p.slots }()
+	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
+	defer cancel()
+	report, err := p.client.Load(ctx, addr)
+	if err == nil {
+		pl.with(func(now time.Time, c *Core) { c.OnReport(now, id, &report) })
+	}
+}
+
+func (p *prober) close() {
+	p.stop()
+	p.work.Wait()
+}
