--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -1,7 +1,9 @@
 package pick
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/cacheindex"
@@ -28,6 +30,10 @@
 	shortAside  = 25 * time.Millisecond
 )
 
+// suspectPenalty keeps work from an upstream whose last poll failed unless the
+// others are clearly worse.
+const suspectPenalty = time.Second
+
 // Estimate is the product's policy: the least estimated time to first token.
 type Estimate struct {
 	params     Params
@@ -49,7 +55,7 @@
 	levels   int     // blocks held according to the index
 	blocks   float64 // expected cached blocks
 	imports  int     // leading blocks that the engine holds after an import
-	meeting  bool    // where other instances send the same cold block
+	hashed   bool    // the upstream that the cold block is hashed to
 	admitted bool
 	estimate time.Duration // time to first token
 	score    time.Duration // weighted estimate
@@ -92,6 +98,19 @@
 	return p.choice(r, &p.candidates[p.amongNear(r, admitted, rng)]), Chosen
 }
 
+// Contenders returns the up to n admitted candidates with the best scores of
+// the last Pick.
+func (p *Estimate) Contenders(n int) []*Upstream {
+	slices.SortStableFunc(p.candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	var out []*Upstream
+	for i := range p.candidates {
+		if c := &p.candidates[i]; c.admitted && len(out) < n {
+			out = append(out, c.upstream)
+		}
+	}
+	return out
+}
+
 // worthWaiting reports whether the best upstream has no slot now but is still
 // expected to answer clearly sooner than the best one that has.
 func (p *Estimate) worthWaiting(best, admitted int) bool {
@@ -101,7 +120,7 @@
 
 // maxFallback bounds the upstreams examined when no candidate has a slot, which
 // happens for every request while a large pool is saturated.
-const maxFallback = 64
+const maxFallback = 32
 
 // fallback examines upstreams in random order when no candidate has a slot.
 func (p *Estimate) fallback(now time.Time, r *Request, s *Store, rng *rand.Rand) (Choice, Verdict) {
@@ -144,7 +163,7 @@
 		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.longLane))
 		p.consider(now, r, s, s.longLane[at])
 		for i := range p.candidates {
-			p.candidates[i].meeting = p.candidates[i].upstream == s.longLane[at]
+			p.candidates[i].hashed = p.candidates[i].upstream == s.longLane[at]
 		}
 	}
 	for range samples {
@@ -192,6 +211,9 @@
 	u := c.upstream
 	c.admitted = s.Admits(now, u, r)
 	queue := u.QueueWait(now, s.Instances) + s.unseen(now, u)
+	if u.PrefillPerSec <= 0 {
+		queue = u.loadWait(s.Limits.Slots)
+	}
 	if !c.admitted {
 		queue += u.slotWait()
 	}
@@ -203,6 +225,9 @@
 	// An import runs while other requests are prefilled.
 	wait := max(queue, transfer)
 	c.estimate = wait + prefill + network
+	if u.FailedPolls > 0 {
+		network += suspectPenalty
+	}
 	w := &p.params.Weights
 	c.score = time.Duration(w.Queue*float64(wait)+w.Prefill*float64(prefill)) + network + lane(u, prefill)
 }
@@ -214,6 +239,8 @@
 func lane(u *Upstream, prefill time.Duration) time.Duration {
 	long := prefill >= longPrefill
 	switch {
+	case u.PrefillPerSec <= 0:
+		return 0 // a plain service
 	case long && !u.longLane:
 		return longAside
 	case !long && u.longLane:
@@ -275,7 +302,7 @@
 func (p *Estimate) preferred(r *Request, cold int, near []int) int {
 	best, top := near[0], uint64(0)
 	for _, i := range near {
-		if p.candidates[i].meeting {
+		if p.candidates[i].hashed {
 			return i
 		}
 		if v := rendezvous(r.Blocks[cold], p.candidates[i].upstream); v >= top {
