Accept revisions after all members have restarted

Cause: acknowledgements are tied to incarnations. After a restart of the whole fleet no member of the old membership could acknowledge anything, so that nothing was accepted and share holders granted nothing (100% of requests refused 6 s after the restart). Change: a member incarnation counts towards the majority when its successor answers at its address or when the platform has not listed it for 10 s; its window is still waited for. A stopping instance answers no Sync. Several revisions are followed at the same time.

--- a/pkg/controller/config_test.go
+++ b/pkg/controller/config_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,6 +180,8 @@
 		reads := c.table.reads
 		c.table.mu.Unlock()
 		t.Logf("24 instances restarted: fresh after %v with %d table reads", took, reads)
+		took2 := c.until("the joins are accepted", 10*time.Second, func() bool { return c.allKnow(24) })
+		t.Logf("joins accepted after %v", took+took2)
 		// 2 relays in each of 4 domains read every 250 ms; everything beyond that
 		// is state rows, joins and acceptance, a few dozen reads per relay.
 		if bound := 8*int(took/(250*time.Millisecond)+1) + 24*20; reads > bound {
@@ -186,3 +189,22 @@
 		}
 	})
 }
+
+// Guards against a fleet that is replaced all at once, with other IDs and
+// addresses, and never accepts a change because no member of the old fleet can
+// acknowledge it.
+func TestFleetIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		for i, x := range c.nodes {
+			x.crash()
+			c.list.put(platform.Instance{ID: x.self.ID}, false)
+			x.self.ID += "-new"
+			x.self.PeerAddr = fmt.Sprintf("127.0.0.1:%d", 7100+i)
+			x.start()
+		}
+		took := c.until("the new fleet is fresh", 10*time.Second, c.allFresh)
+		accepted := c.until("its membership is accepted", 60*time.Second, func() bool { return c.allKnow(3) })
+		t.Logf("fresh after %v, accepted after %v", took, took+accepted)
+	})
+}
--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -21,6 +21,7 @@
 	acceptors     = 3                      // members that advance the accepted revision
 	gatherPause   = 100 * time.Millisecond // between rounds of collecting acknowledgements
 	gatherTimeout = 300 * time.Millisecond
+	candidates    = 4                // revisions followed at the same time
 	acceptTimeout = 30 * time.Second // then the memberships are read again
 	changeRows    = 4096             // change rows kept in the table, about a day's
 	compactBatch  = 200              // rows deleted per transaction
@@ -69,30 +70,66 @@
 }
 
 // acceptNewest waits until the newest revision is accepted and records that.
+// Revisions that are committed meanwhile are followed at the same time: when all
+// instances restart, each join would otherwise add a window to the wait.
 func (c *Controller) acceptNewest(ctx context.Context) error {
 	h, _, err := c.store.head(ctx)
 	if err != nil {
 		return err
 	}
 	c.raiseAccepted(h.Accepted)
-	if h.Accepted >= h.Revision {
-		return nil
-	}
-	electorates, last, err := c.store.memberships(ctx, h, h.Revision)
-	if err != nil {
-		return err
-	}
-	a := fresh.NewAcceptance(c.o.Params, h.Revision, electorates)
-	for !a.Accepted(c.now()) {
-		c.gather(ctx, a)
-		if a.Accepted(c.now()) {
-			break
+	var followed []*candidate
+	looked := c.now()
+	for h.Accepted < h.Revision {
+		if n := len(followed); n == 0 || n < candidates && followed[n-1].Revision() < h.Revision {
+			next, err := c.candidate(ctx)
+			if err != nil {
+				return err
+			}
+			followed = append(followed, next)
+		}
+		for i := len(followed) - 1; i >= 0; i-- {
+			x := followed[i]
+			c.gather(ctx, x.Acceptance, x.electorates)
+			if x.Accepted(c.now()) {
+				followed = followed[i+1:]
+				if err := c.recordAccepted(ctx, x.Revision(), x.members); err != nil {
+					return err
+				}
+				break
+			}
+		}
+		if c.now()-looked >= acceptCheck {
+			looked = c.now()
+			c.markUnlisted(ctx, followed)
 		}
 		if err := pause(ctx, gatherPause); err != nil {
-			return errors.Wrapf(err, "revision %d waits for %v", h.Revision, a.Pending())
+			return errors.Wrap(err, "revision not accepted in time")
 		}
+		h.Accepted = c.Accepted()
+		h.Revision = max(h.Revision, c.Snapshot().Revision)
 	}
-	return c.recordAccepted(ctx, h.Revision, last)
+	return nil
+}
+
+// candidate is a revision that is to be accepted.
+type candidate struct {
+	*fresh.Acceptance
+	electorates []config.Membership
+	members     uint64 // revision of its membership
+}
+
+// candidate returns the newest revision with its electorates.
+func (c *Controller) candidate(ctx context.Context) (*candidate, error) {
+	h, _, err := c.store.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	electorates, last, err := c.store.memberships(ctx, h, h.Revision)
+	if err != nil {
+		return nil, err
+	}
+	return &candidate{fresh.NewAcceptance(c.o.Params, h.Revision, electorates), electorates, last}, nil
 }
 
 // recordAccepted raises the accepted revision in the head row.
@@ -144,7 +181,7 @@
 // gather collects acknowledgements, first those that the relays hold, then from
 // the members that are missing. A member that is behind learns by the request
 // that there is news.
-func (c *Controller) gather(ctx context.Context, a *fresh.Acceptance) {
+func (c *Controller) gather(ctx context.Context, a *fresh.Acceptance, electorates []config.Membership) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	own, _ := c.Acknowledgements(ctx, nil) // holds the own one although this may be no relay
@@ -152,20 +189,68 @@
 		a.Acknowledge(c.now(), x.Id, x.Incarnation, x.Revision, x.Clear)
 	}
 	c.fromRelays(ctx, a)
-	members := c.Snapshot().Members.Members
-	var missing []config.Member
-	for _, id := range a.Unsettled() {
-		i := slices.IndexFunc(members, func(m config.Member) bool { return m.ID == id })
-		if i >= 0 && id != c.o.Self.ID {
-			missing = append(missing, members[i])
-		}
-	}
+	missing := c.unsettled(a, electorates)
 	votes := c.askAll(ctx, missing)
 	for range missing {
 		v := <-votes
 		if v.statement.Member {
 			a.Acknowledge(c.now(), v.id, v.incarnation, v.statement.Revision, v.statement.Clear)
 		}
+		c.markReplaced(a, electorates, v)
+	}
+	c.markReplaced(a, electorates, vote{addr: c.o.Self.PeerAddr, id: c.o.Self.ID, incarnation: c.o.Self.Incarnation})
+}
+
+// unsettled returns the members to ask, one per ID with its newest address.
+func (c *Controller) unsettled(a *fresh.Acceptance, electorates []config.Membership) []config.Member {
+	ids := a.Unsettled()
+	newest := map[string]config.Member{}
+	for _, m := range append(slices.Clone(electorates), c.Snapshot().Members) {
+		for _, x := range m.Members {
+			newest[x.ID] = x
+		}
+	}
+	var out []config.Member
+	for _, id := range ids {
+		if id != c.o.Self.ID {
+			out = append(out, newest[id])
+		}
+	}
+	return out
+}
+
+// markReplaced marks the predecessors of an incarnation that answered at their
+// address. Only one process can listen there, and a stopping one answers
+// nothing, so the answer is never from an older incarnation.
+func (c *Controller) markReplaced(a *fresh.Acceptance, electorates []config.Membership, v vote) {
+	for _, m := range electorates {
+		for _, x := range m.Members {
+			if v.id == x.ID && v.addr == x.PeerAddr && v.incarnation != x.Incarnation {
+				a.Gone(c.now(), x.ID, x.Incarnation)
+			}
+		}
+	}
+}
+
+// markUnlisted marks members that the platform has not listed for the grace
+// period: it ended them. A leaving instance is still listed and may be fresh.
+func (c *Controller) markUnlisted(ctx context.Context, followed []*candidate) {
+	listed := map[string]bool{}
+	for _, x := range c.routers(ctx) {
+		listed[x.ID] = true
+	}
+	if len(listed) == 0 {
+		return
+	}
+	for _, a := range followed {
+		for _, m := range a.electorates {
+			for _, x := range m.Members {
+				key := member.Leave{ID: x.ID, Incarnation: x.Incarnation}
+				if c.unlisted.Absent(c.now(), key, listed[x.ID]) {
+					a.Gone(c.now(), x.ID, x.Incarnation)
+				}
+			}
+		}
 	}
 }
 
@@ -219,6 +304,6 @@
 		return false, nil, err
 	}
 	a := fresh.NewAcceptance(c.o.Params, revision, electorates)
-	c.gather(ctx, a)
+	c.gather(ctx, a, electorates)
 	return false, a.Pending(), nil
 }
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -39,6 +39,11 @@
 	Params fresh.Params // zero means fresh.DefaultParams
 }
 
+// GoneGrace is how long the platform must have stopped listing an instance
+// before it counts as gone. It covers the lag of the list, which may show a new
+// instance late.
+const GoneGrace = 10 * time.Second
+
 // changesKept is the number of changes kept in memory for other instances; one
 // that is further behind gets a whole snapshot.
 const changesKept = 512
@@ -63,6 +68,9 @@
 	acks        map[string]ack  // by member ID
 	subscribers []func(s *config.Snapshot, contiguous bool)
 
+	unlisted *member.Watch // used by the acceptor's goroutine only
+	stopped  atomic.Bool
+
 	randMu sync.Mutex
 	kick   chan struct{} // asks the follower to look for news at once
 	accept chan struct{} // asks the acceptor to look at the head
@@ -77,21 +85,25 @@
 		o.Log = hclog.NewNullLogger()
 	}
 	c := &Controller{
-		o:       o,
-		start:   time.Now(),
-		tracker: fresh.NewTracker(o.Params),
-		changed: make(chan struct{}),
-		acks:    map[string]ack{},
-		kick:    make(chan struct{}, 1),
-		accept:  make(chan struct{}, 1),
+		o:        o,
+		start:    time.Now(),
+		tracker:  fresh.NewTracker(o.Params),
+		changed:  make(chan struct{}),
+		acks:     map[string]ack{},
+		unlisted: member.NewWatch(GoneGrace, 3*acceptCheck),
+		kick:     make(chan struct{}, 1),
+		accept:   make(chan struct{}, 1),
 	}
 	c.store = store{countingTable{o.Table, &c.reads}}
 	c.snapshot.Store(config.NewSnapshot())
 	return c
 }
 
-// Run loads the configuration and keeps it current until ctx ends.
+// Run loads the configuration and keeps it current until ctx ends. Afterwards
+// Sync answers nothing, so that a successor at the same address can tell that
+// this incarnation makes no statements any more.
 func (c *Controller) Run(ctx context.Context) error {
+	defer c.stopped.Store(true)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.follow(ctx) })
 	group.Go(func() error { return c.acceptLoop(ctx) })
--- a/pkg/controller/configsync/serve.go
+++ b/pkg/controller/configsync/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/fescuestep/fescuestep/pkg/member"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -15,9 +17,14 @@
 	clear       bool
 }
 
+var errStopped = twirp.NewError(twirp.Unavailable, "the instance is stopping")
+
 // Sync answers another instance: the revision held here, how fresh it is, and
 // the changes that the other lacks.
 func (c *Controller) Sync(_ context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	if c.stopped.Load() {
+		return nil, errStopped
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.held()
--- a/pkg/controller/configsync/startup.go
+++ b/pkg/controller/configsync/startup.go
@@ -43,9 +43,21 @@
 	return startupPause + f.jitter(startupPause)
 }
 
-// listed returns the router instances of the platform's list in the form of
+// listed returns the live router instances of the platform's list in the form of
 // members without incarnation.
 func (c *Controller) listed(ctx context.Context) []config.Member {
+	var out []config.Member
+	for _, x := range c.routers(ctx) {
+		if x.State == platform.Live {
+			out = append(out, config.Member{ID: x.ID, PeerAddr: x.Addr, Domain: x.Domain})
+		}
+	}
+	return out
+}
+
+// routers returns all router instances of the platform's list, also those that
+// are leaving.
+func (c *Controller) routers(ctx context.Context) []platform.Instance {
 	if c.o.List == nil {
 		return nil
 	}
@@ -55,10 +67,10 @@
 	if err != nil {
 		c.o.Log.Debug("instance list unavailable", "error", err)
 	}
-	var out []config.Member
+	var out []platform.Instance
 	for _, x := range instances {
-		if x.Pool == platform.RouterPool && x.State == platform.Live {
-			out = append(out, config.Member{ID: x.ID, PeerAddr: x.Addr, Domain: x.Domain})
+		if x.Pool == platform.RouterPool {
+			out = append(out, x)
 		}
 	}
 	return out
--- a/pkg/controller/members/members.go
+++ b/pkg/controller/members/members.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
@@ -44,12 +45,10 @@
 const (
 	checkInterval = 250 * time.Millisecond // looks whether the instance has to join
 	joinRetry     = time.Second            // after a join that did not succeed
-	listInterval  = time.Second
-	// goneGrace covers the lag of the platform's list, which may show a new
-	// instance late.
-	goneGrace   = 10 * time.Second
-	batchDelay  = 50 * time.Millisecond // collects joins and leaves for one change
-	callTimeout = 3 * time.Second
+	listInterval  = time.Second            // of the first rank
+	maxListPause  = 10 * time.Second
+	batchDelay    = 50 * time.Millisecond // collects joins and leaves for one change
+	callTimeout   = 3 * time.Second
 )
 
 // Controller keeps the membership record. It implements the Joiner of the peer
@@ -78,7 +77,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	return &Controller{o: o, start: time.Now(), watch: member.NewWatch(goneGrace)}
+	return &Controller{o: o, start: time.Now(), watch: member.NewWatch(configsync.GoneGrace, 2*maxListPause)}
 }
 
 // Run joins, stays a member and removes dead members until ctx ends.
@@ -268,7 +267,7 @@
 	members := c.o.Sync.Snapshot().Members.Members
 	for i, x := range member.Rank(members, "proposer", len(members)) {
 		if x.ID == c.o.Self.ID {
-			return listInterval * time.Duration(1+i)
+			return min(listInterval*time.Duration(1+i), maxListPause)
 		}
 	}
 	return listInterval
--- a/pkg/controller/quota_test.go
+++ b/pkg/controller/quota_test.go
@@ -75,8 +75,24 @@
 	return worst
 }
 
+// taker is a limiter or a baseline.
+type taker interface {
+	Take(ctx context.Context, customer *config.Customer, tokens int) (quotasync.Charge, error)
+}
+
+// serving returns a function that picks one of the instances, nil while it is
+// down.
+func serving(nodes []*node) func(*rand.Rand) taker {
+	return func(rng *rand.Rand) taker {
+		if l := nodes[rng.IntN(len(nodes))].serving.Load(); l != nil {
+			return l
+		}
+		return nil
+	}
+}
+
 // request charges tokens at one instance and settles after a while.
-func (l *ledger) request(limiter *quotasync.Limiter, guild *config.Customer, tokens, used int, hold time.Duration) {
+func (l *ledger) request(limiter taker, guild *config.Customer, tokens, used int, hold time.Duration) {
 	charge, err := limiter.Take(context.Background(), guild, tokens)
 	l.mu.Lock()
 	l.asked++
@@ -101,7 +117,7 @@
 
 // load sends requests at a multiple of the customer's rate, counted in used
 // tokens, to a few of the instances.
-func (c *cluster) load(l *ledger, guild *config.Customer, factor float64, d time.Duration, entries []*node) {
+func load(l *ledger, guild *config.Customer, factor float64, d time.Duration, pick func(*rand.Rand) taker) {
 	rng := rand.New(rand.NewPCG(7, 7))
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
@@ -109,8 +125,7 @@
 		used := 500 + rng.IntN(3000)
 		tokens := used + rng.IntN(500)
 		hold := time.Duration(rng.IntN(1500)) * time.Millisecond
-		limiter := entries[rng.IntN(len(entries))].serving.Load()
-		if limiter != nil {
+		if limiter := pick(rng); limiter != nil {
 			wg.Go(func() { l.request(limiter, guild, tokens, used, hold) })
 		}
 		gap := rng.ExpFloat64() * 2000 / (guildRate * factor)
@@ -129,7 +144,7 @@
 		guild := c.putDeployment()
 		time.Sleep(3 * time.Second)
 		l := newLedger()
-		c.load(l, guild, 0.9, 10*time.Second, c.nodes[:2])
+		load(l, guild, 0.9, 10*time.Second, serving(c.nodes[:2]))
 		t.Logf("asked %d, refused %d %v, overshoot %.0f", l.asked, l.refused, l.byCode, l.overshoot())
 		if l.overshoot() > 0 {
 			t.Errorf("overshoot of %.0f tokens", l.overshoot())
@@ -148,7 +163,7 @@
 		guild := c.putDeployment()
 		time.Sleep(3 * time.Second)
 		l := newLedger()
-		c.load(l, guild, 5, 3*time.Second, c.nodes)
+		load(l, guild, 5, 3*time.Second, serving(c.nodes))
 		got := 0
 		for _, e := range l.entries {
 			got += e.tokens
@@ -176,7 +191,7 @@
 		c.net.lose, c.net.twice = 0.002, 0.01
 		c.net.mu.Unlock()
 		l := newLedger()
-		c.load(l, guild, 0.75, 10*time.Second, c.nodes[:3])
+		load(l, guild, 0.75, 10*time.Second, serving(c.nodes[:3]))
 		t.Logf("crash and table outage: asked %d, refused %d %v, overshoot %.0f", l.asked, l.refused, l.byCode, l.overshoot())
 		if share := float64(l.refused) / float64(l.asked); share >= 0.01 {
 			t.Errorf("%.1f%% of requests within the rate refused: %v", 100*share, l.byCode)
@@ -189,7 +204,7 @@
 			time.Sleep(4 * time.Second)
 			c.net.setCut(c.nodes[6].self.PeerAddr, false)
 		}()
-		c.load(l, guild, 2, 8*time.Second, c.nodes)
+		load(l, guild, 2, 8*time.Second, serving(c.nodes))
 		t.Logf("restart and cut: asked %d, refused %d %v, overshoot %.0f", l.asked, l.refused, l.byCode, l.overshoot())
 		if l.overshoot() > 0 {
 			t.Errorf("overshoot of %.0f tokens", l.overshoot())
--- a/pkg/fresh/acceptance.go
+++ b/pkg/fresh/acceptance.go
@@ -15,6 +15,7 @@
 
 	electorates []map[identity]bool // memberships since the last accepted revision
 	acked       map[identity]bool   // value: clear
+	gone        map[identity]bool   // make no statements any more
 	majorityAt  time.Duration
 	majority    bool
 }
@@ -22,7 +23,7 @@
 // NewAcceptance follows a revision. memberships are those in force at any
 // revision from the last accepted one to this one, both included.
 func NewAcceptance(p Params, revision uint64, memberships []config.Membership) *Acceptance {
-	a := &Acceptance{p: p, revision: revision, acked: map[identity]bool{}}
+	a := &Acceptance{p: p, revision: revision, acked: map[identity]bool{}, gone: map[identity]bool{}}
 	for _, m := range memberships {
 		e := make(map[identity]bool, len(m.Members))
 		for _, x := range m.Members {
@@ -46,6 +47,16 @@
 	a.observe(now)
 }
 
+// Gone records that a member incarnation makes no statements any more: another
+// incarnation answers at its address, or the platform has removed it. It counts
+// towards the majority, because it can no longer help an older revision to one,
+// but its window is waited for. Without this rule nothing could be accepted
+// after all members have restarted.
+func (a *Acceptance) Gone(now time.Duration, id, incarnation string) {
+	a.gone[identity{id, incarnation}] = true
+	a.observe(now)
+}
+
 // observe notes when every electorate has a majority of acknowledgements.
 func (a *Acceptance) observe(now time.Duration) {
 	if a.majority {
@@ -62,7 +73,7 @@
 func (a *Acceptance) majorityOf(electorate map[identity]bool) bool {
 	n := 0
 	for key := range electorate {
-		if _, ok := a.acked[key]; ok {
+		if _, ok := a.acked[key]; ok || a.gone[key] {
 			n++
 		}
 	}
--- a/pkg/member/change.go
+++ b/pkg/member/change.go
@@ -47,15 +47,35 @@
 
 // Watch finds members that the platform's list no longer shows. The list lags,
 // so a member counts as gone only after it has been absent for the whole grace
-// period, counted from when this Watch first saw it as a member.
+// period, counted from when this Watch first missed it, in looks that are at
+// most gap apart. It is not safe for concurrent use.
 type Watch struct {
-	grace   time.Duration
-	missing map[Leave]time.Duration // absent since
+	grace, gap time.Duration
+	missing    map[Leave]absence
 }
 
-// NewWatch returns a Watch with the grace period.
-func NewWatch(grace time.Duration) *Watch {
-	return &Watch{grace: grace, missing: map[Leave]time.Duration{}}
+type absence struct{ since, last time.Duration }
+
+// NewWatch returns a Watch with the grace period and the longest gap between
+// two looks.
+func NewWatch(grace, gap time.Duration) *Watch {
+	return &Watch{grace: grace, gap: gap, missing: map[Leave]absence{}}
+}
+
+// Absent records whether a member is listed at time now and reports whether it
+// has been absent for the grace period.
+func (w *Watch) Absent(now time.Duration, key Leave, listed bool) bool {
+	if listed {
+		delete(w.missing, key)
+		return false
+	}
+	a, seen := w.missing[key]
+	if !seen || now-a.last > w.gap {
+		a.since = now // it may have been listed in between
+	}
+	a.last = now
+	w.missing[key] = a
+	return now-a.since >= w.grace
 }
 
 // Gone returns the members to propose for removal at time now. An empty list
@@ -70,22 +90,22 @@
 	for _, x := range listed {
 		present[x.ID] = true
 	}
-	old := w.missing
-	w.missing = map[Leave]time.Duration{}
 	var gone []Leave
 	for _, x := range m.Members {
-		if present[x.ID] {
-			continue
-		}
 		key := Leave{ID: x.ID, Incarnation: x.Incarnation}
-		since, seen := old[key]
-		if !seen {
-			since = now
-		}
-		w.missing[key] = since
-		if now-since >= w.grace {
+		if w.Absent(now, key, present[x.ID]) {
 			gone = append(gone, key)
 		}
 	}
+	w.forget(m)
 	return gone
 }
+
+// forget drops what is known of instances that are no longer members.
+func (w *Watch) forget(m config.Membership) {
+	for key := range w.missing {
+		if _, ok := Find(m, key.ID, key.Incarnation); !ok {
+			delete(w.missing, key)
+		}
+	}
+}
--- a/spec/freshness.pml
+++ b/spec/freshness.pml
@@ -11,7 +11,7 @@
  * incarnation and without memory.
  *
  * Broken variants: NO_WAIT, NO_MARGIN, NO_VOUCH, NONMEMBER_TABLE,
- * NEWEST_ELECTORATE, ANY_INCARNATION, STATELESS_VOTE.
+ * NEWEST_ELECTORATE, ANY_INCARNATION, STATELESS_VOTE, UNREACHABLE_COUNTS.
  */
 #define N 3
 #ifndef W
@@ -76,7 +76,14 @@
 #define MEMBER(i) (state[i] && IS(mem[rev[i]], i))
 
 #define SIZE(m) ((SLOT(m, 0) != 0) + (SLOT(m, 1) != 0) + (SLOT(m, 2) != 0))
-#define HAS(m, i, r) (SLOT(m, i) != 0 && ACK(i, SLOT(m, i)) >= r)
+/* A member whose successor answers at its address makes no statements any more
+ * and counts towards the majority; its window is waited for. */
+#ifdef UNREACHABLE_COUNTS
+#define GONE(m, i) true
+#else
+#define GONE(m, i) (SLOT(m, i) != inc[i] + 1)
+#endif
+#define HAS(m, i, r) (SLOT(m, i) != 0 && (GONE(m, i) || ACK(i, SLOT(m, i)) >= r))
 #define MAJ(m, r) (2 * (HAS(m, 0, r) + HAS(m, 1, r) + HAS(m, 2, r)) > SIZE(m))
 #ifdef NO_VOUCH
 #define SETTLED(m, i, r) (SLOT(m, i) == 0 || ACK(i, SLOT(m, i)) >= r)
