--- a/pkg/filter/endpoint/endpoint.go
+++ b/pkg/filter/endpoint/endpoint.go
@@ -7,6 +7,9 @@
 // is idempotent. Model requests are idempotent. Between attempts it waits with
 // jittered exponential backoff.
 //
+// The caller's key is checked again when a slot is held: the request may have
+// waited for longer than a revocation may take.
+//
 // Outcome.Sent stays set once any attempt may have reached an upstream, and the
 // final error then never says "not run".
 package endpoint
@@ -14,6 +17,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +26,7 @@
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/filter/auth"
 	"github.com/fescuestep/fescuestep/pkg/retry"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
@@ -90,7 +95,7 @@
 		sent := false
 		var last error
 		for number := range MaxAttempts {
-			err := f.attempt(ctx, r, q, number, next)
+			err := f.moving(ctx, r, &q, number, next, &sent)
 			sent = sent || r.Outcome.Sent
 			if err == nil {
 				r.Outcome.Sent = sent
@@ -100,7 +105,7 @@
 			if !noSlot || last == nil || ctx.Err() != nil {
 				last = err // otherwise the failed attempt says more
 			}
-			if noSlot || !f.waitToRepeat(ctx, r, number) {
+			if noSlot || callersFault(err) || !f.waitToRepeat(ctx, r, number) {
 				break
 			}
 			q.Exclude = append(q.Exclude, r.Target.ID)
@@ -113,6 +118,31 @@
 // errNoSlot marks errors of Acquire.
 var errNoSlot = errors.New("no slot")
 
+// errMoved is the cause with which an attempt ends that waits behind other work
+// while another upstream is free. Nothing of its answer was relayed.
+var errMoved = errors.New("moved to another upstream")
+
+// moving makes an attempt and makes it again elsewhere when it is moved. A move
+// is no failure: it has no backoff and takes nothing from the retry budgets.
+func (f *Filter) moving(ctx context.Context, r *chain.Request, q *upstream.Query, number int, next chain.Handler, sent *bool) error {
+	for {
+		err := f.attempt(ctx, r, *q, number, next)
+		if !errors.Is(err, errMoved) {
+			return err
+		}
+		*sent = true
+		again := *q
+		again.Moves++
+		again.Exclude = append(slices.Clone(q.Exclude), r.Target.ID)
+		q.Moves = again.Moves
+		err = f.attempt(ctx, r, again, number, next)
+		if !errors.Is(err, errNoSlot) && !errors.Is(err, errMoved) {
+			return err
+		}
+		// The other upstream is taken meanwhile: the first one counts again.
+	}
+}
+
 func (f *Filter) attempt(ctx context.Context, r *chain.Request, q upstream.Query, number int, next chain.Handler) error {
 	r.Outcome.Sent = false
 	slot, err := f.pools.Acquire(ctx, q)
@@ -121,16 +151,32 @@
 	}
 	result := upstream.Failed
 	defer func() { slot.Done(result) }()
+	if e := auth.Confirm(ctx); e != nil {
+		result = upstream.Cancelled
+		return errors.Mark(e.WithRun(code.NotRun), errNoSlot)
+	}
 	r.Target = slot.Target()
 	r.OnFirstToken = slot.FirstToken
 	if number == 0 {
 		f.countRequest(r)
 	}
-	err = next(ctx, r)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if m, ok := slot.(movable); ok && Idempotent(r.Application, r.Route) {
+		m.OnMove(func() { cancel(errMoved) })
+	}
+	err = next(attemptCtx, r)
+	if err != nil && ctx.Err() == nil && !r.Outcome.Started && errors.Is(context.Cause(attemptCtx), errMoved) {
+		result = upstream.Cancelled
+		return errMoved
+	}
 	result = resultOf(ctx, r, err)
 	return err
 }
 
+// movable is a slot that may ask to be given up before the first token.
+type movable interface{ OnMove(f func()) }
+
 // refused maps an error of Acquire; a cancelled context has its own reasons.
 func refused(ctx context.Context, err error) error {
 	cause := context.Cause(ctx)
@@ -150,17 +196,26 @@
 	return code.New(code.NoUpstream, "no upstream takes work").WithCause(err)
 }
 
+// callersFault reports whether an upstream found the request itself at fault:
+// another would too.
+func callersFault(err error) bool {
+	var e *code.Error
+	return errors.As(err, &e) && e.Code == code.BadRequest
+}
+
+// resultOf tells a refused connection, which ejects the upstream at once, from
+// an upstream that answered that it takes no work now.
 func resultOf(ctx context.Context, r *chain.Request, err error) upstream.Result {
+	var e *code.Error
 	switch {
-	case err == nil:
+	case err == nil, callersFault(err):
 		return upstream.OK
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return upstream.Cancelled
-	case !r.Outcome.Sent:
-		return upstream.Unreachable
-	default:
+	case r.Outcome.Sent && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)):
 		return upstream.Failed
+	case ctx.Err() == nil && errors.As(err, &e) && e.Code == code.UpstreamUnreachable:
+		return upstream.Unreachable
 	}
+	return upstream.Cancelled
 }
 
 func (f *Filter) query(r *chain.Request) upstream.Query {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
 	"github.com/fescuestep/fescuestep/pkg/controller/orders"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
@@ -46,6 +47,7 @@
 	self      config.Member
 	listeners listeners
 	tls       tlsConfigs
+	record    *recording // nil unless inputs are recorded
 
 	table   *platform.TableClient
 	objects *platform.ObjectClient
@@ -58,7 +60,9 @@
 	members *members.Controller
 	limiter *quotasync.Limiter
 	pools   *upstream.Pools
+	feed    *collect.Feed // to pools
 	orders  *orders.Service
+	rollout *rollout.Controller
 	router  *router.Router
 }
 
@@ -70,9 +74,12 @@
 	if i.tls, err = loadTLS(s, o.Log); err != nil {
 		return nil, err
 	}
-	if i.listeners, err = bind(s, i.tls); err != nil {
+	if i.record, err = openRecording(s.RecordFile); err != nil {
 		return nil, err
 	}
+	if i.listeners, err = bind(s, i.tls); err != nil {
+		return nil, errors.CombineErrors(err, i.record.close())
+	}
 	i.self = config.Member{
 		ID:          s.InstanceID,
 		Incarnation: requestid.New(),
@@ -131,8 +138,23 @@
 		Peers: peers,
 		Log:   i.log.Named("quota"),
 	})
-	i.pools = upstream.NewPools(upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines})
+	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines}
+	if i.record != nil {
+		pools.Record = i.record.recorder
+	}
+	i.pools = upstream.NewPools(pools)
+	i.feed = collect.NewFeed(i.pools, i.metrics)
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
+	i.rollout = rollout.New(rollout.Options{
+		Self:  i.self.ID,
+		Name:  i.self.ID + "/" + i.self.Incarnation,
+		Table: table,
+		List:  list,
+		State: i.sync,
+		Calls: collect.Commands(i.engines, i.metrics),
+		Rand:  rand.New(rand.NewPCG(seed, 2)),
+		Log:   i.log.Named("rollout"),
+	})
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
 		i.metrics.OnSnapshot(snapshot)
@@ -155,12 +177,13 @@
 			i.limiter,
 			upstreams.New(upstreams.Options{
 				List:     collect.List(i.list, i.metrics),
-				Pools:    i.pools,
+				Pools:    i.feed,
 				Client:   i.engines,
 				Snapshot: i.sync.Snapshot,
 				Seed:     seed,
 				Log:      i.log.Named("upstreams"),
 			}),
+			i.rollout,
 			background(i.servePeers),
 			background(i.serveAdmin),
 			background(i.serveMetrics),
@@ -215,6 +238,9 @@
 	if err := i.metrics.Close(); err != nil {
 		i.log.Debug("metrics not closed", "error", err)
 	}
+	if err := i.record.close(); err != nil {
+		i.log.Error("recording is incomplete", "error", err)
+	}
 }
 
 // Fresh reports whether keyed requests are served.
--- a/pkg/load/bucket.go
+++ b/pkg/load/bucket.go
@@ -45,3 +45,29 @@
 	b.level -= tokens
 	return true
 }
+
+// markWithin notes for every arrival whether its customer is within rate and
+// burst, by one ideal bucket per customer. A refusal of such an arrival counts
+// as refused within the rate, whatever reason it gives.
+func markWithin(p *Profile, arrivals []Arrival, duration time.Duration) {
+	quota := buckets(p, arrivals, duration)
+	for i := range arrivals {
+		a := &arrivals[i]
+		a.Within = quota[a.Customer].take(a.At, a.charge())
+	}
+}
+
+// Quota is the contract of one customer.
+type Quota struct {
+	Rate  float64 // tokens per second
+	Burst float64 // tokens
+}
+
+// Quotas returns the contracts of the profile's customers.
+func Quotas(p *Profile, arrivals []Arrival, duration time.Duration) []Quota {
+	var out []Quota
+	for _, b := range buckets(p, arrivals, duration) {
+		out = append(out, Quota{Rate: b.rate, Burst: b.burst})
+	}
+	return out
+}
--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -114,6 +114,9 @@
 	{"path: /opening-hours", "path: /orders", `applications[2].calls[2].path: call "GET /orders" is given twice`, "path: /orders\n        open"},
 	{"    weights: plume-7\n", "", "pools[0].weights: an answer is required for kind: model", "name: plume\n"},
 	{"kv_pool: memoire", "kv_pool: atelier", `pool "atelier" is of kind service, not kv`, "kv_pool: atelier"},
+	{"weight: 4", "weight: 0", "customers[0].weight: must be greater than 0 (leave it out for the default)", "weight: 0"},
+	{"max_in_flight: 32", "max_in_flight: 0", "pools[1].max_in_flight: must be greater than 0", "max_in_flight: 0"},
+	{"one_way_delay: 500us", "one_way_delay: 0s", "one_way_delay: must be greater than 0", "one_way_delay: 0s"},
 	{"kind: kv", "kind: kv\n    weights: x", "pools[2].weights: only pools of kind model have this (remove it)", "weights: x"},
 	{"order_spaces:", "shared_caches:\n- {name: a, customers: [shops, web-shop]}\n- {name: b, customers: [shops, web-shopp]}\norder_spaces:", `customer "shops" already stands in shared cache "a"`, "shops, web-shopp"},
 	{"body_field: order_number", "body_field: order.number", `"order.number" is not allowed here`, "body_field"},
@@ -195,6 +198,23 @@
 	}
 }
 
+// TestBounds guards against input that keeps the parser busy for minutes.
+func TestBounds(t *testing.T) {
+	for want, text := range map[string]string{
+		"larger than":            strings.Repeat("#", MaxBytes+1),
+		"lines and entries":      strings.Repeat("a: b\n", maxEntries+1),
+		"nests more than":        strings.Repeat("{a: ", maxDepth+1),
+		"not UTF-8":              "deployment: \xff",
+		"zero byte":              "deployment: \x00",
+		"questionnaire is empty": "# only a comment\n",
+	} {
+		got := Check([]byte(text))
+		if len(got) != 1 || !strings.Contains(got[0].Message, want) {
+			t.Errorf("want %q, got %v", want, got)
+		}
+	}
+}
+
 // FuzzBuild guards against input that makes the parser panic or hang, and
 // against an accepted questionnaire whose JSON is not reproducible.
 func FuzzBuild(f *testing.F) {
