--- a/pkg/controller/config_test.go
+++ b/pkg/controller/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -208,3 +209,45 @@
 		t.Logf("fresh after %v, accepted after %v", took, took+accepted)
 	})
 }
+
+// Guards against an instance that cannot catch up because the change rows it
+// lacks were compacted.
+func TestCompactedChangesAreReplacedByState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		c.net.setCut(c.nodes[2].self.PeerAddr, true)
+		for _, secret := range []string{"a", "b", "c"} {
+			c.nodes[0].putKey(secret, false)
+		}
+		c.nodes[0].putKey("b", true)
+		c.table.set(func(t *fakeTable) {
+			for key := range t.rows {
+				if strings.HasPrefix(key, "change/") {
+					delete(t.rows, key)
+				}
+			}
+		})
+		c.nodes[0].crash()
+		c.nodes[1].crash()
+		c.net.setCut(c.nodes[2].self.PeerAddr, false)
+		c.until("the state rows are loaded", 10*time.Second, func() bool { return c.nodes[2].honours("c") })
+		if !c.nodes[2].honours("a") || c.nodes[2].honours("b") {
+			t.Fatal("the state rows were not applied completely")
+		}
+	})
+}
+
+// Guards against an instance that follows a table slower than its timeouts into
+// refusing keyed requests.
+func TestSlowTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 5)
+		c.table.set(func(t *fakeTable) { t.slow = 3 * time.Second })
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			if !c.allFresh() {
+				t.Fatal("an instance is not fresh while the table is slow")
+			}
+		}
+	})
+}
