--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -20,6 +20,9 @@
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
+// changeRows is small, so that compaction takes place in tests.
+const changeRows = 12
+
 type cluster struct {
 	t     *testing.T
 	table *fakeTable
@@ -117,7 +120,7 @@
 		seed = seed*31 + uint64(b)
 	}
 	table := &cutTable{n.c.table, n.c.net, n.self.PeerAddr}
-	n.sync = configsync.New(configsync.Options{Self: n.self, Table: table, Peers: peers, List: n.c.list, Rand: rand.New(rand.NewPCG(seed, 1))})
+	n.sync = configsync.New(configsync.Options{Self: n.self, Table: table, Peers: peers, List: n.c.list, Rand: rand.New(rand.NewPCG(seed, 1)), ChangeRows: changeRows})
 	n.members = members.New(members.Options{Self: n.self, Sync: n.sync, Peers: peers, List: n.c.list})
 	n.limiter = quotasync.New(quotasync.Options{Self: n.self, State: n.sync, Peers: peers})
 	n.c.net.mu.Lock()
--- a/pkg/controller/config_test.go
+++ b/pkg/controller/config_test.go
@@ -251,3 +251,53 @@
 		}
 	})
 }
+
+// Guards against change rows that pile up, and against compaction that removes
+// the membership change from which electorates are found.
+func TestCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		for i := range 40 {
+			c.nodes[i%3].putKey(fmt.Sprint("key", i), false)
+			if i%8 == 7 {
+				c.until("accepted", 5*time.Second, func() bool { return c.allKnow(3) })
+			}
+		}
+		c.table.mu.Lock()
+		rows := 0
+		for key := range c.table.rows {
+			if strings.HasPrefix(key, "change/") {
+				rows++
+			}
+		}
+		c.table.mu.Unlock()
+		if rows > changeRows+10 {
+			t.Errorf("%d change rows, want about %d", rows, changeRows)
+		}
+		revision := c.nodes[0].putKey("last", false)
+		c.until("a change after compaction is accepted", 5*time.Second, func() bool { return c.nodes[0].accepted(revision) })
+	})
+}
+
+// Guards against a planned stop that leaves the instance in the membership,
+// where acceptance would wait for it.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 4)
+		if err := c.nodes[3].members.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes[3].crash()
+		rest := c.nodes[:3]
+		c.until("the others know", 2*time.Second, func() bool {
+			for _, x := range rest {
+				if len(x.sync.Snapshot().Members.Members) != 3 {
+					return false
+				}
+			}
+			return true
+		})
+		took := c.until("accepted", 10*time.Second, func() bool { return c.nodes[0].accepted(c.nodes[0].sync.Snapshot().Revision) })
+		t.Logf("leave accepted after %v", took)
+	})
+}
--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -23,7 +23,6 @@
 	gatherTimeout = 300 * time.Millisecond
 	candidates    = 4                // revisions followed at the same time
 	acceptTimeout = 30 * time.Second // then the memberships are read again
-	changeRows    = 4096             // change rows kept in the table, about a day's
 	compactBatch  = 200              // rows deleted per transaction
 )
 
@@ -160,10 +159,10 @@
 // outdated returns deletions of change rows that nobody needs: instances that
 // are further behind load the state rows.
 func (c *Controller) outdated(ctx context.Context, h head) []platform.Write {
-	if h.Revision <= changeRows {
+	if h.Revision <= c.o.ChangeRows {
 		return nil
 	}
-	limit := min(h.Revision-changeRows, h.Accepted)
+	limit := min(h.Revision-c.o.ChangeRows, h.Accepted)
 	rows, err := c.store.table.Scan(ctx, changePrefix, "", compactBatch)
 	if err != nil {
 		return nil
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -37,6 +37,9 @@
 	Log    hclog.Logger
 	Rand   *rand.Rand   // jitter; used by the controller only
 	Params fresh.Params // zero means fresh.DefaultParams
+	// ChangeRows is the number of newest change rows kept in the table, 0 for
+	// DefaultChangeRows.
+	ChangeRows uint64
 }
 
 // GoneGrace is how long the platform must have stopped listing an instance
@@ -44,6 +47,10 @@
 // instance late.
 const GoneGrace = 10 * time.Second
 
+// DefaultChangeRows is about a day's changes. An instance that is further behind
+// loads the state rows.
+const DefaultChangeRows = 4096
+
 // changesKept is the number of changes kept in memory for other instances; one
 // that is further behind gets a whole snapshot.
 const changesKept = 512
@@ -81,6 +88,9 @@
 	if o.Params == (fresh.Params{}) {
 		o.Params = fresh.DefaultParams()
 	}
+	if o.ChangeRows == 0 {
+		o.ChangeRows = DefaultChangeRows
+	}
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
