Let an instance acknowledge its own removal

Cause: a planned stop was accepted only after 4.4 s, during which its quota shares were unavailable. Change: acknowledgements count by incarnation, whether or not the sender still is a member; vouching only delays later revisions; Leave waits for acceptance; a removed instance drops its evidence.

--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -192,9 +192,8 @@
 	votes := c.askAll(ctx, missing)
 	for range missing {
 		v := <-votes
-		if v.statement.Member {
-			a.Acknowledge(c.now(), v.id, v.incarnation, v.statement.Revision, v.statement.Clear)
-		}
+		// A member that the revision removes acknowledges it too.
+		a.Acknowledge(c.now(), v.id, v.incarnation, v.statement.Revision, v.statement.Clear)
 		c.markReplaced(a, electorates, v)
 	}
 	c.markReplaced(a, electorates, vote{addr: c.o.Self.PeerAddr, id: c.o.Self.ID, incarnation: c.o.Self.Incarnation})
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -208,7 +208,11 @@
 	c.snapshot.Store(s)
 	c.encoded = nil
 	_, isMember := member.Find(s.Members, c.o.Self.ID, c.o.Self.Incarnation)
+	wasMember := c.tracker.Member()
 	c.tracker.Hold(s.Revision, isMember)
+	if wasMember && !isMember {
+		notify(c.kick) // its evidence is void; another instance can vouch for it
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -223,9 +227,11 @@
 }
 
 func (c *Controller) publishUntil() {
-	if until, ok := c.tracker.Until(); ok {
-		c.until.Store(int64(until))
+	until, ok := c.tracker.Until()
+	if !ok {
+		until = 0
 	}
+	c.until.Store(int64(until))
 }
 
 func (c *Controller) raiseAccepted(revision uint64) {
--- a/pkg/controller/configsync/serve.go
+++ b/pkg/controller/configsync/serve.go
@@ -29,7 +29,7 @@
 	defer c.mu.Unlock()
 	s := c.held()
 	_, isMember := member.Find(s.Members, req.Id, req.Incarnation)
-	if req.HasState && req.Member {
+	if req.HasState {
 		c.acknowledge(req.Id, ack{req.Incarnation, req.Revision, req.Clear})
 	}
 	if req.HasState && req.Revision > s.Revision {
@@ -99,7 +99,7 @@
 			Id: id, Incarnation: a.incarnation, Revision: a.revision, Clear: a.clear,
 		})
 	}
-	if c.tracker.Member() {
+	if c.tracker.HasState() {
 		resp.Acknowledgements = append(resp.Acknowledgements, &rpc.Acknowledgement{
 			Id: c.o.Self.ID, Incarnation: c.o.Self.Incarnation,
 			Revision: c.tracker.Revision(), Clear: c.tracker.Clear(c.now()),
--- a/pkg/controller/members/members.go
+++ b/pkg/controller/members/members.go
@@ -23,6 +23,7 @@
 	Snapshot() *config.Snapshot
 	Fresh() bool
 	HasState() bool
+	Accepted() uint64
 	IsMember() (self, other bool)
 	Propose(ctx context.Context, build func(*config.Snapshot) (config.Change, error)) (uint64, error)
 }
@@ -49,6 +50,7 @@
 	maxListPause  = 10 * time.Second
 	batchDelay    = 50 * time.Millisecond // collects joins and leaves for one change
 	callTimeout   = 3 * time.Second
+	leaveWait     = 2 * time.Second // the normal acceptance takes a few 100 ms
 )
 
 // Controller keeps the membership record. It implements the Joiner of the peer
@@ -131,8 +133,10 @@
 	}
 }
 
-// Leave removes the instance from the membership. It is called once, when the
-// instance stops.
+// Leave removes the instance from the membership and waits until that is
+// accepted or leaveWait has passed. It is called once, when the instance stops,
+// before it ends its other parts: its own acknowledgement makes acceptance
+// quick, and until then nobody takes over its quota shares.
 func (c *Controller) Leave(ctx context.Context) error {
 	c.mu.Lock()
 	c.leaving = true
@@ -140,11 +144,28 @@
 	if self, _ := c.o.Sync.IsMember(); !self {
 		return nil
 	}
-	if c.viaRelay(ctx, true) == nil {
-		return nil
+	if err := c.viaRelay(ctx, true); err != nil {
+		batch := member.Batch{Leaves: []member.Leave{{ID: c.o.Self.ID, Incarnation: c.o.Self.Incarnation}}}
+		if _, err := c.submit(ctx, batch); err != nil {
+			return err
+		}
 	}
-	_, err := c.submit(ctx, member.Batch{Leaves: []member.Leave{{ID: c.o.Self.ID, Incarnation: c.o.Self.Incarnation}}})
-	return err
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	for !c.left() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(checkInterval / 10):
+		}
+	}
+	return nil
+}
+
+// left reports whether a membership without the instance is accepted.
+func (c *Controller) left() bool {
+	self, _ := c.o.Sync.IsMember()
+	return !self && c.o.Sync.Accepted() >= c.o.Sync.Snapshot().Revision
 }
 
 // viaRelay lets a relay of the domain commit the change together with others.
--- a/pkg/fresh/fresh_test.go
+++ b/pkg/fresh/fresh_test.go
@@ -57,6 +57,14 @@
 	if !a.Accepted(end - 1) {
 		t.Fatal("not accepted although the only member acknowledged clearly")
 	}
+	speaker.State(end, false)
+	if !speaker.Clear(end) {
+		t.Fatal("a statement about the acknowledged revision delays its acceptance")
+	}
+	speaker.Hold(5, true)
+	if speaker.Clear(end) {
+		t.Fatal("a statement about revision 4 does not delay the acceptance of 5")
+	}
 }
 
 // Guards against a vote of a restarted instance: its predecessor may have
@@ -127,3 +135,23 @@
 		t.Fatalf("pending %v, want c", got)
 	}
 }
+
+// Guards against a removed instance that stays fresh: once it has acknowledged
+// its removal and that is accepted, the next change does not wait for it.
+func TestRemovedMemberLosesItsEvidence(t *testing.T) {
+	x := holding(3, true)
+	x.Head(time.Second, 3)
+	x.Relayed(time.Second, 0, 4)
+	x.Hold(5, false)
+	if x.Fresh(time.Second) {
+		t.Fatal("fresh on what it learned as a member")
+	}
+	x.Relayed(time.Second, 0, 4)
+	if x.Fresh(time.Second) {
+		t.Fatal("fresh on evidence about an older revision")
+	}
+	x.Relayed(time.Second, 0, 5)
+	if !x.Fresh(time.Second) {
+		t.Fatal("not fresh although a member vouched for it")
+	}
+}
--- a/pkg/fresh/window.go
+++ b/pkg/fresh/window.go
@@ -38,11 +38,17 @@
 	member   bool // of the held revision, with the own incarnation
 	revision uint64
 
-	base     time.Duration // start of the newest evidence
-	hasBase  bool
-	pending  evidence // evidence about a revision that is not held yet
-	vouched  time.Duration
-	hasVouch bool
+	base    time.Duration // start of the newest evidence
+	hasBase bool
+	pending evidence // evidence about a revision that is not held yet
+	// When the instance last spoke to a non-member while it held this revision,
+	// and while it held an older one.
+	vouched, vouchedOlder vouch
+}
+
+type vouch struct {
+	at   time.Duration
+	ever bool
 }
 
 type evidence struct {
@@ -61,12 +67,19 @@
 	if t.hasState && revision < t.revision {
 		return false
 	}
+	if revision > t.revision && t.vouched.ever {
+		t.vouchedOlder, t.vouched = t.vouched, vouch{}
+	}
+	if t.member && !member {
+		// Once the removal is accepted, nobody waits for this instance any more.
+		t.hasBase = false
+	}
 	t.hasState = true
 	t.revision = revision
 	t.member = member
-	if t.pending.valid && t.pending.revision <= revision {
-		t.use(t.pending)
+	if e := t.pending; e.valid && e.revision <= revision {
 		t.pending = evidence{}
+		t.learn(e)
 	}
 	return true
 }
@@ -156,10 +169,10 @@
 // acknowledgement.
 func (t *Tracker) State(now time.Duration, toMember bool) Statement {
 	if !t.Member() {
-		return Statement{Revision: t.revision}
+		return Statement{Revision: t.revision, Clear: t.Clear(now)}
 	}
 	if !toMember {
-		t.vouched, t.hasVouch = now, true
+		t.vouched = vouch{now, true}
 	}
 	s := Statement{Revision: t.revision, Member: true, Clear: t.Clear(now)}
 	if t.Fresh(now) {
@@ -168,9 +181,10 @@
 	return s
 }
 
-// Clear reports whether no non-member can still rely on a statement of this
-// instance. An acknowledgement that is not clear does not count towards
-// unanimous acceptance.
+// Clear reports whether no non-member can still rely on what this instance
+// stated while it held an older revision. An acknowledgement that is not clear
+// does not count towards unanimous acceptance.
 func (t *Tracker) Clear(now time.Duration) bool {
-	return !t.hasVouch || now >= t.vouched+t.p.Window+t.p.Margin
+	v := t.vouchedOlder
+	return !v.ever || now >= v.at+t.p.Window+t.p.Margin
 }
