--- a/pkg/controller/configsync/serve.go
+++ b/pkg/controller/configsync/serve.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/fescuestep/fescuestep/pkg/member"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -15,14 +17,19 @@
 	clear       bool
 }
 
+var errStopped = twirp.NewError(twirp.Unavailable, "the instance is stopping")
+
 // Sync answers another instance: the revision held here, how fresh it is, and
 // the changes that the other lacks.
 func (c *Controller) Sync(_ context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	if c.stopped.Load() {
+		return nil, errStopped
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.held()
 	_, isMember := member.Find(s.Members, req.Id, req.Incarnation)
-	if req.HasState && req.Member {
+	if req.HasState {
 		c.acknowledge(req.Id, ack{req.Incarnation, req.Revision, req.Clear})
 	}
 	if req.HasState && req.Revision > s.Revision {
@@ -92,7 +99,7 @@
 			Id: id, Incarnation: a.incarnation, Revision: a.revision, Clear: a.clear,
 		})
 	}
-	if c.tracker.Member() {
+	if c.tracker.HasState() {
 		resp.Acknowledgements = append(resp.Acknowledgements, &rpc.Acknowledgement{
 			Id: c.o.Self.ID, Incarnation: c.o.Self.Incarnation,
 			Revision: c.tracker.Revision(), Clear: c.tracker.Clear(c.now()),
