Poll silent failure domains without delaying the polls of others

Cause: 64 concurrent polls are used up when a failure domain of 400 upstreams stops answering, because each poll holds its place for 0.8 s; a silent upstream was noticed after more than 2 s and the reports of healthy ones grew old. Change: 512 concurrent polls.

--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -51,7 +51,10 @@
 	reportInterval = 250 * time.Millisecond
 	eventInterval  = 200 * time.Millisecond
 	pollTimeout    = 800 * time.Millisecond
-	concurrency    = 64
+	// concurrency covers a failure domain of 400 upstreams that all stop
+	// answering: each holds one poll until its timeout. With fewer, the polls of
+	// the others wait for seconds.
+	concurrency = 512
 )
 
 // Controller polls the list and the upstreams.
