--- a/pkg/router/badinput_test.go
+++ b/pkg/router/badinput_test.go
@@ -95,6 +95,10 @@
 		"no messages":           {post(`{"model":"greeting-1"}`), code.BadRequest},
 		"several choices":       {chat(`"n":8`), code.BadRequest},
 		"field in another case": {chat(`"Max_Tokens":1`), code.BadRequest},
+		"field twice":           {chat(`"max_tokens":9,"max_tokens":1`), code.BadRequest},
+		"escaped field twice":   {chat(`"max_tokens":9,"max_\u0074okens":1`), code.BadRequest},
+		"content of numbers":    {post(`{"model":"greeting-1","messages":[{"role":"user","content":[1]}]}`), code.BadRequest},
+		"image content":         {post(`{"model":"greeting-1","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`), code.BadRequest},
 		"negative output":       {chat(`"max_tokens":-1`), code.BadRequest},
 		"unknown model":         {post(strings.Replace(goodBody, "greeting-1", "greeting-2", 1)), code.UnknownModel},
 		"model API with GET":    {call{http.MethodGet, "/v1/chat/completions", testKey, "", nil}, code.MethodNotAllowed},
@@ -107,6 +111,8 @@
 		"no key":                {call{http.MethodPost, "/v1/chat/completions", "", goodBody, nil}, code.KeyMissing},
 		"unknown key":           {call{http.MethodPost, "/v1/chat/completions", "x", goodBody, nil}, code.KeyUnknown},
 		"not permitted":         {call{http.MethodGet, "/atelier/orders", otherKey, "", nil}, code.NotPermitted},
+		"two order numbers":     {call{http.MethodPost, "/atelier/orders", testKey, `{"order_no":"1"}`, http.Header{"Idempotency-Key": {"2"}}}, code.BadRequest},
+		"order number twice":    {call{http.MethodPost, "/atelier/orders", testKey, `{"order_no":"1","order_no":"2"}`, nil}, code.BadRequest},
 		"no order number":       {call{http.MethodPost, "/atelier/orders", testKey, "{}", nil}, code.OrderKeyMissing},
 	} {
 		resp, body, _ := in.do(t, c.call)
--- a/pkg/router/harness_test.go
+++ b/pkg/router/harness_test.go
@@ -116,7 +116,7 @@
 	mu      sync.Mutex
 	targets map[string][]chain.Target
 	open    atomic.Int64 // slots not yet done
-	queries []upstream.Query
+	results []upstream.Result
 }
 
 type slot struct {
@@ -127,7 +127,6 @@
 func (p *pools) Acquire(_ context.Context, q upstream.Query) (endpoint.Slot, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queries = append(p.queries, q)
 	for _, t := range p.targets[q.Pool] {
 		if !slices.Contains(q.Exclude, t.ID) {
 			p.open.Add(1)
@@ -139,7 +138,13 @@
 
 func (s slot) Target() chain.Target { return s.t }
 func (s slot) FirstToken(int)       {}
-func (s slot) Done(upstream.Result) { s.p.open.Add(-1) }
+
+func (s slot) Done(r upstream.Result) {
+	s.p.mu.Lock()
+	s.p.results = append(s.p.results, r)
+	s.p.mu.Unlock()
+	s.p.open.Add(-1)
+}
 
 // metrics keeps the result codes.
 type metrics struct {
