--- a/pkg/controller/guarantees_test.go
+++ b/pkg/controller/guarantees_test.go
@@ -203,3 +203,30 @@
 		}
 	})
 }
+
+// Guards against a restarted instance that waits for a slow table, or for a
+// join whose answers get lost, before it serves keyed requests.
+func TestRestartWithTableSlow(t *testing.T) {
+	for name, fault := range map[string]func(t *fakeTable){
+		"300 ms":       func(t *fakeTable) { t.slow = 300 * time.Millisecond },
+		"900 ms":       func(t *fakeTable) { t.slow = 900 * time.Millisecond },
+		"answers lost": func(t *fakeTable) { t.lose = 10 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := started(t, 5)
+				c.nodes[0].putKey("counter", false)
+				c.until("accepted", 10*time.Second, func() bool { return c.allKnow(5) })
+				c.table.set(fault)
+				for _, x := range c.nodes[1:3] {
+					x.crash()
+					time.Sleep(time.Second)
+					x.start()
+					took := c.until("the restarted instance serves", 4*time.Second, func() bool { return x.honours("counter") })
+					t.Logf("%s served after %v", x.self.ID, took)
+					c.during(5*time.Second, "keyed traffic stopped", func() bool { return x.honours("counter") })
+				}
+			})
+		})
+	}
+}
