Name the revoked key when a request is refused while it waits for quota

Cause: a request whose key was revoked while it waited for tokens was refused as deadline_unreachable, which invites the caller to try again. Change: ratelimit prefers the reason of the cancelled request. Before: deadline_unreachable, not_run. After: key_revoked, not_run. Trial: without the change the test fails. Conclusion: the answer names the reason.

--- a/pkg/filter/ratelimit/ratelimit.go
+++ b/pkg/filter/ratelimit/ratelimit.go
@@ -13,7 +13,10 @@
 	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
 )
 
@@ -50,13 +53,24 @@
 		charged := r.Prompt.Tokens() + r.Prompt.MaxTokens
 		charge, err := f.limiter.Take(ctx, r.Customer, charged)
 		if err != nil {
-			return err
+			return refused(ctx, err)
 		}
 		defer func() { charge.Settle(used(r.Outcome, charged)) }()
 		return next(ctx, r)
 	}
 }
 
+// refused prefers the reason for which the request was cancelled, for example
+// a revoked key, to the limiter's error about the wait that it ended.
+func refused(ctx context.Context, err error) error {
+	var e *code.Error
+	if !errors.As(context.Cause(ctx), &e) {
+		return err
+	}
+	c := *e
+	return c.WithRun(code.NotRun)
+}
+
 func used(o chain.Outcome, charged int) int {
 	refused := o.Status >= http.StatusBadRequest && o.Status < http.StatusInternalServerError
 	if !o.Sent || refused {
--- a/pkg/router/withdraw_test.go
+++ b/pkg/router/withdraw_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/order"
 )
 
@@ -89,3 +91,26 @@
 		})
 	}
 }
+
+// blockedLimiter has no tokens and tells when a request waits for them.
+type blockedLimiter struct{ waits chan struct{} }
+
+func (l blockedLimiter) Take(ctx context.Context, _ *config.Customer, _ int) (ratelimit.Charge, error) {
+	close(l.waits)
+	<-ctx.Done()
+	return nil, code.New(code.DeadlineUnreachable, "the wait for quota ended").WithCause(ctx.Err())
+}
+
+// TestRevokedWhileWaitingForQuota guards against a request that goes on waiting
+// after its key was revoked, or whose answer names the wait as the reason.
+func TestRevokedWhileWaitingForQuota(t *testing.T) {
+	l := blockedLimiter{make(chan struct{})}
+	in := start(t, map[string][]http.Handler{"plume": {&engineFake{}}}, func(p *Parts, _ *Options) { p.Limiter = l })
+	go func() {
+		<-l.waits
+		in.state.revoke(testKey)
+	}()
+	if _, body, _ := in.do(t, streamCall); body.Error.ResultCode != code.KeyRevoked || body.Error.Run != code.NotRun {
+		t.Errorf("got %+v, want key_revoked, not_run", body.Error)
+	}
+}
