Poll each upstream at even intervals

Cause: the order of the polls was drawn anew for every round, so that a target could wait for almost two intervals: up to 2 s with many upstreams, and its death was noticed 2.8 s later although the interval and the timeout are chosen to stay below 2 s. Change: a target keeps its place in an order that differs between instances. Before: longest gap 1.99 s at an interval of 1 s.

--- a/pkg/controller/poll/poll.go
+++ b/pkg/controller/poll/poll.go
@@ -3,8 +3,13 @@
 package poll
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,7 +29,7 @@
 	MaxInterval time.Duration // 0 means Interval
 	Timeout     time.Duration // of one poll
 	Concurrency int           // polls that run at a time
-	Rand        *rand.Rand    // order of the targets; used by Run only
+	Rand        *rand.Rand    // order of the targets; used at the start of Run only
 	Targets     func() []Target
 	Poll        func(ctx context.Context, t Target)
 }
@@ -32,13 +37,14 @@
 // Run polls until ctx ends and waits for polls under way. A target whose last
 // poll still runs is passed over.
 func (l *Loop) Run(ctx context.Context) error {
+	seed := l.Rand.Uint64()
 	slots := make(chan struct{}, l.Concurrency)
 	running := &busy{ids: map[string]bool{}}
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for ctx.Err() == nil {
 		targets := l.Targets()
-		l.Rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		arrange(targets, seed)
 		pause := l.pause(len(targets))
 		if len(targets) == 0 {
 			wait(ctx, pause)
@@ -62,6 +68,20 @@
 	return nil
 }
 
+// arrange sorts targets by a hash of seed and ID: instances poll in different
+// orders, and a target keeps its place from one round to the next, so that it
+// never waits for two intervals.
+func arrange(targets []Target, seed uint64) {
+	place := make(map[string]uint64, len(targets))
+	for _, t := range targets {
+		h := fnv.New64a()
+		_ = binary.Write(h, binary.LittleEndian, seed)
+		_, _ = io.WriteString(h, t.ID)
+		place[t.ID] = h.Sum64()
+	}
+	slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(place[a.ID], place[b.ID]) })
+}
+
 // pause returns the time between two polls of n targets.
 func (l *Loop) pause(n int) time.Duration {
 	n = max(1, n)
