Test a restart while cut off

Cause: the matrix had no test for an instance that restarts without contact. Change: TestRestartWhileCutOff in virtual time.

--- a/pkg/controller/guarantees_test.go
+++ b/pkg/controller/guarantees_test.go
@@ -230,3 +230,22 @@
 		})
 	}
 }
+
+// Guards against an instance that serves keyed requests from an unconfirmed
+// state because it restarted while cut off, and against one that stays out
+// afterwards.
+func TestRestartWhileCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 5)
+		c.nodes[0].putKey("counter", false)
+		c.until("accepted", 10*time.Second, func() bool { return c.allKnow(5) })
+		x := c.nodes[3]
+		x.crash()
+		c.net.setCut(x.self.PeerAddr, true)
+		x.start()
+		c.during(5*time.Second, "an instance is fresh without contact", func() bool { return !x.sync.Fresh() })
+		c.net.setCut(x.self.PeerAddr, false)
+		took := c.until("the instance serves", 4*time.Second, func() bool { return x.honours("counter") })
+		t.Logf("served %v after it was reachable again", took)
+	})
+}
