--- a/pkg/controller/guarantees_test.go
+++ b/pkg/controller/guarantees_test.go
@@ -186,7 +186,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			c.load(l, guild, 2, 60*time.Second, c.nodes)
+			load(l, guild, 2, 60*time.Second, serving(c.nodes))
 		}()
 		time.Sleep(2 * time.Second)
 		c.net.setCut(gone.self.PeerAddr, true)
