--- a/pkg/load/instance.go
+++ b/pkg/load/instance.go
@@ -56,6 +56,13 @@
 	in.sent = map[*upstream.Grant]func(){}
 	if policy == "fescuestep" {
 		core.OnMove(in.move)
+		core.OnProbe(func(ids []string) {
+			for _, id := range ids {
+				e := in.engine(id)
+				in.run.probes++
+				in.later(in.delay(e), func() { in.pollReport(e) })
+			}
+		})
 	}
 	core.OnList(v.clock.time(), v.listed)
 	in.every(listPoll, func() { core.OnList(v.clock.time(), v.listed) })
@@ -161,7 +168,7 @@
 	}
 	r := &request{in: in, arrival: a, start: in.starts}
 	if !v.options.NoQuota && !v.quota[a.Customer].take(v.clock.now, a.charge()) {
-		r.end(Timings{Refused: true, RateLimited: true})
+		r.end(Timings{Refused: true, RateLimited: true, Code: code.RateExceeded})
 		return
 	}
 	v.clock.at(a.At+a.Timeout, r.timeout)
@@ -177,13 +184,17 @@
 		Deadline: in.run.clock.origin.Add(a.At + a.Timeout), Exclude: r.exclude, Moves: r.moves,
 	}
 	w := in.core.Submit(in.run.clock.time(), &q, r.decided)
-	in.run.clock.at(a.At+a.Timeout, func() { in.core.Expire(w) })
+	in.run.clock.at(a.At+a.Timeout, func() {
+		if r.alive() {
+			in.core.Expire(w)
+		}
+	})
 	in.arm()
 }
 
 func (r *request) decided(w *upstream.Wait) {
 	if w.Err != nil {
-		r.end(Timings{Refused: true, RateLimited: w.Err.Code == code.RateExceeded})
+		r.end(Timings{Refused: true, Code: w.Err.Code})
 		return
 	}
 	g := w.Grant
@@ -197,6 +208,10 @@
 // transfer imports blocks from the KV store, then sends the request.
 func (r *request) transfer(e *modelEngine, g *upstream.Grant) {
 	in := r.in
+	if !r.alive() {
+		r.end(Timings{Lost: true})
+		return
+	}
 	t, ok := in.core.Import(g)
 	if !ok || e.down {
 		r.send(e, g)
@@ -265,7 +280,7 @@
 
 func (r *request) over(e *modelEngine, g *upstream.Grant, ok, started bool) {
 	if !r.alive() {
-		r.end(Timings{TTFT: r.timings.TTFT, Truncated: started, Unanswered: !started})
+		r.end(Timings{TTFT: r.timings.TTFT, Truncated: started, Lost: !started})
 		return
 	}
 	result := upstream.OK
@@ -288,7 +303,7 @@
 
 func (r *request) refusedBy(e *modelEngine, g *upstream.Grant) {
 	if !r.alive() {
-		r.end(Timings{Unanswered: true})
+		r.end(Timings{Lost: true})
 		return
 	}
 	r.in.core.Done(r.in.run.clock.time(), g, upstream.Unreachable)
@@ -305,7 +320,7 @@
 		Deadline: in.run.clock.origin.Add(r.arrival.At + r.arrival.Timeout),
 	}, in.rng)
 	if !ok {
-		r.end(Timings{Refused: run == code.NotRun, Failed: run != code.NotRun})
+		r.end(Timings{Refused: run == code.NotRun, Failed: run != code.NotRun, Code: code.UpstreamUnreachable})
 		return
 	}
 	r.attempt++
@@ -314,7 +329,7 @@
 		if r.alive() {
 			r.submit()
 		} else {
-			r.end(Timings{Unanswered: true})
+			r.end(Timings{Lost: true})
 		}
 	})
 }
@@ -325,7 +340,7 @@
 	if r.timings.TTFT == 0 && !r.ended {
 		r.in.run.clock.after(time.Millisecond, func() {
 			if !r.ended && r.timings.TTFT == 0 {
-				r.end(Timings{Unanswered: true})
+				r.end(Timings{Lost: !r.alive(), Unanswered: r.alive()})
 			}
 		})
 	}
