load: report the overloading customer's tail

Cause: the overall p99 of live runs with overload could not be explained. Change: one figure in the results.

--- a/pkg/load/measure.go
+++ b/pkg/load/measure.go
@@ -43,6 +43,7 @@
 	DuplicateOrders        int            `json:"duplicate_orders"`
 	Unanswered             int            `json:"unanswered"`
 	WorstCustomerWithout   float64        `json:"worst_customer_without_overload_ttft_p99_ms,omitempty"`
+	OverloaderTTFTP99      float64        `json:"overloader_ttft_p99_ms"`
 	ShortTTFTP99           float64        `json:"short_ttft_p99_ms"`
 	RefusedByCode          map[string]int `json:"refused_by_code,omitempty"`
 	RateLimited            int            `json:"rate_limited"`
@@ -173,6 +174,7 @@
 	out.TTFTP99 = quantile(r.all, 99)
 	out.ShortTTFTP99 = quantile(r.short, 99)
 	out.WorstCustomerTTFTP99 = r.worst()
+	out.OverloaderTTFTP99 = quantile(r.customers[r.profile.Overloader], 99)
 	if out.Requests > 0 {
 		out.RefusedWithinRateShare = float64(out.RefusedWithinRate) / float64(out.Requests)
 	}
