Commit changes while the table is slow

Cause: a change and its acceptance read the head with the timeout of the freshness loop, 400 ms, so that a key could not be revoked while the table took longer for a read. Change: changes and their acceptance read with a timeout of 2 s. Before: at a latency of 900 ms a revocation was refused as unavailable. After: it is committed, and no instance honours the key 3 s after the commit. Trial: with the old timeout the case "table very slow" fails. Conclusion: a slow table delays a revocation by three table calls; one that takes more than 2 s for a read still refuses it, as does one that is down.

--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -72,7 +72,7 @@
 // Revisions that are committed meanwhile are followed at the same time: when all
 // instances restart, each join would otherwise add a window to the wait.
 func (c *Controller) acceptNewest(ctx context.Context) error {
-	h, _, err := c.store.head(ctx)
+	h, _, err := c.store.patient().head(ctx)
 	if err != nil {
 		return err
 	}
@@ -120,7 +120,7 @@
 
 // candidate returns the newest revision with its electorates.
 func (c *Controller) candidate(ctx context.Context) (*candidate, error) {
-	h, _, err := c.store.head(ctx)
+	h, _, err := c.store.patient().head(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +134,7 @@
 // recordAccepted raises the accepted revision in the head row.
 func (c *Controller) recordAccepted(ctx context.Context, revision, members uint64) error {
 	for {
-		h, row, err := c.store.head(ctx)
+		h, row, err := c.store.patient().head(ctx)
 		if err != nil {
 			return err
 		}
@@ -291,7 +291,7 @@
 	electorates := []config.Membership{c.Snapshot().Members}
 	accepted = c.Accepted() >= revision
 	if !accepted {
-		h, _, err := c.store.head(ctx)
+		h, _, err := c.store.patient().head(ctx)
 		if err != nil {
 			return false, nil, err
 		}
--- a/pkg/controller/configsync/bootstrap.go
+++ b/pkg/controller/configsync/bootstrap.go
@@ -36,7 +36,7 @@
 // Append commits one change from outside an instance, keeping the accepted
 // revision. It returns platform.ErrConflict when another change came first.
 func Append(ctx context.Context, table platform.Table, c config.Change) error {
-	h, row, err := store{table}.head(ctx)
+	h, row, err := store{table, changeTimeout}.head(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -104,7 +104,7 @@
 		kick:     make(chan struct{}, 1),
 		accept:   make(chan struct{}, 1),
 	}
-	c.store = store{countingTable{o.Table, &c.reads}}
+	c.store = store{countingTable{o.Table, &c.reads}, headTimeout}
 	c.snapshot.Store(config.NewSnapshot())
 	return c
 }
--- a/pkg/controller/configsync/follow.go
+++ b/pkg/controller/configsync/follow.go
@@ -19,6 +19,7 @@
 	pollInterval  = 500 * time.Millisecond // polls of a relay by the others
 	tableInterval = time.Second            // table reads of an instance that is no relay
 	headTimeout   = 400 * time.Millisecond // leaves time for a majority poll within the window
+	changeTimeout = 2 * time.Second        // head reads of a change and its acceptance
 	loadTimeout   = 5 * time.Second        // changes and state rows
 	minPause      = 20 * time.Millisecond  // between steps that news triggers
 	maxAge        = 1200 * time.Millisecond
@@ -124,7 +125,7 @@
 
 func (f *follower) tryTable(ctx context.Context) bool {
 	f.lastTable = f.now()
-	err := f.readTable(ctx)
+	err := f.readTable(ctx, f.store)
 	if down := err != nil; down != f.tableDown {
 		f.o.Log.Info("table reachability changed", "reachable", !down, "error", err)
 		f.tableDown = down
@@ -133,16 +134,16 @@
 }
 
 // readTable brings the held state up to the table's head.
-func (c *Controller) readTable(ctx context.Context) error {
+func (c *Controller) readTable(ctx context.Context, from store) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	sent := c.now()
 	var u *update
 	var err error
 	if c.HasState() {
-		u, err = c.store.since(ctx, c.Snapshot())
+		u, err = from.since(ctx, c.Snapshot())
 	} else {
-		u, err = c.store.load(ctx)
+		u, err = from.load(ctx)
 	}
 	if err != nil {
 		return err
--- a/pkg/controller/configsync/load.go
+++ b/pkg/controller/configsync/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,10 +17,17 @@
 var errGap = errors.New("change rows are no longer complete")
 
 // store reads the configuration's rows.
-type store struct{ table platform.Table }
+type store struct {
+	table   platform.Table
+	timeout time.Duration // of a read of the head
+}
+
+// patient returns a store for changes and their acceptance: unlike freshness,
+// they can wait for a table that is slow.
+func (s store) patient() store { return store{s.table, changeTimeout} }
 
 func (s store) head(ctx context.Context) (head, platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	rows, err := s.table.Get(ctx, headKey)
 	if err != nil {
--- a/pkg/controller/configsync/propose.go
+++ b/pkg/controller/configsync/propose.go
@@ -87,10 +87,10 @@
 
 // newest returns the head row and the snapshot at that head.
 func (p *proposal) newest(ctx context.Context) (head, platform.Row, *config.Snapshot, error) {
-	if err := p.readTable(ctx); err != nil {
+	if err := p.readTable(ctx, p.store.patient()); err != nil {
 		return head{}, platform.Row{}, nil, err
 	}
-	h, row, err := p.store.head(ctx)
+	h, row, err := p.store.patient().head(ctx)
 	if err != nil {
 		return head{}, platform.Row{}, nil, err
 	}
@@ -118,7 +118,7 @@
 			return 0, errors.Wrap(err, "read token back")
 		}
 		if rows[0].Token == token {
-			return revision, p.readTable(ctx)
+			return revision, p.readTable(ctx, p.store.patient())
 		}
 		delete(p.tried, token)
 	}
--- a/pkg/controller/guarantees_test.go
+++ b/pkg/controller/guarantees_test.go
@@ -49,6 +49,7 @@
 	for name, fault := range map[string]struct{ before, after func(c *cluster) }{
 		"none":               {},
 		"table slow":         {before: func(c *cluster) { c.table.set(func(t *fakeTable) { t.slow = 300 * time.Millisecond }) }},
+		"table very slow":    {before: func(c *cluster) { c.table.set(func(t *fakeTable) { t.slow = 900 * time.Millisecond }) }},
 		"answer lost":        {before: func(c *cluster) { c.table.set(func(t *fakeTable) { t.lose = 1 }) }},
 		"instance cut off":   {before: func(c *cluster) { c.net.setCut(c.nodes[4].self.PeerAddr, true) }},
 		"cut off afterwards": {after: func(c *cluster) { c.net.setCut(c.nodes[3].self.PeerAddr, true) }},
