--- a/pkg/engine/decode.go
+++ b/pkg/engine/decode.go
@@ -40,6 +40,9 @@
 	if b.Snapshot && len(b.Events) > 0 {
 		return errors.Wrap(errInconsistent, "snapshot with events")
 	}
+	if len(b.Parents) > 0 && len(b.Parents) != len(b.Blocks) {
+		return errors.Wrapf(errInconsistent, "%d parents of %d blocks", len(b.Parents), len(b.Blocks))
+	}
 	last := uint64(0)
 	for _, event := range b.Events {
 		if event.Seq <= last || event.Seq > b.Seq {
--- a/pkg/engine/wire.go
+++ b/pkg/engine/wire.go
@@ -57,7 +57,10 @@
 	Snapshot    bool         `json:"snapshot,omitempty"`
 	Seq         uint64       `json:"seq"` // of the last event included
 	Blocks      []block.Hash `json:"blocks,omitempty"`
-	Events      []Event      `json:"events,omitempty"`
+	// Parents holds for each of Blocks the hash that it is chained to. Engines
+	// may leave it out; the prefix roots of the blocks are then unknown.
+	Parents []block.Hash `json:"parents,omitempty"`
+	Events  []Event      `json:"events,omitempty"`
 }
 
 // LoadReport is an engine's report of its load. It lags behind reality.
--- a/pkg/standin/engine/cache.go
+++ b/pkg/standin/engine/cache.go
@@ -19,8 +19,9 @@
 }
 
 type entry struct {
-	hash block.Hash
-	used time.Time
+	hash   block.Hash
+	parent block.Hash
+	used   time.Time
 }
 
 func newCache(capacity int, publish func(engine.Event)) *cache {
@@ -45,24 +46,30 @@
 	known := c.match(chain)
 	fresh := chain[known:]
 	for i := len(chain) - 1; i >= 0; i-- {
-		c.touch(chain[i], now)
+		c.touch(entry{chain[i], parentOf(parent, chain, i), now})
 	}
 	if len(fresh) > 0 {
-		if known > 0 {
-			parent = chain[known-1]
-		}
+		parent = parentOf(parent, chain, known)
 		c.publish(engine.Event{Kind: engine.Stored, Blocks: fresh, Parent: parent})
 	}
 	c.evict(func(_ entry) bool { return c.order.Len() > c.capacity })
 }
 
-func (c *cache) touch(h block.Hash, now time.Time) {
-	if element, ok := c.blocks[h]; ok {
-		element.Value = entry{h, now}
+// parentOf returns the hash that block i of a chain is chained to.
+func parentOf(parent block.Hash, chain []block.Hash, i int) block.Hash {
+	if i == 0 {
+		return parent
+	}
+	return chain[i-1]
+}
+
+func (c *cache) touch(e entry) {
+	if element, ok := c.blocks[e.hash]; ok {
+		element.Value = e
 		c.order.MoveToFront(element)
 		return
 	}
-	c.blocks[h] = c.order.PushFront(entry{h, now})
+	c.blocks[e.hash] = c.order.PushFront(e)
 }
 
 // expire evicts blocks that were not used since the time.
@@ -96,13 +103,16 @@
 	c.publish(engine.Event{Kind: engine.Cleared})
 }
 
-// all returns the cached blocks, least recently used last.
-func (c *cache) all() []block.Hash {
-	out := make([]block.Hash, 0, c.order.Len())
+// all returns the cached blocks, least recently used last, and their parents.
+func (c *cache) all() (blocks, parents []block.Hash) {
+	blocks = make([]block.Hash, 0, c.order.Len())
+	parents = make([]block.Hash, 0, c.order.Len())
 	for element := c.order.Front(); element != nil; element = element.Next() {
-		out = append(out, element.Value.(entry).hash)
+		e := element.Value.(entry)
+		blocks = append(blocks, e.hash)
+		parents = append(parents, e.parent)
 	}
-	return out
+	return blocks, parents
 }
 
 // eventLog keeps recent cache events of one incarnation. It is not safe for
--- a/pkg/standin/engine/complete.go
+++ b/pkg/standin/engine/complete.go
@@ -133,7 +133,7 @@
 	}
 	defer l.prefill.release()
 	seed, chain := l.chain(g)
-	uncached := l.lookUp(g, chain)
+	uncached := l.lookUp(g, seed, chain)
 	seconds := float64(uncached) / l.options.PrefillPerSec
 	if err := host.Sleep(ctx, l.slowed(time.Duration(seconds*float64(time.Second)))); err != nil {
 		return err
@@ -153,14 +153,14 @@
 }
 
 // lookUp returns the number of prompt tokens that are not cached.
-func (l *life) lookUp(g *generation, chain []block.Hash) int {
+func (l *life) lookUp(g *generation, seed block.Hash, chain []block.Hash) int {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
 	known := chain[:l.cache.match(chain)]
 	for i := len(known) - 1; i >= 0; i-- {
-		l.cache.touch(known[i], now)
+		l.cache.touch(entry{known[i], parentOf(seed, known, i), now})
 	}
 	g.cached = len(known) * l.options.BlockTokens
 	return max(0, g.prompt.Tokens()-g.cached)
--- a/pkg/standin/engine/life.go
+++ b/pkg/standin/engine/life.go
@@ -185,7 +185,7 @@
 	if incarnation != l.incarnation || !l.log.covers(after) {
 		batch.Snapshot = true
 		batch.Seq = l.log.seq
-		batch.Blocks = l.cache.all()
+		batch.Blocks, batch.Parents = l.cache.all()
 		return batch
 	}
 	batch.Events, batch.Seq = l.log.after(after, now.Add(-lag))
@@ -201,7 +201,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []uint64
-	for _, h := range l.cache.all() {
+	blocks, _ := l.cache.all()
+	for _, h := range blocks {
 		out = append(out, uint64(h))
 	}
 	return out
