--- a/pkg/router/stream_test.go
+++ b/pkg/router/stream_test.go
@@ -5,13 +5,16 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
 var streamCall = call{http.MethodPost, "/v1/chat/completions", testKey, streamBody, nil}
@@ -208,6 +211,98 @@
 	}
 }
 
+// TestSlowReader guards against a stream that is buffered in the router while its
+// caller does not read.
+func TestSlowReader(t *testing.T) {
+	const events, size = 400, 100 << 10
+	var sent atomic.Int64
+	fake := &engineFake{words: events, edit: func(seq int, line string) string {
+		sent.Store(int64(seq))
+		return strings.Replace(line, `"content":"`, `"content":"`+strings.Repeat("x", size), 1)
+	}}
+	in := start(t, map[string][]http.Handler{"plume": {fake}}, nil)
+	before := memory()
+	stream := in.open(t, streamCall)
+	for last := int64(-1); last != sent.Load(); time.Sleep(100 * time.Millisecond) {
+		last = sent.Load() // until the engine is held back
+	}
+	if n := sent.Load(); n > events {
+		t.Errorf("the engine sent all %d events to a caller that reads nothing", n)
+	}
+	if grown := memory() - before; grown > 8<<20 {
+		t.Errorf("%d bytes are held for a caller that reads nothing", grown)
+	}
+	data := readAll(&http.Response{Body: stream})
+	if !strings.HasSuffix(data, "data: [DONE]\n\n") || len(data) < events*size {
+		t.Errorf("got %d bytes without the end marker", len(data))
+	}
+}
+
+// TestCutAnswer guards against a part of an answer that is not a stream reaching
+// the caller.
+func TestCutAnswer(t *testing.T) {
+	cut := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		abort()
+	})
+	in := start(t, map[string][]http.Handler{"plume": {cut}, "atelier": {cut}}, nil)
+	for _, c := range []call{
+		{http.MethodPost, "/v1/chat/completions", testKey, goodBody, nil},
+		{http.MethodGet, "/atelier/orders", testKey, "", nil},
+	} {
+		_, body, data := in.do(t, c)
+		if body.Error.ResultCode != code.UpstreamFailed || body.Error.Run != code.MayHaveRun || strings.Contains(data, "half") {
+			t.Errorf("%s: %s", c.path, data)
+		}
+	}
+}
+
+// TestEngineErrors guards against an engine's own error reaching the caller in
+// another shape, and against a bad request being repeated at every engine.
+func TestEngineErrors(t *testing.T) {
+	for status, want := range map[int]code.Code{
+		http.StatusBadRequest: code.BadRequest, http.StatusFound: code.UpstreamFailed, http.StatusInternalServerError: code.UpstreamFailed,
+	} {
+		var runs atomic.Int64
+		failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+			http.Error(w, "internals", status)
+		})
+		in := start(t, map[string][]http.Handler{"plume": {failing, failing}}, nil)
+		_, body, data := in.do(t, streamCall)
+		if body.Error.ResultCode != want || body.Error.Run != code.MayHaveRun || strings.Contains(data, "internals") {
+			t.Errorf("status %d: %s", status, data)
+		}
+		if repeated := runs.Load() > 1; repeated == (want == code.BadRequest) {
+			t.Errorf("status %d: %d attempts", status, runs.Load())
+		}
+	}
+}
+
+// TestRefusingEngine guards against an engine that answers that it takes no work
+// being ejected like one that refuses connections, or being charged for.
+func TestRefusingEngine(t *testing.T) {
+	for _, status := range []int{http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		refusing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+			w.WriteHeader(status)
+		})
+		in := start(t, map[string][]http.Handler{"plume": {refusing, refusing, &engineFake{words: 2}}}, nil)
+		if _, _, data := in.do(t, streamCall); !strings.HasSuffix(data, "data: [DONE]\n\n") {
+			t.Errorf("status %d: %s", status, data)
+		}
+		want := []upstream.Result{upstream.Cancelled, upstream.Cancelled, upstream.OK}
+		in.pools.mu.Lock()
+		if !slices.Equal(in.pools.results, want) {
+			t.Errorf("status %d: results %v, want %v", status, in.pools.results, want)
+		}
+		in.pools.mu.Unlock()
+	}
+}
+
 func closedAddr(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
