controller/shards: carry the divided cache index between instances

Cause: pkg/shard decided what to send, but nothing read engines or carried messages.

Change: a controller reads the engines that the instance follows, forwards their changes through the peer service and asks owners with a bound of 20 ms. The peer service has Forward and Lookup; the instance answers them as unimplemented, because the endpoint choice does not use the index parts yet.

--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -15,8 +15,10 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
+	"github.com/fescuestep/fescuestep/pkg/controller/shards"
 	"github.com/fescuestep/fescuestep/pkg/peer"
 	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/shard"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -26,6 +28,7 @@
 	net   *fakeNet
 	list  *fakeList
 	nodes []*node
+	fleet *fakeEngines // nil without engines
 }
 
 type node struct {
@@ -34,6 +37,7 @@
 	sync    *configsync.Controller
 	members *members.Controller
 	limiter *quotasync.Limiter
+	shards  *shards.Controller // nil unless the cluster has engines
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	starts  int
@@ -120,13 +124,20 @@
 	n.sync = configsync.New(configsync.Options{Self: n.self, Table: table, Peers: peers, List: n.c.list, Rand: rand.New(rand.NewPCG(seed, 1))})
 	n.members = members.New(members.Options{Self: n.self, Sync: n.sync, Peers: peers, List: n.c.list})
 	n.limiter = quotasync.New(quotasync.Options{Self: n.self, State: n.sync, Peers: peers})
+	services := peer.Services{Syncer: n.sync, Joiner: n.members, Holder: n.limiter, Sharder: peer.Unsharded{}}
+	runs := []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run}
+	if n.c.fleet != nil {
+		n.shards = shards.New(shards.Options{Self: n.self, Snapshot: n.sync.Snapshot, List: n.c.list, Peers: peers, Client: n.c.fleet, Pace: shard.DefaultPace, Seed: seed})
+		services.Sharder = n.shards
+		runs = append(runs, n.shards.Run)
+	}
 	n.c.net.mu.Lock()
-	n.c.net.nodes[n.self.PeerAddr] = peer.Services{Syncer: n.sync, Joiner: n.members, Holder: n.limiter}
+	n.c.net.nodes[n.self.PeerAddr] = services
 	n.c.net.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.serving.Store(n.limiter)
-	for _, run := range []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run} {
+	for _, run := range runs {
 		n.done.Go(func() { _ = run(ctx) })
 	}
 }
--- /dev/null
+++ b/pkg/controller/shards_test.go
@@ -0,0 +1,167 @@
+package controller_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/shard"
+)
+
+// fakeEngines answers polls of engines that each hold one chain of blocks.
+type fakeEngines struct {
+	mu          sync.Mutex
+	incarnation map[string]string // by address; absent while down
+	chains      map[string][]block.Hash
+	polls       map[string]int // of events
+}
+
+const engineCount = 12
+
+func newFakeEngines(c *cluster) *fakeEngines {
+	f := &fakeEngines{incarnation: map[string]string{}, chains: map[string][]block.Hash{}, polls: map[string]int{}}
+	for i := range engineCount {
+		addr := fmt.Sprintf("10.0.0.%d:1", i)
+		f.incarnation[addr] = "1"
+		for level := range 4 {
+			f.chains[addr] = append(f.chains[addr], block.Hash(1_000_003*(i+1)<<20+level))
+		}
+		c.list.put(platform.Instance{ID: addr, Addr: addr, Pool: "plume", Domain: c.nodes[i%len(c.nodes)].self.Domain, State: platform.Live}, true)
+	}
+	return f
+}
+
+func (f *fakeEngines) Events(_ context.Context, addr string, after engine.Position) (engine.EventBatch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polls[addr]++
+	b := engine.EventBatch{Incarnation: f.incarnation[addr], Weights: "1", Seq: 1}
+	if b.Incarnation == "" {
+		return b, platform.ErrUnavailable
+	}
+	if after.Incarnation != b.Incarnation {
+		chain := f.chains[addr]
+		b.Snapshot, b.Blocks = true, chain
+		b.Parents = []block.Hash{7, chain[0], chain[1], chain[2]}
+	}
+	return b, nil
+}
+
+func (f *fakeEngines) Load(_ context.Context, addr string) (engine.LoadReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.incarnation[addr] == "" {
+		return engine.LoadReport{}, platform.ErrUnavailable
+	}
+	return engine.LoadReport{Incarnation: f.incarnation[addr], Weights: "1", Running: 3}, nil
+}
+
+func (f *fakeEngines) set(addr, incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incarnation[addr] = incarnation
+}
+
+// finds reports whether a lookup through the instance names exactly the
+// engine, in the incarnation that runs.
+func (n *node) finds(addr string) bool {
+	holders, ok := n.shards.Holders(context.Background(), n.c.fleet.chains[addr])
+	return ok && len(holders) == 1 && holders[0].Engine == addr && holders[0].Levels == 4 &&
+		holders[0].Incarnation == n.c.fleet.incarnation[addr] && holders[0].Load.GetRunning() == 3
+}
+
+func (c *cluster) allFind() bool {
+	for _, x := range c.nodes {
+		for addr := range c.fleet.chains {
+			if x.cancel != nil && !x.finds(addr) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func startedSharded(t *testing.T, n int) *cluster {
+	c := newCluster(t, n)
+	c.fleet = newFakeEngines(c)
+	for _, x := range c.nodes {
+		x.start()
+	}
+	c.until("all instances are fresh members", 10*time.Second, func() bool { return c.allFresh() && c.allKnow(n) })
+	d := &config.Deployment{Name: "ucab", Pools: []config.Pool{{Name: "plume", Kind: config.Model}}}
+	_, err := c.nodes[0].sync.Propose(context.Background(), func(*config.Snapshot) (config.Change, error) {
+		return config.Change{Deployment: d}, nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.until("every instance finds every chain", 15*time.Second, c.allFind)
+	return c
+}
+
+// Guards against engines that several instances follow, and against a crash of
+// an instance, of an engine or of the network after which chains are not found
+// again or are found at an engine that does not hold them.
+func TestShardsUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startedSharded(t, 6)
+		c.fleet.mu.Lock()
+		clear(c.fleet.polls)
+		c.fleet.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		c.fleet.mu.Lock()
+		for addr, n := range c.fleet.polls {
+			// One follower polls every 200 ms.
+			if n > 55 {
+				t.Errorf("%s was polled %d times in 10 s", addr, n)
+			}
+		}
+		c.fleet.mu.Unlock()
+
+		c.fleet.set("10.0.0.3:1", "2")
+		c.until("the new incarnation is found", 5*time.Second, c.allFind)
+
+		c.nodes[2].crash()
+		c.list.put(platform.Instance{ID: c.nodes[2].self.ID}, false)
+		c.until("found without the crashed instance", 60*time.Second, c.allFind)
+		c.nodes[2].start()
+		c.until("found after its restart", 30*time.Second, c.allFind)
+
+		c.fleet.set("10.0.0.5:1", "")
+		c.until("a dead engine is not found", 5*time.Second, func() bool {
+			holders, ok := c.nodes[0].shards.Holders(context.Background(), c.fleet.chains["10.0.0.5:1"])
+			return ok && len(holders) == 0
+		})
+	})
+}
+
+// Guards against a request that waits for an owner that does not answer.
+func TestLookupIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startedSharded(t, 4)
+		members := c.nodes[0].sync.Snapshot().Members
+		var chain []block.Hash
+		for _, x := range c.fleet.chains {
+			if to, _ := shard.NewMap(1, members).Owner(shard.PartitionOf(x[0])); to.ID != c.nodes[0].self.ID {
+				chain = x
+				c.net.setCut(to.PeerAddr, true)
+				break
+			}
+		}
+		before := time.Now()
+		if _, ok := c.nodes[0].shards.Holders(context.Background(), chain); ok {
+			t.Error("an answer from an instance that is cut off")
+		}
+		// Virtual time: the wait is the bound and depends on no machine.
+		if waited := time.Since(before); waited > 20*time.Millisecond {
+			t.Errorf("waited %v for an owner that does not answer", waited)
+		}
+	})
+}
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -87,5 +87,5 @@
 	defWeightLoads   = define(Gauge, "weight_loads", "Weight loads running, as the leader sees them.")
 	defPlatformCalls = define(Counter, "platform_calls_total", "Calls to the platform by service (table, objects, list, weights) and outcome (ok, conflict, unavailable, unknown).", "service", "outcome")
 	defPlatformTime  = define(Histogram, "platform_seconds", "Time of calls to the platform.", "service")
-	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call (sync, acknowledgements, join, acquire, return) and outcome (ok or failed).", "call", "outcome")
+	defPeerCalls     = define(Counter, "peer_calls_total", "Calls to other instances by call (sync, acknowledgements, join, acquire, return, forward, lookup) and outcome (ok or failed).", "call", "outcome")
 )
--- a/pkg/metrics/outcomes.go
+++ b/pkg/metrics/outcomes.go
@@ -45,6 +45,8 @@
 	Join             PeerCall = "join"
 	Acquire          PeerCall = "acquire"
 	Return           PeerCall = "return"
+	Forward          PeerCall = "forward"
+	Lookup           PeerCall = "lookup"
 )
 
 // Change is a change by an operator.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
 
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -34,11 +35,33 @@
 	Return(context.Context, *rpc.ReturnRequest) (*rpc.ReturnResponse, error)
 }
 
+// Sharder answers the messages about the divided cache index.
+type Sharder interface {
+	Forward(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error)
+	Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error)
+}
+
+// Unsharded is the Sharder of an instance that keeps the whole cache index.
+type Unsharded struct{}
+
+// Forward implements Sharder.
+func (Unsharded) Forward(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
+	return nil, errUnsharded
+}
+
+// Lookup implements Sharder.
+func (Unsharded) Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error) {
+	return nil, errUnsharded
+}
+
+var errUnsharded = twirp.NewError(twirp.Unimplemented, "the cache index is not sharded")
+
 // Services are the parts that together answer the peer service.
 type Services struct {
 	Syncer
 	Joiner
 	Holder
+	Sharder
 }
 
 // readHeaderTimeout ends connections that never send a request.
--- a/pkg/shard/engine.go
+++ b/pkg/shard/engine.go
@@ -191,6 +191,7 @@
 		Running:      uint32(e.load.Running),
 		Waiting:      uint32(e.load.Waiting),
 		QueuedTokens: uint32(e.load.QueuedTokens),
+		Leaving:      e.load.Leaving,
 	}
 }
 
--- a/pkg/shard/lookup.go
+++ b/pkg/shard/lookup.go
@@ -55,5 +55,6 @@
 		Running:      l.Running,
 		Waiting:      l.Waiting,
 		QueuedTokens: l.QueuedTokens,
+		Leaving:      l.Leaving,
 	}
 }
--- a/pkg/shard/outbox.go
+++ b/pkg/shard/outbox.go
@@ -32,6 +32,7 @@
 	introduced bool // the owner acknowledged the source
 	complete   bool // the owner acknowledged that it has all parts
 	gone       bool
+	loaded     bool                              // the owner acknowledged a load report of this source
 	offered    map[Partition]bool                // parts that the owner was or will be sent
 	resync     map[Partition]bool                // parts to send as snapshots
 	deltas     map[Partition]map[block.Hash]bool // net changes, true when stored
@@ -44,6 +45,7 @@
 	identity bool
 	complete bool
 	gone     bool
+	loaded   bool
 	parts    []Partition
 }
 
@@ -59,7 +61,7 @@
 
 // reset starts over: the owner is to be told everything.
 func (l *lane) reset() {
-	l.introduced, l.complete = false, false
+	l.introduced, l.complete, l.loaded = false, false, false
 	l.resync = map[Partition]bool{}
 	l.deltas = map[Partition]map[block.Hash]bool{}
 	clear(l.offered)
@@ -91,13 +93,15 @@
 	d[h] = stored
 }
 
-func (l *lane) pending() bool {
-	return !l.introduced || !l.complete || l.gone || len(l.resync) > 0 || len(l.deltas) > 0
+// pending reports whether the owner has to hear of the engine before the next
+// keep-alive. A changed load is no reason, the first report is.
+func (l *lane) pending(e *followed) bool {
+	return !l.introduced || e.reported && !l.loaded || !l.complete || l.gone || len(l.resync) > 0 || len(l.deltas) > 0
 }
 
 func (o *outbox) pending() bool {
-	for _, l := range o.lanes {
-		if l.pending() {
+	for e, l := range o.lanes {
+		if l.pending(e) {
 			return true
 		}
 	}
@@ -173,6 +177,7 @@
 		return u
 	}
 	u.Load = e.loadMessage(now)
+	l.underWay.loaded = u.Load != nil
 	u.Stale = e.gap || !e.known || now-e.read > staleAfter
 	f.addDeltas(u, l, left)
 	f.addSnapshots(u, e, l, left)
@@ -271,6 +276,7 @@
 	}
 	l.introduced = l.introduced || w.identity
 	l.complete = l.complete || w.complete
+	l.loaded = l.loaded || w.loaded
 }
 
 // refused queues a part again whose owner does not know yet that it is.
