upstream: choose among the holders that an owner named

Cause: the choice could only use an index of all engines on the instance.

Change: a query may carry the holders of its longest prefixes with load, as found through Finder; the choice then works on them and a few engines of little load that owners add. Owners are ordered by epoch: an incarnation told by an owner that learns late is not taken for a restart. Without an answer the request goes on. Traces record the holders. No Finder is set yet.

Conclusion: the decision part is complete; wiring into the instance is next.

--- a/pkg/controller/shards/lookup.go
+++ b/pkg/controller/shards/lookup.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/shard"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -30,10 +32,11 @@
 	return c.owner.Lookup(c.now(), req, c.rng), nil
 }
 
-// Holders asks the owner of a prompt's root which engines hold the longest
-// prefixes. It returns false when the owner does not answer within the bound
-// or does not own the root; the request then goes on without cache knowledge.
-func (c *Controller) Holders(ctx context.Context, blocks []block.Hash) ([]*rpc.Holder, bool) {
+// Holders asks the owner of a prompt's root which engines of the pool hold the
+// longest prefixes and which others have little load. It returns false when
+// the owner does not answer within the bound or does not own the root; the
+// request then goes on without cache knowledge.
+func (c *Controller) Holders(ctx context.Context, pool string, blocks []block.Hash) ([]pick.Holder, bool) {
 	if len(blocks) == 0 {
 		return nil, false
 	}
@@ -43,7 +46,7 @@
 	if !ok {
 		return nil, false
 	}
-	p := &rpc.Prompt{Blocks: make([]uint64, len(blocks))}
+	p := &rpc.Prompt{Pool: pool, Blocks: make([]uint64, len(blocks))}
 	for i, h := range blocks {
 		p.Blocks[i] = uint64(h)
 	}
@@ -57,5 +60,29 @@
 	if err != nil || len(resp.Prompts) != 1 || !resp.Prompts[0].Owned {
 		return nil, false
 	}
-	return resp.Prompts[0].Holders, true
+	return holders(resp.Prompts[0].Holders), true
+}
+
+func holders(in []*rpc.Holder) []pick.Holder {
+	out := make([]pick.Holder, len(in))
+	for i, h := range in {
+		out[i] = pick.Holder{
+			ID:          h.Engine,
+			Incarnation: h.Incarnation,
+			Weights:     h.Weights,
+			Epoch:       pick.Epoch{Since: h.Since, Source: h.Source},
+			Levels:      int(h.Levels),
+			Expect:      float64(h.Expect),
+		}
+		if l := h.Load; l != nil {
+			out[i].Load = &pick.HolderLoad{
+				Age:          time.Duration(l.AgeMs) * time.Millisecond,
+				Running:      int(l.Running),
+				Waiting:      int(l.Waiting),
+				QueuedTokens: int(l.QueuedTokens),
+				Leaving:      l.Leaving,
+			}
+		}
+	}
+	return out
 }
--- a/pkg/controller/shards/shards.go
+++ b/pkg/controller/shards/shards.go
@@ -154,14 +154,14 @@
 		return
 	}
 	c.listed = map[string]platform.Instance{}
-	domains := map[string]string{}
+	listed := map[string]shard.Listed{}
 	for _, x := range instances {
 		if p := s.Pool(x.Pool); p != nil && p.Kind == config.Model {
 			c.listed[x.ID] = x
-			domains[x.ID] = x.Domain
+			listed[x.ID] = shard.Listed{Pool: x.Pool, Domain: x.Domain}
 		}
 	}
-	c.follower.SetEngines(c.now(), domains)
+	c.follower.SetEngines(c.now(), listed)
 }
 
 // assign divides the work again when the membership changed. The caller holds
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -134,11 +134,11 @@
 		}
 		return
 	}
-	p.matches = s.Index.Lookup(p.matches[:0], s.IndexTime(now), r.Blocks, maxHolders, rng)
 	levels := 0
-	for _, m := range p.matches {
-		levels = max(levels, m.Levels)
-		p.consider(now, r, s, s.ofEngine(m.Engine))
+	if r.Sharded {
+		levels = p.considerHolders(now, r, s)
+	} else {
+		levels = p.considerMatches(now, r, s, rng)
 	}
 	if levels < len(r.Blocks) {
 		at := mix(uint64(r.Blocks[levels])) % uint64(len(s.longLane))
@@ -152,6 +152,18 @@
 	}
 }
 
+// considerMatches makes the upstreams that hold the longest prefixes candidates
+// and returns the most levels that one of them holds.
+func (p *Estimate) considerMatches(now time.Time, r *Request, s *Store, rng *rand.Rand) int {
+	p.matches = s.Index.Lookup(p.matches[:0], s.IndexTime(now), r.Blocks, maxHolders, rng)
+	levels := 0
+	for _, m := range p.matches {
+		levels = max(levels, m.Levels)
+		p.consider(now, r, s, s.ofEngine(m.Engine))
+	}
+	return levels
+}
+
 func (p *Estimate) consider(now time.Time, r *Request, s *Store, u *Upstream) {
 	if !s.Selectable(now, u, r) {
 		return
@@ -165,7 +177,7 @@
 }
 
 func (p *Estimate) candidate(now time.Time, r *Request, s *Store, u *Upstream) candidate {
-	levels, blocks := s.Index.Expect(u.Engine, s.IndexTime(now), r.Blocks)
+	levels, blocks := s.cached(now, r, u)
 	return candidate{upstream: u, levels: levels, blocks: blocks}
 }
 
--- a/pkg/pick/policy.go
+++ b/pkg/pick/policy.go
@@ -18,6 +18,10 @@
 	Domain      string // failure domain of this instance
 	Exclude     []string
 	MaxQueue    time.Duration // tighter bound of the engine queue, 0 for the pool's
+	// Sharded says that Holders replaces the index of the store: it is what
+	// the owner of the prompt's root knows, empty when it did not answer.
+	Sharded bool
+	Holders []Holder
 }
 
 // uncached returns the prompt tokens left when blocks blocks are cached.
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -42,6 +42,7 @@
 	Addr        string
 	Domain      string
 	Incarnation string
+	Epoch       Epoch  // of Incarnation, when owners of index parts told it
 	Weights     string // version last reported
 	Engine      cacheindex.Engine
 	Outlier     retry.Outlier
--- a/pkg/shard/engine.go
+++ b/pkg/shard/engine.go
@@ -11,7 +11,8 @@
 
 // followed is what a follower knows of one engine.
 type followed struct {
-	id, domain  string
+	id, pool    string
+	domain      string
 	since       uint64 // membership revision at which it was taken over
 	source      uint32 // number of this incarnation, 0 while unknown
 	incarnation string
--- a/pkg/shard/follower.go
+++ b/pkg/shard/follower.go
@@ -87,19 +87,23 @@
 	}
 }
 
-// SetEngines states which engines of the platform's list this instance
-// follows, with their failure domains. Others are reported as gone.
-func (f *Follower) SetEngines(now time.Duration, listed map[string]string) {
+// Listed is an engine of the platform's list.
+type Listed struct{ Pool, Domain string }
+
+// SetEngines takes the engines of the platform's list, by ID, and follows
+// those that are assigned to this instance. Engines that it followed and that
+// are no longer listed are reported as gone.
+func (f *Follower) SetEngines(now time.Duration, listed map[string]Listed) {
 	for id := range f.engines {
 		if _, ok := listed[id]; !ok {
 			f.Gone(now, id)
 		}
 	}
-	for id, domain := range listed {
-		if f.engines[id] != nil || !f.assigned.Follows(f.self, id, domain) {
+	for id, x := range listed {
+		if f.engines[id] != nil || !f.assigned.Follows(f.self, id, x.Domain) {
 			continue
 		}
-		e := &followed{id: id, domain: domain, since: f.assigned.Revision, changed: f.change}
+		e := &followed{id: id, pool: x.Pool, domain: x.Domain, since: f.assigned.Revision, changed: f.change}
 		e.reset()
 		f.engines[id] = e
 	}
--- a/pkg/shard/outbox.go
+++ b/pkg/shard/outbox.go
@@ -170,7 +170,7 @@
 func (f *Follower) engineUpdate(now time.Duration, e *followed, l *lane, left *int) *rpc.EngineUpdate {
 	u := &rpc.EngineUpdate{Source: e.source, Gone: l.gone}
 	if !l.introduced {
-		u.Identity = &rpc.EngineIdentity{Id: e.id, Incarnation: e.incarnation, Weights: e.weights, Since: e.since}
+		u.Identity = &rpc.EngineIdentity{Id: e.id, Incarnation: e.incarnation, Weights: e.weights, Since: e.since, Pool: e.pool}
 	}
 	l.underWay = underWay{source: e.source, identity: !l.introduced, gone: l.gone}
 	if l.gone {
--- a/pkg/shard/owner.go
+++ b/pkg/shard/owner.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,7 @@
 	assigned  *Map
 	index     *cacheindex.Index
 	engines   map[string]*owned
+	pools     map[string][]*owned // the same engines by pool
 	followers map[uint64]*stream
 	handles   []*owned // by cacheindex.Engine
 	lives     uint64   // parts added so far
@@ -32,7 +34,7 @@
 
 // owned is one engine as far as this instance owns its blocks.
 type owned struct {
-	id          string
+	id, pool    string
 	from        uint64 // follower and source that the entries come from
 	source      uint32
 	since       uint64 // membership revision at which the follower took over
@@ -58,6 +60,7 @@
 		self:      self,
 		index:     cacheindex.New(),
 		engines:   map[string]*owned{},
+		pools:     map[string][]*owned{},
 		followers: map[uint64]*stream{},
 	}
 }
@@ -96,6 +99,7 @@
 		if now-e.heard > forgetAfter {
 			o.clear(e)
 			delete(o.engines, id)
+			o.pools[e.pool] = slices.DeleteFunc(o.pools[e.pool], func(x *owned) bool { return x == e })
 		}
 	}
 }
@@ -142,8 +146,9 @@
 	id := u.Identity
 	e := o.engines[id.Id]
 	if e == nil {
-		e = &owned{id: id.Id, parts: map[Partition]*part{}}
+		e = &owned{id: id.Id, pool: id.Pool, parts: map[Partition]*part{}}
 		o.engines[id.Id] = e
+		o.pools[id.Pool] = append(o.pools[id.Pool], e)
 	}
 	s.sources[u.Source] = e
 	if e.from == follower && e.source > u.Source || id.Since < e.since {
@@ -165,6 +170,7 @@
 	e.load = u.Load
 	if u.Gone {
 		o.clear(e) // the record stays until Expire and keeps late messages out
+		e.load = nil
 		return
 	}
 	for _, p := range u.Uncertain {
--- a/pkg/upstream/coalesce.go
+++ b/pkg/upstream/coalesce.go
@@ -53,7 +53,7 @@
 	if l == nil {
 		return false
 	}
-	known := c.store.Index.Known(w.query.Blocks)
+	known := c.store.Known(c.pickRequest(&w.query))
 	if known >= depth {
 		return false
 	}
--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -134,6 +134,7 @@
 func (c *Core) Submit(now time.Time, q *Query, decided func(*Wait)) *Wait {
 	w := &Wait{query: *q, decided: decided}
 	c.rec.submit(now, w)
+	c.onHolders(now, q.Holders)
 	w.item = fair.Item[*Wait]{
 		Customer: q.Customer,
 		Weight:   q.Weight,
@@ -229,6 +230,8 @@
 		Blocks:      q.Blocks,
 		Domain:      q.FromDomain,
 		Exclude:     q.Exclude,
+		Sharded:     q.Sharded,
+		Holders:     q.Holders,
 	}
 	if c.shares.over(q.Customer) {
 		c.request.MaxQueue = overQueue
@@ -291,7 +294,7 @@
 	u := g.flight.Upstream
 	u.FirstToken(g.flight)
 	u.Outlier.Success()
-	if !u.Removed {
+	if !u.Removed && !g.query.Sharded {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, g.incarnation, g.query.Blocks)
 	}
 	c.exportComputed(now, g, cachedTokens)
--- /dev/null
+++ b/pkg/upstream/holders.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/pick"
+)
+
+// Finder asks the owner of a prompt's root for holders of its blocks. It
+// returns false when it got no answer within its bound.
+// *shards.Controller implements it.
+type Finder interface {
+	Holders(ctx context.Context, pool string, blocks []block.Hash) ([]pick.Holder, bool)
+}
+
+// find fills in what the owner of the prompt's root knows. Without an answer
+// the request goes on without cache knowledge.
+func (p *Pools) find(ctx context.Context, q *Query) {
+	if p.opts.Finder == nil || len(q.Blocks) == 0 {
+		return
+	}
+	q.Sharded = true
+	q.Holders, _ = p.opts.Finder.Holders(ctx, q.Pool, q.Blocks)
+}
+
+// onHolders notes the incarnations and loads that came with a lookup. Unlike a
+// report read from the upstream itself, an old one does not show that it is
+// reachable now, so that ejections stay.
+func (c *Core) onHolders(now time.Time, holders []pick.Holder) {
+	for i := range holders {
+		h := &holders[i]
+		u := c.store.Get(h.ID)
+		if u == nil || h.Epoch.Before(u.Epoch) {
+			continue
+		}
+		u.Epoch = h.Epoch
+		if u.Incarnation != h.Incarnation {
+			if u.Incarnation != "" {
+				u.Outlier.Restarted(now)
+			}
+			u.Incarnation = h.Incarnation
+			u.Reset(time.Time{})
+		}
+		u.Weights = h.Weights
+		onHolderLoad(now, u, h.Load)
+	}
+}
+
+func onHolderLoad(now time.Time, u *pick.Upstream, l *pick.HolderLoad) {
+	if l == nil {
+		return
+	}
+	sampled := now.Add(-l.Age)
+	if sampled.Before(u.LastReport().Sampled) {
+		return
+	}
+	u.ReportedLeaving = l.Leaving
+	u.OnReport(pick.Report{Sampled: sampled, Running: l.Running, Waiting: l.Waiting, QueuedTokens: l.QueuedTokens})
+}
--- /dev/null
+++ b/pkg/upstream/holders_test.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/fair"
+	"github.com/fescuestep/fescuestep/pkg/pick"
+	"github.com/fescuestep/fescuestep/pkg/platform"
+)
+
+func shardedCore(t *testing.T, now time.Time) *Core {
+	pool := config.Pool{Name: "plume", Kind: config.Model, MaxInFlight: 8, PrefillPerSec: 20000, BlockTokens: 2000}
+	c, err := NewCore(now, Settings{Pool: pool, Queue: fair.DefaultLimits, MaxQueue: DefaultMaxQueue, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []platform.Instance
+	for i := range 40 {
+		list = append(list, platform.Instance{ID: fmt.Sprintf("e%02d", i), Addr: "a", Pool: "plume", State: platform.Live})
+	}
+	c.OnList(now, list)
+	return c
+}
+
+// Guards against a choice that ignores what the owner of a prompt's root knows,
+// that trusts an older incarnation because its owner learns late, that sends
+// work to a leaving engine, and that refuses a request without an answer.
+func TestChoiceFromHolders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	blocks := []block.Hash{1, 2, 3, 4}
+	holder := func(id, incarnation string, source uint32, queued int, leaving bool) pick.Holder {
+		return pick.Holder{
+			ID: id, Incarnation: incarnation, Levels: 4, Expect: 4, Epoch: pick.Epoch{Since: 5, Source: source},
+			Load: &pick.HolderLoad{Age: 100 * time.Millisecond, QueuedTokens: queued, Leaving: leaving},
+		}
+	}
+	for _, x := range []struct {
+		name    string
+		earlier []pick.Holder // answer to an earlier request
+		holders []pick.Holder
+		want    string // empty for any engine without cached tokens
+	}{
+		{"holder", nil, []pick.Holder{holder("e07", "1", 1, 0, false)}, "e07"},
+		{"less loaded of two", nil, []pick.Holder{holder("e07", "1", 1, 30000, false), holder("e09", "1", 1, 0, false)}, "e09"},
+		{"late owner", []pick.Holder{holder("e07", "2", 2, 0, false)}, []pick.Holder{holder("e07", "1", 1, 0, false)}, ""},
+		{"newer incarnation", []pick.Holder{holder("e07", "1", 1, 0, false)}, []pick.Holder{holder("e07", "2", 2, 0, false)}, "e07"},
+		{"leaving", nil, []pick.Holder{holder("e07", "1", 1, 0, true)}, ""},
+		{"no longer listed", nil, []pick.Holder{holder("gone", "1", 1, 0, false)}, ""},
+		{"no answer", nil, nil, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := shardedCore(t, now)
+			if x.earlier != nil {
+				q := Query{Pool: "plume", Customer: "a", Weight: 1, Tokens: 8000, Blocks: blocks, Sharded: true, Holders: x.earlier}
+				c.Done(now, c.Submit(now, &q, func(*Wait) {}).Grant, OK)
+			}
+			q := Query{Pool: "plume", Customer: "a", Weight: 1, Tokens: 8000, Blocks: blocks, Sharded: true, Holders: x.holders}
+			w := c.Submit(now, &q, func(*Wait) {})
+			if w.Grant == nil {
+				t.Fatalf("refused: %v", w.Err)
+			}
+			got := w.Grant.choice
+			switch {
+			case x.want == "" && got.HitTokens > 1:
+				t.Errorf("%s is expected to have %d tokens cached", got.Upstream.ID, got.HitTokens)
+			case x.want != "" && (got.Upstream.ID != x.want || got.HitTokens < 7999):
+				t.Errorf("chose %s with %d cached tokens, want %s", got.Upstream.ID, got.HitTokens, x.want)
+			}
+			if x.name == "leaving" && got.Upstream.ID == "e07" {
+				t.Error("chose a leaving engine")
+			}
+			c.FirstToken(now, w.Grant, 0)
+			if n := c.store.Index.Len(); n != 0 {
+				t.Errorf("%d entries in the own index, which nothing would remove", n)
+			}
+		})
+	}
+}
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -22,6 +22,8 @@
 	// KV moves blocks between engines and the KV stores of pools that name
 	// one; nil leaves imports and exports out.
 	KV KVClient
+	// Finder finds holders in the divided cache index; nil uses the own index.
+	Finder Finder
 	// Record receives every input of every pool; nil records nothing.
 	Record Recorder
 }
@@ -103,6 +105,7 @@
 		return nil, code.New(code.NoUpstream, "pool %s is not configured", q.Pool).
 			WithRun(code.NotRun).WithRetryAfter(retryNoUpstream)
 	}
+	p.find(ctx, &q)
 	decided := make(chan struct{})
 	var w *Wait
 	pl.with(func(now time.Time, c *Core) {
--- a/pkg/upstream/record.go
+++ b/pkg/upstream/record.go
@@ -6,6 +6,7 @@
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
@@ -68,6 +69,8 @@
 	Blocks     []block.Hash  `json:"blocks,omitempty"`
 	Deadline   time.Duration `json:"deadline,omitempty"` // ns after the submission, 0 for none
 	Exclude    []string      `json:"exclude,omitempty"`
+	Sharded    bool          `json:"sharded,omitempty"`
+	Holders    []pick.Holder `json:"holders,omitempty"`
 	Moves      int           `json:"moves,omitempty"`
 }
 
@@ -76,6 +79,7 @@
 	q := Query{
 		Pool: pool, Customer: r.Customer, Weight: r.Weight, FromDomain: r.FromDomain, Priority: r.Priority,
 		Tokens: r.Tokens, MaxOutput: r.MaxOutput, Blocks: r.Blocks, Exclude: r.Exclude, Moves: r.Moves,
+		Sharded: r.Sharded, Holders: r.Holders,
 	}
 	if r.Deadline != 0 {
 		q.Deadline = now.Add(r.Deadline)
@@ -87,6 +91,7 @@
 	r := &RecordedQuery{
 		Customer: q.Customer, Weight: q.Weight, FromDomain: q.FromDomain, Priority: q.Priority,
 		Tokens: q.Tokens, MaxOutput: q.MaxOutput, Blocks: q.Blocks, Exclude: q.Exclude, Moves: q.Moves,
+		Sharded: q.Sharded, Holders: q.Holders,
 	}
 	if !q.Deadline.IsZero() {
 		r.Deadline = q.Deadline.Sub(now)
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -70,7 +70,7 @@
 func (c *Core) Imported(now time.Time, g *Grant, t Transfer, done int) {
 	c.rec.grant(now, g, Entry{Kind: EntryImported, Transfer: &t, Blocks: done})
 	g.flight.SentNow(now)
-	if u := c.store.Get(t.UpstreamID); u != nil {
+	if u := c.store.Get(t.UpstreamID); u != nil && !g.query.Sharded {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, t.Incarnation, t.Blocks[:done])
 	}
 	if c.store.KV != nil && done < len(t.Blocks) {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -22,7 +22,10 @@
 	Blocks         []block.Hash // nil for services
 	Deadline       time.Time    // zero for none
 	Exclude        []string     // upstream IDs already tried
-	Moves          int          // times this request was withdrawn from an engine's queue
+	// Sharded says that Holders replaces the own cache index. Pools sets both.
+	Sharded bool
+	Holders []pick.Holder
+	Moves   int // times this request was withdrawn from an engine's queue
 }
 
 // Result is the end of a request on an upstream.
