shard: wire the divided index behind an option and record the figures

Cause: the divided index was not connected to an instance and its size at 700 instances was not known.

Change: instance.Options.Shard connects follower, owner and choice; the command does not set it, so every instance keeps the whole index. Owners add engines of little load to answers. The pause between messages grows with the number of owners up to 1 s. docs/measurements-shards.md has the figures.

--- a/pkg/controller/shards/lookup.go
+++ b/pkg/controller/shards/lookup.go
@@ -32,11 +32,23 @@
 	return c.owner.Lookup(c.now(), req, c.rng), nil
 }
 
+// Active reports whether the fleet's index is divided.
+func (c *Controller) Active() bool { return c.active.Load() }
+
 // Holders asks the owner of a prompt's root which engines of the pool hold the
-// longest prefixes and which others have little load. It returns false when
-// the owner does not answer within the bound or does not own the root; the
-// request then goes on without cache knowledge.
-func (c *Controller) Holders(ctx context.Context, pool string, blocks []block.Hash) ([]pick.Holder, bool) {
+// longest prefixes and which others have little load. When the owner does not
+// answer within the bound, or the prompt has no whole block, the answer holds
+// only engines of little load that this instance knows as an owner itself.
+func (c *Controller) Holders(ctx context.Context, pool string, blocks []block.Hash) []pick.Holder {
+	if found, ok := c.ask(ctx, pool, blocks); ok {
+		return found
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return holders(c.owner.Spares(c.now(), pool, c.rng))
+}
+
+func (c *Controller) ask(ctx context.Context, pool string, blocks []block.Hash) ([]pick.Holder, bool) {
 	if len(blocks) == 0 {
 		return nil, false
 	}
--- a/pkg/controller/shards/shards.go
+++ b/pkg/controller/shards/shards.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,11 +37,12 @@
 type Options struct {
 	Self     config.Member
 	Snapshot func() *config.Snapshot
-	List     platform.InstanceList
+	Listed   func() []platform.Instance // the platform's list as last read
 	Peers    Peers
 	Client   Client
 	Pace     shard.Pace
-	Seed     uint64 // of the order of polls; differs between instances
+	Needed   func(engines int) bool // decides whether the index is divided
+	Seed     uint64                 // of the order of polls; differs between instances
 	Log      hclog.Logger
 }
 
@@ -48,7 +50,6 @@
 // that follows every engine of a small fleet.
 const (
 	listInterval   = 500 * time.Millisecond
-	listTimeout    = 2 * time.Second
 	reportInterval = 100 * time.Millisecond
 	eventInterval  = 200 * time.Millisecond
 	pollSpacing    = 6 * time.Millisecond
@@ -70,6 +71,7 @@
 	o      Options
 	start  time.Time
 	sender errgroup.Group
+	active atomic.Bool // the index is divided
 
 	mu       sync.Mutex
 	follower *shard.Follower
@@ -139,20 +141,13 @@
 	}
 }
 
-// refresh applies the membership and the platform's list. While the list does
-// not answer, the last one stays in use.
-func (c *Controller) refresh(ctx context.Context) {
-	s := c.o.Snapshot()
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	instances, err := c.o.List.List(listCtx)
+// refresh applies the membership and the platform's list.
+func (c *Controller) refresh(context.Context) {
+	s, instances := c.o.Snapshot(), c.o.Listed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.assign(s)
 	c.owner.Expire(c.now())
-	if err != nil || c.assigned == nil {
-		return
-	}
 	c.listed = map[string]platform.Instance{}
 	listed := map[string]shard.Listed{}
 	for _, x := range instances {
@@ -161,6 +156,13 @@
 			listed[x.ID] = shard.Listed{Pool: x.Pool, Domain: x.Domain}
 		}
 	}
+	needed := c.o.Needed(len(listed))
+	if c.active.Swap(needed) != needed {
+		c.o.Log.Info("cache index mode changed", "divided", needed, "engines", len(listed))
+	}
+	if !needed {
+		listed = nil // follow none
+	}
 	c.follower.SetEngines(c.now(), listed)
 }
 
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -39,8 +39,11 @@
 	Pools    Pools
 	Client   Client
 	Snapshot func() *config.Snapshot
-	Seed     uint64 // of the order of polls; differs between instances
-	Log      hclog.Logger
+	// Divided reports whether other instances follow most engines, so that this
+	// controller reads plain services only. Nil means never.
+	Divided func() bool
+	Seed    uint64 // of the order of polls; differs between instances
+	Log     hclog.Logger
 }
 
 // Periods and bounds. A dead upstream must get no new work 2 s after the first
@@ -126,6 +129,9 @@
 	return nil
 }
 
+// Listed returns the platform's list as last read.
+func (c *Controller) Listed() []platform.Instance { return *c.listed.Load() }
+
 // targets returns the listed upstreams of the pools that want accepts.
 func (c *Controller) targets(want func(config.Kind) bool) []poll.Target {
 	s := c.o.Snapshot()
@@ -139,13 +145,19 @@
 }
 
 func (c *Controller) engines() []poll.Target {
+	if c.divided() {
+		return nil
+	}
 	return c.targets(func(k config.Kind) bool { return k == config.Model })
 }
 
 func (c *Controller) reporting() []poll.Target {
-	return c.targets(func(k config.Kind) bool { return k != config.KV })
+	divided := c.divided()
+	return c.targets(func(k config.Kind) bool { return k != config.KV && !(divided && k == config.Model) })
 }
 
+func (c *Controller) divided() bool { return c.o.Divided != nil && c.o.Divided() }
+
 func (c *Controller) pollReport(ctx context.Context, t poll.Target) {
 	report, err := c.o.Client.Load(ctx, t.Addr)
 	if err != nil {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/orders"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
 	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
+	"github.com/fescuestep/fescuestep/pkg/controller/shards"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
@@ -38,6 +39,11 @@
 type Options struct {
 	Policy string // of endpoint choice; empty for the product's
 	Log    hclog.Logger
+	// Shard decides from the number of engines whether the cache index is
+	// divided, as shard.Needed does; nil keeps a whole index on every instance.
+	// The command does not set it: docs/measurements-shards.md says what is
+	// missing.
+	Shard func(engines int) bool
 }
 
 // Instance is one router instance.
@@ -60,10 +66,13 @@
 	members *members.Controller
 	limiter *quotasync.Limiter
 	pools   *upstream.Pools
-	feed    *collect.Feed // to pools
-	orders  *orders.Service
-	rollout *rollout.Controller
-	router  *router.Router
+	shards  *shards.Controller
+	// upstreams reads the platform's list for itself and shards.
+	upstreams *upstreams.Controller
+	feed      *collect.Feed // to pools
+	orders    *orders.Service
+	rollout   *rollout.Controller
+	router    *router.Router
 }
 
 // New binds the listeners and builds an instance. Run must be called to
@@ -139,11 +148,24 @@
 		Log:   i.log.Named("quota"),
 	})
 	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines}
+	if o.Shard != nil {
+		i.shards = i.newShards(peers, o.Shard, seed)
+		pools.Finder = i.shards
+	}
 	if i.record != nil {
 		pools.Record = i.record.recorder
 	}
 	i.pools = upstream.NewPools(pools)
 	i.feed = collect.NewFeed(i.pools, i.metrics)
+	i.upstreams = upstreams.New(upstreams.Options{
+		List:     list,
+		Pools:    i.feed,
+		Client:   i.engines,
+		Snapshot: i.sync.Snapshot,
+		Divided:  i.divided,
+		Seed:     seed,
+		Log:      i.log.Named("upstreams"),
+	})
 	i.orders = orders.New(table, objects, orders.DefaultOptions(i.self.ID), i.log.Named("orders"))
 	i.rollout = rollout.New(rollout.Options{
 		Self:  i.self.ID,
@@ -175,14 +197,8 @@
 			i.sync,
 			i.members,
 			i.limiter,
-			upstreams.New(upstreams.Options{
-				List:     collect.List(i.list, i.metrics),
-				Pools:    i.feed,
-				Client:   i.engines,
-				Snapshot: i.sync.Snapshot,
-				Seed:     seed,
-				Log:      i.log.Named("upstreams"),
-			}),
+			i.upstreams,
+			background(i.runShards),
 			i.rollout,
 			background(i.servePeers),
 			background(i.serveAdmin),
--- a/pkg/pick/estimate.go
+++ b/pkg/pick/estimate.go
@@ -147,6 +147,9 @@
 			p.candidates[i].meeting = p.candidates[i].upstream == s.longLane[at]
 		}
 	}
+	if r.Sharded && len(r.Holders) > 0 {
+		return // they include engines of little load; others' loads are not known here
+	}
 	for range samples {
 		p.consider(now, r, s, s.list[rng.IntN(len(s.list))])
 	}
--- a/pkg/shard/assign.go
+++ b/pkg/shard/assign.go
@@ -149,5 +149,19 @@
 	return ok && f.ID == self.ID && f.Incarnation == self.Incarnation
 }
 
+// designEventRate is the block events per second of one engine at the size to
+// design for: 450,000 a second from 2,800 engines.
+const designEventRate = 160
+
+// fullCopyLimit is the events per second up to which every instance keeps the
+// whole index. It is 160 engines, the most whose reports one instance reads
+// within a second at its 160 polls per second; with more, loads get too old.
+const fullCopyLimit = 160 * designEventRate
+
+// Needed reports whether a fleet with this number of engines divides its index.
+// It uses the design rate and not a measured one, so that all instances decide
+// alike from the same list.
+func Needed(engines int) bool { return engines*designEventRate > fullCopyLimit }
+
 // keyOf identifies one incarnation of a member in messages.
 func keyOf(m config.Member) uint64 { return xxh3.HashString(m.ID + "/" + m.Incarnation) }
--- a/pkg/shard/follower.go
+++ b/pkg/shard/follower.go
@@ -13,15 +13,28 @@
 
 // Pace bounds what a follower sends.
 type Pace struct {
-	Interval  time.Duration // between messages to one owner
+	Interval  time.Duration // longest pause between messages to one owner
+	PerOwner  time.Duration // pause for each owner in the fleet, up to Interval; 0 for Interval
 	KeepAlive time.Duration // after which an owner hears of its engines in any case
 	Resync    float64       // blocks per second in snapshots, over all owners
 	MaxBlocks int           // about the most blocks in one message
 }
 
-// DefaultPace is for large fleets: most blocks stay cached for longer than a
-// second, and resyncs take at most about 16 KB/s.
-var DefaultPace = Pace{Interval: time.Second, KeepAlive: 5 * time.Second, Resync: 2000, MaxBlocks: 4096}
+// DefaultPace sends at most 100 messages a second to up to 100 owners. With more
+// owners the pause stays at 1 s: a message then carries about one chain, so
+// that their number is bounded by the events. Resyncs take about 16 KB/s.
+var DefaultPace = Pace{Interval: time.Second, PerOwner: 10 * time.Millisecond, KeepAlive: 5 * time.Second, Resync: 2000, MaxBlocks: 4096}
+
+// minPause keeps a few owners from getting a message for every poll.
+const minPause = 100 * time.Millisecond
+
+// pause returns the time between two messages to one of n owners.
+func (p *Pace) pause(n int) time.Duration {
+	if p.PerOwner <= 0 {
+		return p.Interval
+	}
+	return min(max(p.PerOwner*time.Duration(n), minPause), p.Interval)
+}
 
 // Message is a request to send to an owner. The caller reports the outcome
 // with Answered or Failed.
--- a/pkg/shard/lookup.go
+++ b/pkg/shard/lookup.go
@@ -47,6 +47,13 @@
 	return out
 }
 
+// Spares names engines of the pool that have little load, without a prefix.
+func (o *Owner) Spares(now time.Duration, pool string, rng *rand.Rand) []*rpc.Holder {
+	out := &rpc.Holders{}
+	o.addSpares(now, out, pool, rng)
+	return out.Holders
+}
+
 func (e *owned) holder(now time.Duration, m cacheindex.Match) *rpc.Holder {
 	return &rpc.Holder{
 		Engine:      e.id,
--- a/pkg/shard/outbox.go
+++ b/pkg/shard/outbox.go
@@ -136,7 +136,7 @@
 	f.sequence++
 	o.seq = f.sequence
 	o.waiting, o.sent = true, now
-	o.next = now + f.pace.Interval<<min(o.failures, maxBackoff)
+	o.next = now + f.pace.pause(len(f.assigned.members))<<min(o.failures, maxBackoff)
 	req := &rpc.ForwardRequest{Follower: keyOf(f.self), Sequence: o.seq, Acknowledged: o.acked}
 	left := f.pace.MaxBlocks
 	if o.failures > 0 {
--- a/pkg/upstream/holders.go
+++ b/pkg/upstream/holders.go
@@ -8,21 +8,21 @@
 	"github.com/fescuestep/fescuestep/pkg/pick"
 )
 
-// Finder asks the owner of a prompt's root for holders of its blocks. It
-// returns false when it got no answer within its bound.
-// *shards.Controller implements it.
+// Finder asks the owner of a prompt's root for engines of the pool that hold
+// its blocks or have little load. *shards.Controller implements it.
 type Finder interface {
-	Holders(ctx context.Context, pool string, blocks []block.Hash) ([]pick.Holder, bool)
+	Active() bool // the index is divided; otherwise every instance has its own
+	Holders(ctx context.Context, pool string, blocks []block.Hash) []pick.Holder
 }
 
 // find fills in what the owner of the prompt's root knows. Without an answer
 // the request goes on without cache knowledge.
-func (p *Pools) find(ctx context.Context, q *Query) {
-	if p.opts.Finder == nil || len(q.Blocks) == 0 {
+func (p *Pools) find(ctx context.Context, pl *pool, q *Query) {
+	if p.opts.Finder == nil || !pl.model.Load() || !p.opts.Finder.Active() {
 		return
 	}
 	q.Sharded = true
-	q.Holders, _ = p.opts.Finder.Holders(ctx, q.Pool, q.Blocks)
+	q.Holders = p.opts.Finder.Holders(ctx, q.Pool, q.Blocks)
 }
 
 // onHolders notes the incarnations and loads that came with a lookup. Unlike a
@@ -48,6 +48,10 @@
 	}
 }
 
+// reachableWithin is the age up to which the load of a holder proves that its
+// engine is reachable; followers read it several times a second.
+const reachableWithin = 2 * time.Second
+
 func onHolderLoad(now time.Time, u *pick.Upstream, l *pick.HolderLoad) {
 	if l == nil {
 		return
@@ -56,6 +60,9 @@
 	if sampled.Before(u.LastReport().Sampled) {
 		return
 	}
+	if l.Age < reachableWithin {
+		u.PollFailed = false
+	}
 	u.ReportedLeaving = l.Leaving
 	u.OnReport(pick.Report{Sampled: sampled, Running: l.Running, Waiting: l.Waiting, QueuedTokens: l.QueuedTokens})
 }
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -46,6 +46,7 @@
 	core  *Core
 	timer *time.Timer
 	armed bool
+	model atomic.Bool // of kind config.Model
 	due   time.Time
 }
 
@@ -105,7 +106,7 @@
 		return nil, code.New(code.NoUpstream, "pool %s is not configured", q.Pool).
 			WithRun(code.NotRun).WithRetryAfter(retryNoUpstream)
 	}
-	p.find(ctx, &q)
+	p.find(ctx, pl, &q)
 	decided := make(chan struct{})
 	var w *Wait
 	pl.with(func(now time.Time, c *Core) {
@@ -215,6 +216,7 @@
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
 		}
 	}
+	pl.model.Store(c.Kind == config.Model)
 	pl.with(func(_ time.Time, core *Core) {
 		core.Configure(set)
 		core.SetInstances(p.members)
