--- a/pkg/controller/config_test.go
+++ b/pkg/controller/config_test.go
@@ -1,6 +1,8 @@
 package controller_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,6 +181,8 @@
 		reads := c.table.reads
 		c.table.mu.Unlock()
 		t.Logf("24 instances restarted: fresh after %v with %d table reads", took, reads)
+		took2 := c.until("the joins are accepted", 10*time.Second, func() bool { return c.allKnow(24) })
+		t.Logf("joins accepted after %v", took+took2)
 		// 2 relays in each of 4 domains read every 250 ms; everything beyond that
 		// is state rows, joins and acceptance, a few dozen reads per relay.
 		if bound := 8*int(took/(250*time.Millisecond)+1) + 24*20; reads > bound {
@@ -186,3 +190,114 @@
 		}
 	})
 }
+
+// Guards against a fleet that is replaced all at once, with other IDs and
+// addresses, and never accepts a change because no member of the old fleet can
+// acknowledge it.
+func TestFleetIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		for i, x := range c.nodes {
+			x.crash()
+			c.list.put(platform.Instance{ID: x.self.ID}, false)
+			x.self.ID += "-new"
+			x.self.PeerAddr = fmt.Sprintf("127.0.0.1:%d", 7100+i)
+			x.start()
+		}
+		took := c.until("the new fleet is fresh", 10*time.Second, c.allFresh)
+		accepted := c.until("its membership is accepted", 60*time.Second, func() bool { return c.allKnow(3) })
+		t.Logf("fresh after %v, accepted after %v", took, took+accepted)
+	})
+}
+
+// Guards against an instance that cannot catch up because the change rows it
+// lacks were compacted.
+func TestCompactedChangesAreReplacedByState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		c.net.setCut(c.nodes[2].self.PeerAddr, true)
+		for _, secret := range []string{"a", "b", "c"} {
+			c.nodes[0].putKey(secret, false)
+		}
+		c.nodes[0].putKey("b", true)
+		c.table.set(func(t *fakeTable) {
+			for key := range t.rows {
+				if strings.HasPrefix(key, "change/") {
+					delete(t.rows, key)
+				}
+			}
+		})
+		c.nodes[0].crash()
+		c.nodes[1].crash()
+		c.net.setCut(c.nodes[2].self.PeerAddr, false)
+		c.until("the state rows are loaded", 10*time.Second, func() bool { return c.nodes[2].honours("c") })
+		if !c.nodes[2].honours("a") || c.nodes[2].honours("b") {
+			t.Fatal("the state rows were not applied completely")
+		}
+	})
+}
+
+// Guards against an instance that follows a table slower than its timeouts into
+// refusing keyed requests.
+func TestSlowTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 5)
+		c.table.set(func(t *fakeTable) { t.slow = 3 * time.Second })
+		for range 80 {
+			time.Sleep(100 * time.Millisecond)
+			if !c.allFresh() {
+				t.Fatal("an instance is not fresh while the table is slow")
+			}
+		}
+	})
+}
+
+// Guards against change rows that pile up, and against compaction that removes
+// the membership change from which electorates are found.
+func TestCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 3)
+		for i := range 40 {
+			c.nodes[i%3].putKey(fmt.Sprint("key", i), false)
+			if i%8 == 7 {
+				c.until("accepted", 5*time.Second, func() bool { return c.allKnow(3) })
+			}
+		}
+		c.table.mu.Lock()
+		rows := 0
+		for key := range c.table.rows {
+			if strings.HasPrefix(key, "change/") {
+				rows++
+			}
+		}
+		c.table.mu.Unlock()
+		if rows > changeRows+10 {
+			t.Errorf("%d change rows, want about %d", rows, changeRows)
+		}
+		revision := c.nodes[0].putKey("last", false)
+		c.until("a change after compaction is accepted", 5*time.Second, func() bool { return c.nodes[0].accepted(revision) })
+	})
+}
+
+// Guards against a planned stop that leaves the instance in the membership,
+// where acceptance would wait for it.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := started(t, 4)
+		if err := c.nodes[3].members.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes[3].crash()
+		rest := c.nodes[:3]
+		c.until("the others know", 2*time.Second, func() bool {
+			for _, x := range rest {
+				if len(x.sync.Snapshot().Members.Members) != 3 {
+					return false
+				}
+			}
+			return true
+		})
+		took := c.until("accepted", 10*time.Second, func() bool { return c.nodes[0].accepted(c.nodes[0].sync.Snapshot().Revision) })
+		t.Logf("leave accepted after %v", took)
+	})
+}
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -37,8 +37,20 @@
 	Log    hclog.Logger
 	Rand   *rand.Rand   // jitter; used by the controller only
 	Params fresh.Params // zero means fresh.DefaultParams
+	// ChangeRows is the number of newest change rows kept in the table, 0 for
+	// DefaultChangeRows.
+	ChangeRows uint64
 }
 
+// GoneGrace is how long the platform must have stopped listing an instance
+// before it counts as gone. It covers the lag of the list, which may show a new
+// instance late.
+const GoneGrace = 10 * time.Second
+
+// DefaultChangeRows is about a day's changes. An instance that is further behind
+// loads the state rows.
+const DefaultChangeRows = 4096
+
 // changesKept is the number of changes kept in memory for other instances; one
 // that is further behind gets a whole snapshot.
 const changesKept = 512
@@ -63,6 +75,9 @@
 	acks        map[string]ack  // by member ID
 	subscribers []func(s *config.Snapshot, contiguous bool)
 
+	unlisted *member.Watch // used by the acceptor's goroutine only
+	stopped  atomic.Bool
+
 	randMu sync.Mutex
 	kick   chan struct{} // asks the follower to look for news at once
 	accept chan struct{} // asks the acceptor to look at the head
@@ -73,25 +88,32 @@
 	if o.Params == (fresh.Params{}) {
 		o.Params = fresh.DefaultParams()
 	}
+	if o.ChangeRows == 0 {
+		o.ChangeRows = DefaultChangeRows
+	}
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
 	c := &Controller{
-		o:       o,
-		start:   time.Now(),
-		tracker: fresh.NewTracker(o.Params),
-		changed: make(chan struct{}),
-		acks:    map[string]ack{},
-		kick:    make(chan struct{}, 1),
-		accept:  make(chan struct{}, 1),
+		o:        o,
+		start:    time.Now(),
+		tracker:  fresh.NewTracker(o.Params),
+		changed:  make(chan struct{}),
+		acks:     map[string]ack{},
+		unlisted: member.NewWatch(GoneGrace, 3*acceptCheck),
+		kick:     make(chan struct{}, 1),
+		accept:   make(chan struct{}, 1),
 	}
 	c.store = store{countingTable{o.Table, &c.reads}}
 	c.snapshot.Store(config.NewSnapshot())
 	return c
 }
 
-// Run loads the configuration and keeps it current until ctx ends.
+// Run loads the configuration and keeps it current until ctx ends. Afterwards
+// Sync answers nothing, so that a successor at the same address can tell that
+// this incarnation makes no statements any more.
 func (c *Controller) Run(ctx context.Context) error {
+	defer c.stopped.Store(true)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.follow(ctx) })
 	group.Go(func() error { return c.acceptLoop(ctx) })
@@ -186,7 +208,11 @@
 	c.snapshot.Store(s)
 	c.encoded = nil
 	_, isMember := member.Find(s.Members, c.o.Self.ID, c.o.Self.Incarnation)
+	wasMember := c.tracker.Member()
 	c.tracker.Hold(s.Revision, isMember)
+	if wasMember && !isMember {
+		notify(c.kick) // its evidence is void; another instance can vouch for it
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -201,9 +227,11 @@
 }
 
 func (c *Controller) publishUntil() {
-	if until, ok := c.tracker.Until(); ok {
-		c.until.Store(int64(until))
+	until, ok := c.tracker.Until()
+	if !ok {
+		until = 0
 	}
+	c.until.Store(int64(until))
 }
 
 func (c *Controller) raiseAccepted(revision uint64) {
--- a/pkg/controller/members/members.go
+++ b/pkg/controller/members/members.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
@@ -22,6 +23,7 @@
 	Snapshot() *config.Snapshot
 	Fresh() bool
 	HasState() bool
+	Accepted() uint64
 	IsMember() (self, other bool)
 	Propose(ctx context.Context, build func(*config.Snapshot) (config.Change, error)) (uint64, error)
 }
@@ -44,12 +46,11 @@
 const (
 	checkInterval = 250 * time.Millisecond // looks whether the instance has to join
 	joinRetry     = time.Second            // after a join that did not succeed
-	listInterval  = time.Second
-	// goneGrace covers the lag of the platform's list, which may show a new
-	// instance late.
-	goneGrace   = 10 * time.Second
-	batchDelay  = 50 * time.Millisecond // collects joins and leaves for one change
-	callTimeout = 3 * time.Second
+	listInterval  = time.Second            // of the first rank
+	maxListPause  = 10 * time.Second
+	batchDelay    = 50 * time.Millisecond // collects joins and leaves for one change
+	callTimeout   = 3 * time.Second
+	leaveWait     = 2 * time.Second // the normal acceptance takes a few 100 ms
 )
 
 // Controller keeps the membership record. It implements the Joiner of the peer
@@ -78,7 +79,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	return &Controller{o: o, start: time.Now(), watch: member.NewWatch(goneGrace)}
+	return &Controller{o: o, start: time.Now(), watch: member.NewWatch(configsync.GoneGrace, 2*maxListPause)}
 }
 
 // Run joins, stays a member and removes dead members until ctx ends.
@@ -132,8 +133,10 @@
 	}
 }
 
-// Leave removes the instance from the membership. It is called once, when the
-// instance stops.
+// Leave removes the instance from the membership and waits until that is
+// accepted or leaveWait has passed. It is called once, when the instance stops,
+// before it ends its other parts: its own acknowledgement makes acceptance
+// quick, and until then nobody takes over its quota shares.
 func (c *Controller) Leave(ctx context.Context) error {
 	c.mu.Lock()
 	c.leaving = true
@@ -141,11 +144,28 @@
 	if self, _ := c.o.Sync.IsMember(); !self {
 		return nil
 	}
-	if c.viaRelay(ctx, true) == nil {
-		return nil
+	if err := c.viaRelay(ctx, true); err != nil {
+		batch := member.Batch{Leaves: []member.Leave{{ID: c.o.Self.ID, Incarnation: c.o.Self.Incarnation}}}
+		if _, err := c.submit(ctx, batch); err != nil {
+			return err
+		}
 	}
-	_, err := c.submit(ctx, member.Batch{Leaves: []member.Leave{{ID: c.o.Self.ID, Incarnation: c.o.Self.Incarnation}}})
-	return err
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	for !c.left() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(checkInterval / 10):
+		}
+	}
+	return nil
+}
+
+// left reports whether a membership without the instance is accepted.
+func (c *Controller) left() bool {
+	self, _ := c.o.Sync.IsMember()
+	return !self && c.o.Sync.Accepted() >= c.o.Sync.Snapshot().Revision
 }
 
 // viaRelay lets a relay of the domain commit the change together with others.
@@ -268,7 +288,7 @@
 	members := c.o.Sync.Snapshot().Members.Members
 	for i, x := range member.Rank(members, "proposer", len(members)) {
 		if x.ID == c.o.Self.ID {
-			return listInterval * time.Duration(1+i)
+			return min(listInterval*time.Duration(1+i), maxListPause)
 		}
 	}
 	return listInterval
--- a/pkg/controller/shards/shards.go
+++ b/pkg/controller/shards/shards.go
@@ -50,7 +50,7 @@
 // that follows every engine of a small fleet.
 const (
 	listInterval   = 500 * time.Millisecond
-	reportInterval = 100 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
 	eventInterval  = 200 * time.Millisecond
 	pollSpacing    = 6 * time.Millisecond
 	maxInterval    = time.Second
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -49,17 +49,24 @@
 // Periods and bounds. A dead upstream must get no new work 2 s after the first
 // evidence; two failed polls fit into that.
 const (
-	listInterval   = 500 * time.Millisecond
-	listTimeout    = 2 * time.Second
-	reportInterval = 100 * time.Millisecond // engines sample their load as often
-	eventInterval  = 200 * time.Millisecond
+	listInterval = 500 * time.Millisecond
+	listTimeout  = 2 * time.Second
+	// Shorter intervals lower the tail of short calls, but polls take most of
+	// the network budget of an instance for control, 25 KB/s
+	// (docs/measurements.md). Long prefills are preceded by probes.
+	reportInterval  = 250 * time.Millisecond
+	serviceInterval = 500 * time.Millisecond // plain services have no cache and short queues
+	eventInterval   = 200 * time.Millisecond
 	// pollSpacing bounds an instance's polls of one kind to about 160 a second;
 	// with many upstreams reports and events are older. maxInterval plus
 	// pollTimeout still stays below the 2 s.
 	pollSpacing = 6 * time.Millisecond
 	maxInterval = time.Second
 	pollTimeout = 800 * time.Millisecond
-	concurrency = 64
+	// concurrency covers a failure domain of 400 upstreams that all stop
+	// answering: each holds one poll until its timeout. With fewer, the polls of
+	// the others wait for seconds.
+	concurrency = 512
 )
 
 // Controller polls the list and the upstreams.
@@ -79,7 +86,8 @@
 func (c *Controller) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.followList(ctx) })
-	group.Go(c.loop(ctx, 1, reportInterval, c.reporting, c.pollReport))
+	group.Go(c.loop(ctx, 1, reportInterval, c.engines, c.pollReport))
+	group.Go(c.loop(ctx, 3, serviceInterval, c.services, c.pollReport))
 	group.Go(c.loop(ctx, 2, eventInterval, c.engines, c.pollEvents))
 	return group.Wait()
 }
@@ -151,9 +159,8 @@
 	return c.targets(func(k config.Kind) bool { return k == config.Model })
 }
 
-func (c *Controller) reporting() []poll.Target {
-	divided := c.divided()
-	return c.targets(func(k config.Kind) bool { return k != config.KV && !(divided && k == config.Model) })
+func (c *Controller) services() []poll.Target {
+	return c.targets(func(k config.Kind) bool { return k == config.Service })
 }
 
 func (c *Controller) divided() bool { return c.o.Divided != nil && c.o.Divided() }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -147,7 +147,7 @@
 		Peers: peers,
 		Log:   i.log.Named("quota"),
 	})
-	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines}
+	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines, Load: i.engines}
 	if o.Shard != nil {
 		i.shards = i.newShards(peers, o.Shard, seed)
 		pools.Finder = i.shards
@@ -180,6 +180,7 @@
 	i.sync.Subscribe(func(snapshot *config.Snapshot, _ bool) {
 		i.pools.OnSnapshot(snapshot)
 		i.metrics.OnSnapshot(snapshot)
+		i.orders.SetInstances(len(snapshot.Members.Members))
 	})
 	i.router = router.New(i.parts(seed), i.routerOptions(seed))
 }
--- a/pkg/upstream/holders.go
+++ b/pkg/upstream/holders.go
@@ -35,34 +35,46 @@
 		if u == nil || h.Epoch.Before(u.Epoch) {
 			continue
 		}
+		if u.Incarnation != h.Incarnation && !restarted(now, u, h) {
+			continue
+		}
 		u.Epoch = h.Epoch
-		if u.Incarnation != h.Incarnation {
-			if u.Incarnation != "" {
-				u.Outlier.Restarted(now)
-			}
-			u.Incarnation = h.Incarnation
-			u.Reset(time.Time{})
+		if h.Load != nil {
+			onHolderLoad(now, u, h)
+		}
+	}
+}
+
+// restarted applies another incarnation than the known one and reports whether
+// it is newer: of a later epoch, and not contradicted by a report that a probe
+// read from the upstream itself after the owner's.
+func restarted(now time.Time, u *pick.Upstream, h *pick.Holder) bool {
+	if u.Incarnation != "" {
+		read := u.LastReport().Sampled
+		if !u.Epoch.Before(h.Epoch) || h.Load == nil && !read.IsZero() || h.Load != nil && now.Add(-h.Load.Age).Before(read) {
+			return false
 		}
-		u.Weights = h.Weights
-		onHolderLoad(now, u, h.Load)
+		u.Outlier.Restarted(now)
 	}
+	u.Incarnation = h.Incarnation
+	u.Reset(time.Time{})
+	return true
 }
 
 // reachableWithin is the age up to which the load of a holder proves that its
 // engine is reachable; followers read it several times a second.
 const reachableWithin = 2 * time.Second
 
-func onHolderLoad(now time.Time, u *pick.Upstream, l *pick.HolderLoad) {
-	if l == nil {
-		return
-	}
+func onHolderLoad(now time.Time, u *pick.Upstream, h *pick.Holder) {
+	l := h.Load
 	sampled := now.Add(-l.Age)
 	if sampled.Before(u.LastReport().Sampled) {
 		return
 	}
 	if l.Age < reachableWithin {
-		u.PollFailed = false
+		u.FailedPolls = 0
 	}
+	u.Weights = h.Weights
 	u.ReportedLeaving = l.Leaving
 	u.OnReport(pick.Report{Sampled: sampled, Running: l.Running, Waiting: l.Waiting, QueuedTokens: l.QueuedTokens})
 }
--- a/pkg/upstream/holders_test.go
+++ b/pkg/upstream/holders_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/fair"
 	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/platform"
@@ -41,19 +42,24 @@
 	for _, x := range []struct {
 		name    string
 		earlier []pick.Holder // answer to an earlier request
+		probed  string        // incarnation of e07 that a probe just showed
 		holders []pick.Holder
 		want    string // empty for any engine without cached tokens
 	}{
-		{"holder", nil, []pick.Holder{holder("e07", "1", 1, 0, false)}, "e07"},
-		{"less loaded of two", nil, []pick.Holder{holder("e07", "1", 1, 30000, false), holder("e09", "1", 1, 0, false)}, "e09"},
-		{"late owner", []pick.Holder{holder("e07", "2", 2, 0, false)}, []pick.Holder{holder("e07", "1", 1, 0, false)}, ""},
-		{"newer incarnation", []pick.Holder{holder("e07", "1", 1, 0, false)}, []pick.Holder{holder("e07", "2", 2, 0, false)}, "e07"},
-		{"leaving", nil, []pick.Holder{holder("e07", "1", 1, 0, true)}, ""},
-		{"no longer listed", nil, []pick.Holder{holder("gone", "1", 1, 0, false)}, ""},
-		{"no answer", nil, nil, ""},
+		{"holder", nil, "", []pick.Holder{holder("e07", "1", 1, 0, false)}, "e07"},
+		{"less loaded of two", nil, "", []pick.Holder{holder("e07", "1", 1, 30000, false), holder("e09", "1", 1, 0, false)}, "e09"},
+		{"late owner", []pick.Holder{holder("e07", "2", 2, 0, false)}, "", []pick.Holder{holder("e07", "1", 1, 0, false)}, ""},
+		{"newer incarnation", []pick.Holder{holder("e07", "1", 1, 0, false)}, "", []pick.Holder{holder("e07", "2", 2, 0, false)}, "e07"},
+		{"leaving", nil, "", []pick.Holder{holder("e07", "1", 1, 0, true)}, ""},
+		{"no longer listed", nil, "", []pick.Holder{holder("gone", "1", 1, 0, false)}, ""},
+		{"probe after the owner's report", nil, "2", []pick.Holder{holder("e07", "1", 1, 0, false)}, ""},
+		{"no answer", nil, "", nil, ""},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := shardedCore(t, now)
+			if x.probed != "" {
+				c.OnReport(now, "e07", &engine.LoadReport{Incarnation: x.probed})
+			}
 			if x.earlier != nil {
 				q := Query{Pool: "plume", Customer: "a", Weight: 1, Tokens: 8000, Blocks: blocks, Sharded: true, Holders: x.earlier}
 				c.Done(now, c.Submit(now, &q, func(*Wait) {}).Grant, OK)
