--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -21,6 +21,8 @@
 	// KV moves blocks between engines and the KV stores of pools that name
 	// one; nil leaves imports and exports out.
 	KV KVClient
+	// Finder finds holders in the divided cache index; nil uses the own index.
+	Finder Finder
 	// Load reads load reports before long prefills; nil leaves probes out.
 	Load LoadClient
 	// Record receives every input of every pool; nil records nothing.
@@ -46,6 +48,7 @@
 	core  *Core
 	timer *time.Timer
 	armed bool
+	model atomic.Bool // of kind config.Model
 	due   time.Time
 }
 
@@ -111,6 +114,7 @@
 		return nil, code.New(code.NoUpstream, "pool %s is not configured", q.Pool).
 			WithRun(code.NotRun).WithRetryAfter(retryNoUpstream)
 	}
+	p.find(ctx, pl, &q)
 	decided := make(chan struct{})
 	var w *Wait
 	pl.with(func(now time.Time, c *Core) {
@@ -224,6 +228,7 @@
 			core.OnExport(func(t Transfer) { p.exports.start(pl, t) })
 		}
 	}
+	pl.model.Store(c.Kind == config.Model)
 	pl.with(func(_ time.Time, core *Core) {
 		core.Configure(set)
 		core.SetInstances(p.members)
