--- a/pkg/capacity/rows.go
+++ b/pkg/capacity/rows.go
@@ -118,7 +118,7 @@
 		Core:      core(s.Events, r.get("cacheindex.BenchmarkEvent/engines=2800:ns/op")+decode),
 		Bytes:     s.Events * perEvent,
 		Control:   true,
-		Mechanism: "every instance follows every engine; to be sharded, see below",
+		Mechanism: "every instance follows every engine; to be divided, see below",
 	}
 }
 
@@ -131,7 +131,7 @@
 		Core:      core(polls, r.get("upstreams.BenchmarkPoll/report:cpu-ns/op")/sides),
 		Bytes:     polls * r.get("upstreams.BenchmarkPoll/report:body-B/op"),
 		Control:   true,
-		Mechanism: "every instance polls every upstream; to be replaced by probes, see below",
+		Mechanism: "every instance polls every upstream; to be replaced by followers and probes, see below",
 	}
 }
 
--- a/pkg/capacity/shards.go
+++ b/pkg/capacity/shards.go
@@ -1,41 +1,37 @@
 package capacity
 
-// Sizes of the messages of the planned sharded index. They are estimates of a
-// design that is not built; the page says so.
-const (
-	compactEvent = 16.0  // bytes of one event: block hash, kind, engine
-	lookupBytes  = 250.0 // bytes of one lookup, both directions, as one Acquire
-	probeBytes   = 180.0 // bytes of one load probe, both directions, as one Sync
-	probes       = 2.0   // per request, besides what the lookup answers
-)
+// messagesAtSize is the number of messages with block events that an instance
+// sends a second at 700 instances with a pause of one second: bounded by the
+// chains per second, see docs/measurements-shards.md.
+const messagesAtSize = 79.0
 
-// Planned is the cost of the sharded index for one instance, an estimate from
-// the measured cost of calls and events.
+// Planned is the cost of the divided index for one instance, computed from the
+// measured cost of its messages, events and lookups.
 type Planned struct {
-	Follow   float64 // bytes per second to read the events of its engines once
-	Forward  float64 // bytes per second to and from shard owners
-	Lookups  float64 // bytes per second of lookups and probes
-	Total    float64 // bytes per second
-	Core     float64 // percent of a core
-	State    float64 // bytes
-	JSONRead float64 // bytes per second of Follow with today's JSON events
+	Follow  float64 // bytes per second to read the events of its engines, as JSON
+	Forward float64 // bytes per second to and from owners
+	Lookups float64 // bytes per second asked and answered
+	Total   float64 // bytes per second
+	Core    float64 // percent of a core
+	State   float64 // bytes
 }
 
-// plan computes the sharded index at a size.
+// plan computes the divided index at a size.
 func plan(s Size, r *reader) Planned {
 	events := s.Events / s.Instances
 	requests := s.Requests / s.Instances
 	p := Planned{
-		Follow:   events * compactEvent,
-		Forward:  events * compactEvent * sides,
-		Lookups:  requests * (lookupBytes + probes*probeBytes) * sides,
-		State:    s.Blocks / s.Instances * r.get("cacheindex.BenchmarkEvent/engines=2800:bytes/block"),
-		JSONRead: events * r.get("upstreams.BenchmarkPoll/events=32:body-B/op") / 32,
+		Follow:  events * r.get("upstreams.BenchmarkPoll/events=32:body-B/op") / 32,
+		Forward: messagesAtSize * r.get("peer.BenchmarkCall/forward=16:wire-B/op") * sides,
+		Lookups: requests * r.get("peer.BenchmarkCall/lookup=8:wire-B/op") * sides,
+		State: s.Blocks / s.Instances *
+			(r.get("shard.BenchmarkLookup:owner-B/block") + r.get("shard.BenchmarkLookup:follower-B/block")),
 	}
 	p.Total = p.Follow + p.Forward + p.Lookups
-	calls := requests * (1 + probes) * sides
-	p.Core = core(events*3, r.get("cacheindex.BenchmarkEvent/engines=2800:ns/op")) +
-		core(calls, r.get("peer.BenchmarkCall/acquire=1:cpu-ns/op")/sides)
+	p.Core = core(events, r.get("shard.BenchmarkEvent/owners=700:ns/op")) +
+		core(events, r.get("upstreams.BenchmarkPoll/events=32:cpu-ns/op")/32/sides) +
+		core(messagesAtSize, r.get("peer.BenchmarkCall/forward=16:cpu-ns/op")) +
+		core(requests, r.get("peer.BenchmarkCall/lookup=8:cpu-ns/op")+r.get("shard.BenchmarkLookup:ns/op"))
 	return p
 }
 
