--- a/pkg/upstream/coalesce.go
+++ b/pkg/upstream/coalesce.go
@@ -53,7 +53,7 @@
 	if l == nil {
 		return false
 	}
-	known := c.known(now, w.query.Blocks)
+	known := c.known(now, &w.query)
 	if known >= depth {
 		return false
 	}
@@ -74,8 +74,8 @@
 
 // known returns the number of leading blocks that an engine holds or that the
 // KV store has.
-func (c *Core) known(now time.Time, blocks []block.Hash) int {
-	n := c.store.Index.Known(blocks)
+func (c *Core) known(now time.Time, q *Query) int {
+	blocks, n := q.Blocks, c.store.Known(c.pickRequest(q))
 	for n < len(blocks) && c.store.KV.Has(blocks[n], c.store.IndexTime(now)) {
 		n++
 	}
