--- a/pkg/upstream/core.go
+++ b/pkg/upstream/core.go
@@ -144,6 +144,7 @@
 func (c *Core) Submit(now time.Time, q *Query, decided func(*Wait)) *Wait {
 	w := &Wait{query: *q, decided: decided}
 	c.rec.submit(now, w)
+	c.onHolders(now, q.Holders)
 	w.item = fair.Item[*Wait]{
 		Customer: q.Customer,
 		Weight:   q.Weight,
@@ -242,6 +243,8 @@
 		Blocks:      q.Blocks,
 		Domain:      q.FromDomain,
 		Exclude:     q.Exclude,
+		Sharded:     q.Sharded,
+		Holders:     q.Holders,
 	}
 	if c.shares.over(q.Customer) {
 		c.request.MaxQueue = overQueue
@@ -306,7 +309,7 @@
 	u := g.flight.Upstream
 	u.FirstToken(g.flight)
 	u.Outlier.Success()
-	if !u.Removed {
+	if !u.Removed && !g.query.Sharded {
 		c.store.Index.Touch(c.store.IndexTime(now), u.Engine, g.incarnation, g.query.Blocks)
 	}
 	c.exportComputed(now, g, cachedTokens)
