--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -130,7 +130,7 @@
 	services := peer.Services{Syncer: n.sync, Joiner: n.members, Holder: n.limiter, Sharder: peer.Unsharded{}}
 	runs := []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run}
 	if n.c.fleet != nil {
-		n.shards = shards.New(shards.Options{Self: n.self, Snapshot: n.sync.Snapshot, Listed: n.c.list.now, Peers: peers, Client: n.c.fleet, Pace: shard.DefaultPace, Needed: func(int) bool { return true }, Seed: seed})
+		n.shards = shards.New(shards.Options{Self: n.self, Snapshot: n.sync.Snapshot, Listed: n.c.list.now, Peers: peers, Client: n.c.fleet, Pace: shard.DefaultPace, Needed: n.c.fleet.needed, Seed: seed})
 		services.Sharder = n.shards
 		runs = append(runs, n.shards.Run)
 	}
--- a/pkg/controller/shards_test.go
+++ b/pkg/controller/shards_test.go
@@ -23,12 +23,13 @@
 	incarnation map[string]string // by address; absent while down
 	chains      map[string][]block.Hash
 	polls       map[string]int // of events
+	needed      func(engines int) bool
 }
 
 const engineCount = 12
 
 func newFakeEngines(c *cluster) *fakeEngines {
-	f := &fakeEngines{incarnation: map[string]string{}, chains: map[string][]block.Hash{}, polls: map[string]int{}}
+	f := &fakeEngines{incarnation: map[string]string{}, chains: map[string][]block.Hash{}, polls: map[string]int{}, needed: func(int) bool { return true }}
 	for i := range engineCount {
 		addr := fmt.Sprintf("10.0.0.%d:1", i)
 		f.incarnation[addr] = "1"
@@ -91,6 +92,16 @@
 	return true
 }
 
+func (c *cluster) putModelPool() {
+	d := &config.Deployment{Name: "ucab", Pools: []config.Pool{{Name: "plume", Kind: config.Model}}}
+	_, err := c.nodes[0].sync.Propose(context.Background(), func(*config.Snapshot) (config.Change, error) {
+		return config.Change{Deployment: d}, nil
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 func startedSharded(t *testing.T, n int) *cluster {
 	c := newCluster(t, n)
 	c.fleet = newFakeEngines(c)
@@ -98,13 +109,7 @@
 		x.start()
 	}
 	c.until("all instances are fresh members", 10*time.Second, func() bool { return c.allFresh() && c.allKnow(n) })
-	d := &config.Deployment{Name: "ucab", Pools: []config.Pool{{Name: "plume", Kind: config.Model}}}
-	_, err := c.nodes[0].sync.Propose(context.Background(), func(*config.Snapshot) (config.Change, error) {
-		return config.Change{Deployment: d}, nil
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	c.putModelPool()
 	c.until("every instance finds every chain", 15*time.Second, c.allFind)
 	return c
 }
@@ -145,6 +150,27 @@
 	})
 }
 
+// Guards against a small fleet in which engines are followed or owners are
+// asked although every instance keeps the whole index.
+func TestSmallFleetIsNotDivided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.fleet = newFakeEngines(c)
+		c.fleet.needed = shard.Needed
+		for _, x := range c.nodes {
+			x.start()
+		}
+		c.until("all instances are fresh members", 10*time.Second, func() bool { return c.allFresh() && c.allKnow(3) })
+		c.putModelPool()
+		time.Sleep(5 * time.Second)
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		if c.nodes[0].shards.Active() || len(c.fleet.polls) > 0 {
+			t.Errorf("divided %v, engines polled %v", c.nodes[0].shards.Active(), c.fleet.polls)
+		}
+	})
+}
+
 // Guards against a request that waits for an owner that does not answer.
 func TestLookupIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
