--- a/pkg/capacity/rows.go
+++ b/pkg/capacity/rows.go
@@ -108,7 +108,7 @@
 }
 
 func cacheIndex(s Size, r *reader) Row {
-	polls := s.Engines * eventPolls
+	polls := pollRate(s.Engines, eventInterval)
 	perEvent := r.get("upstreams.BenchmarkPoll/events=32:body-B/op") / 32
 	decode := r.get("upstreams.BenchmarkPoll/events=32:cpu-ns/op") / 32 / sides
 	return Row{
@@ -122,8 +122,14 @@
 	}
 }
 
+// pollRate returns the polls per second of n targets: the spacing between polls
+// stretches the interval, up to a bound.
+func pollRate(n, interval float64) float64 {
+	return n / math.Min(math.Max(interval, n*pollSpacing), math.Max(interval, maxPollInterval))
+}
+
 func loadReports(s Size, r *reader) Row {
-	polls := s.Upstreams * reportPolls
+	polls := pollRate(s.Engines, reportInterval) + pollRate(s.Upstreams-s.Engines, serviceInterval)
 	return Row{
 		Role:      "load reports",
 		State:     s.Upstreams * 600, // one upstream with its outlier state
--- a/pkg/capacity/size.go
+++ b/pkg/capacity/size.go
@@ -54,13 +54,16 @@
 // Settings of the code that the computation depends on. A test compares them
 // with the code.
 const (
-	pollsPerSecond   = 2.0  // of a relay by an instance, configsync
-	headReads        = 4.0  // per second and relay, configsync
-	relayFanout      = 25.0 // instances per relay, member
-	minRelays        = 2.0  // per failure domain, member
-	holders          = 8.0  // per customer, member
-	reportPolls      = 4.0  // per second and upstream, controller/upstreams
-	eventPolls       = 5.0  // per second and engine, controller/upstreams
-	writesPerOrder   = 2.0  // claim and outcome, order
-	resyncBlockBytes = 21.0 // JSON of one block hash in a snapshot
+	pollsPerSecond   = 2.0   // of a relay by an instance, configsync
+	headReads        = 4.0   // per second and relay, configsync
+	relayFanout      = 25.0  // instances per relay, member
+	minRelays        = 2.0   // per failure domain, member
+	holders          = 8.0   // per customer, member
+	reportInterval   = 0.25  // s, load reports of engines, controller/upstreams
+	serviceInterval  = 0.5   // s, load reports of plain servers, controller/upstreams
+	eventInterval    = 0.2   // s, cache events, controller/upstreams
+	pollSpacing      = 0.006 // s between two polls of one kind, controller/upstreams
+	maxPollInterval  = 1.0   // s, to which spacing stretches an interval, controller/upstreams
+	writesPerOrder   = 2.0   // claim and outcome, order
+	resyncBlockBytes = 21.0  // JSON of one block hash in a snapshot
 )
