Apply the questionnaires of a local cluster after its quota can start

Cause: customers that were added while the instances still joined started with empty shares, so the demo showed 2 or 3 of the 4 requests that a burst admits. Change: pkg/local waits for an accepted membership and one lease.

--- a/pkg/local/local.go
+++ b/pkg/local/local.go
@@ -18,6 +18,7 @@
 	"github.com/fescuestep/fescuestep/pkg/instance"
 	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
+	"github.com/fescuestep/fescuestep/pkg/quota"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/pkg/standin"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
@@ -106,6 +107,9 @@
 	if err := c.waitFor(ctx, "fresh instances", (*Node).fresh); err != nil {
 		return err
 	}
+	if err := c.settle(ctx); err != nil {
+		return err
+	}
 	for _, d := range c.options.Deployments {
 		if err := c.apply(ctx, d.Name); err != nil {
 			return errors.Wrapf(err, "questionnaire %s", d.Name)
@@ -153,6 +157,28 @@
 	p.Orders.KeyHeaders = append(p.Orders.KeyHeaders, "Idempotency-Key")
 }
 
+// settleMargin covers the ticks of the quota controllers.
+const settleMargin = 200 * time.Millisecond
+
+// settle waits until the membership is accepted and a lease has passed.
+// Customers that are new after that start with their whole burst; before, the
+// shares of starting instances are empty.
+func (c *Cluster) settle(ctx context.Context) error {
+	err := c.waitFor(ctx, "an accepted membership", func(n *Node) bool {
+		resp, err := n.Admin.Revision(ctx, &admin.RevisionRequest{})
+		return err == nil && resp.GetStatus().GetInForce()
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(quota.Lease + settleMargin):
+		return nil
+	}
+}
+
 func (c *Cluster) apply(ctx context.Context, name string) error {
 	resp, err := c.Nodes()[0].Admin.Apply(ctx, &admin.ApplyRequest{Questionnaire: string(examples.All()[name])})
 	if err != nil {
