--- a/pkg/admin/admin_test.go
+++ b/pkg/admin/admin_test.go
@@ -15,8 +15,8 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/fescuestep/fescuestep/examples"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/keys"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
 
@@ -133,12 +133,12 @@
 		err  error
 		want string
 	}{
-		{errors.Wrap(platform.ErrUnavailable, "commit"), "nothing was changed"},
-		{platform.ErrConflict, "nothing was changed"},
-		{platform.ErrOutcomeUnknown, "may have been made"},
+		{errors.Wrap(external.ErrUnavailable, "commit"), "nothing was changed"},
+		{external.ErrConflict, "nothing was changed"},
+		{external.ErrOutcomeUnknown, "may have been made"},
 		{context.DeadlineExceeded, "may have been made"},
 		{errors.New("other"), "may have been made"},
-		{errors.Mark(twirp.Internal.Error("dial"), platform.ErrUnavailable), "nothing was changed"},
+		{errors.Mark(twirp.Internal.Error("dial"), external.ErrUnavailable), "nothing was changed"},
 		{errors.Wrap(twirp.Internal.Error("dial"), "read head"), "may have been made"},
 	} {
 		f := newFleet(t)
--- a/pkg/admin/apply.go
+++ b/pkg/admin/apply.go
@@ -10,8 +10,8 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
@@ -117,11 +117,11 @@
 	switch {
 	case errors.As(err, &r):
 		return r.answer
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, external.ErrOutcomeUnknown):
 		return twirp.Unavailable.Error("The table service did not answer; the change may have been made. Look at the state before you repeat it.")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return twirp.Unavailable.Error("The table service is not available; nothing was changed. Repeat the command later.")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return twirp.Aborted.Error("Other operators changed the configuration at the same time; nothing was changed. Repeat the command.")
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return twirp.DeadlineExceeded.Error("The command was broken off; the change may have been made. Look at the state before you repeat it.")
--- a/pkg/admin/fleet.go
+++ b/pkg/admin/fleet.go
@@ -10,9 +10,9 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/fescuestep/fescuestep/pkg/controller/orders"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/order"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
@@ -110,9 +110,9 @@
 		return twirp.FailedPrecondition.Errorf("order %q may still be running; nothing was changed: %w", reference, err)
 	case errors.Is(err, order.ErrNotUnresolved):
 		return twirp.FailedPrecondition.Errorf("order %q is not unresolved; nothing was changed: %w", reference, err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return twirp.Aborted.Errorf("order %q was changed at the same time; nothing was recorded. Look at it again.", reference)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return twirp.Unavailable.Error("The table service did not take the finding; nothing was recorded. Repeat the command.")
 	}
 	return twirp.Unavailable.Errorf("it is not known whether the finding was recorded, look at the list: %w", err)
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // LeaseKey is the table row of the leader lease.
@@ -48,7 +48,7 @@
 }
 
 // DecodeLease parses a lease row. A missing row gives the zero value.
-func DecodeLease(row platform.Row) (LeaseRow, error) {
+func DecodeLease(row external.Row) (LeaseRow, error) {
 	var out LeaseRow
 	if row.Version == 0 {
 		return out, nil
@@ -75,7 +75,7 @@
 // LeaseStep is the next table call of a lease.
 type LeaseStep struct {
 	Kind LeaseStepKind
-	Txn  platform.Txn
+	Txn  external.Txn
 }
 
 // Lease is one candidate's view of the leader lease. At most one table call is
@@ -147,16 +147,16 @@
 	l.busy = true
 	l.pending = row
 	value, _ := json.Marshal(row)
-	return LeaseStep{Kind: LeaseCommit, Txn: platform.Txn{
+	return LeaseStep{Kind: LeaseCommit, Txn: external.Txn{
 		Token:      fmt.Sprintf("lease-%s-%016x", l.self, rng.Uint64()),
-		Conditions: []platform.Condition{{Key: LeaseKey, Version: l.version}},
-		Writes:     []platform.Write{{Key: LeaseKey, Value: value}},
+		Conditions: []external.Condition{{Key: LeaseKey, Version: l.version}},
+		Writes:     []external.Write{{Key: LeaseKey, Value: value}},
 	}}
 }
 
 // ReadDone takes the result of a read. An own row that is read back proves
 // that its commit took effect, whatever answer was lost.
-func (l *Lease) ReadDone(now time.Duration, rng *rand.Rand, row platform.Row, err error) {
+func (l *Lease) ReadDone(now time.Duration, rng *rand.Rand, row external.Row, err error) {
 	l.busy = false
 	if err != nil {
 		l.retry(now, rng)
@@ -180,9 +180,9 @@
 	switch {
 	case err == nil:
 		l.version, l.row, l.seenAt = version, l.pending, now
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		l.retry(now, rng)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		l.reread = true
 	default:
 		l.reread = true
--- a/pkg/control/lease_test.go
+++ b/pkg/control/lease_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/table"
 )
 
@@ -85,9 +85,9 @@
 		lost = 0
 	}
 	w.after(w.delay(), func() {
-		var rows []platform.Row
+		var rows []external.Row
 		var version uint64
-		err := error(platform.ErrOutcomeUnknown)
+		err := error(external.ErrOutcomeUnknown)
 		switch {
 		case lost == 0:
 		case s.Kind == control.LeaseRead:
@@ -96,14 +96,14 @@
 			version, err = w.table.Commit(context.Background(), s.Txn)
 		}
 		if lost == 1 {
-			err = platform.ErrOutcomeUnknown
+			err = external.ErrOutcomeUnknown
 		}
 		w.after(w.delay(), func() { w.deliver(n, s, rows, version, err) })
 	})
 }
 
 // deliver hands a result over when the node is not paused.
-func (w *world) deliver(n *node, s control.LeaseStep, rows []platform.Row, version uint64, err error) {
+func (w *world) deliver(n *node, s control.LeaseStep, rows []external.Row, version uint64, err error) {
 	if w.now < n.paused {
 		w.after(n.paused-w.now, func() { w.deliver(n, s, rows, version, err) })
 		return
@@ -112,7 +112,7 @@
 		n.lease.CommitDone(n.clock(w.now), w.rng, version, err)
 		return
 	}
-	var row platform.Row
+	var row external.Row
 	if err == nil {
 		row = rows[0]
 	}
@@ -240,12 +240,12 @@
 	value, _ := json.Marshal(control.LeaseRow{Holder: "b", Token: 5})
 	l := control.NewLease(cfg, "a")
 	l.Next(0, rng, true)
-	l.ReadDone(time.Second, rng, platform.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
+	l.ReadDone(time.Second, rng, external.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
 	due := time.Second + cfg.TTL + cfg.CommandTimeout + cfg.Drift
 	if s := l.Next(due-1, rng, true); s.Kind == control.LeaseCommit {
 		t.Error("takeover before the wait was over")
 	}
-	l.ReadDone(due-1, rng, platform.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
+	l.ReadDone(due-1, rng, external.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
 	if s := l.Next(due, rng, true); s.Kind != control.LeaseCommit {
 		t.Errorf("step %v when the wait is over, want a commit", s.Kind)
 	}
@@ -256,7 +256,7 @@
 	rng := rand.New(rand.NewPCG(1, 0))
 	l := control.NewLease(control.DefaultLeaseConfig(), "a")
 	l.Next(0, rng, true)
-	l.ReadDone(0, rng, platform.Row{Key: control.LeaseKey, Version: 3, Value: []byte("{")}, nil)
+	l.ReadDone(0, rng, external.Row{Key: control.LeaseKey, Version: 3, Value: []byte("{")}, nil)
 	if s := l.Next(time.Hour, rng, true); s.Kind == control.LeaseCommit || l.Err() == nil {
 		t.Errorf("step %v, error %v, want no commit and an error", s.Kind, l.Err())
 	}
@@ -269,7 +269,7 @@
 	value, _ := json.Marshal(control.LeaseRow{Holder: "b", Token: 5, Released: true})
 	l := control.NewLease(control.DefaultLeaseConfig(), "a")
 	l.Next(0, rng, true)
-	l.ReadDone(0, rng, platform.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
+	l.ReadDone(0, rng, external.Row{Key: control.LeaseKey, Version: 3, Value: value}, nil)
 	if s := l.Next(0, rng, true); s.Kind != control.LeaseCommit {
 		t.Fatalf("step %v, want a commit", s.Kind)
 	}
@@ -304,7 +304,7 @@
 
 func FuzzDecodeLease(f *testing.F) {
 	f.Fuzz(func(t *testing.T, value []byte) {
-		row, err := control.DecodeLease(platform.Row{Version: 1, Value: value})
+		row, err := control.DecodeLease(external.Row{Version: 1, Value: value})
 		if err == nil && (row.Holder == "" || row.Token == 0) {
 			t.Errorf("accepted a row without holder or token: %+v", row)
 		}
--- a/pkg/controller/baseline_test.go
+++ b/pkg/controller/baseline_test.go
@@ -14,7 +14,7 @@
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // level is a plain token bucket.
@@ -98,11 +98,11 @@
 		return false, nil
 	}
 	data, _ := json.Marshal(bucket)
-	_, err = b.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: "bucket", Version: rows[0].Version}},
-		Writes:     []platform.Write{{Key: "bucket", Value: data}},
+	_, err = b.table.Commit(ctx, external.Txn{
+		Conditions: []external.Condition{{Key: "bucket", Version: rows[0].Version}},
+		Writes:     []external.Write{{Key: "bucket", Value: data}},
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, external.ErrConflict) {
 		return false, nil
 	}
 	return err == nil, err
--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -16,8 +16,8 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
 	"github.com/fescuestep/fescuestep/pkg/controller/shards"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/peer"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/shard"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -52,7 +52,7 @@
 		t:     t,
 		table: newFakeTable(),
 		net:   &fakeNet{nodes: map[string]rpc.Peer{}, cut: map[string]bool{}, received: map[string]int{}, rand: rand.New(rand.NewPCG(1, 2))},
-		list:  &fakeList{instances: map[string]platform.Instance{}},
+		list:  &fakeList{instances: map[string]external.Instance{}},
 	}
 	domains := []string{"rennes", "brest", "vannes", "quimper"}
 	for i := range n {
@@ -117,7 +117,7 @@
 func (n *node) start() {
 	n.starts++
 	n.self.Incarnation = fmt.Sprintf("%s-%d", n.self.ID, n.starts)
-	n.c.list.put(platform.Instance{ID: n.self.ID, Addr: n.self.PeerAddr, Pool: platform.RouterPool, Domain: n.self.Domain, State: platform.Live}, true)
+	n.c.list.put(external.Instance{ID: n.self.ID, Addr: n.self.PeerAddr, Pool: external.RouterPool, Domain: n.self.Domain, State: external.Live}, true)
 	peers := n.c.net.from(n.self.PeerAddr)
 	var seed uint64
 	for _, b := range []byte(n.self.Incarnation) {
@@ -167,23 +167,23 @@
 	addr string
 }
 
-func (t *cutTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *cutTable) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	if t.net.isCut(t.addr) {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	return t.fakeTable.Get(ctx, keys...)
 }
 
-func (t *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *cutTable) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	if t.net.isCut(t.addr) {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
 	return t.fakeTable.Scan(ctx, prefix, after, limit)
 }
 
-func (t *cutTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *cutTable) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	if t.net.isCut(t.addr) {
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	}
 	return t.fakeTable.Commit(ctx, txn)
 }
--- a/pkg/controller/config_test.go
+++ b/pkg/controller/config_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Guards against an instance that never becomes a fresh member, and against a
@@ -124,7 +124,7 @@
 		c := started(t, 3)
 		c.table.set(func(t *fakeTable) { t.down = true })
 		_, err := c.nodes[0].propose("a", false)
-		if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		if !errors.Is(err, external.ErrUnavailable) || errors.Is(err, external.ErrOutcomeUnknown) {
 			t.Fatalf("error %v, want unavailable", err)
 		}
 	})
@@ -160,7 +160,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := started(t, 4)
 		c.nodes[2].crash()
-		c.list.put(platform.Instance{ID: c.nodes[2].self.ID}, false)
+		c.list.put(external.Instance{ID: c.nodes[2].self.ID}, false)
 		c.until("removed", 40*time.Second, func() bool { return len(c.nodes[0].sync.Snapshot().Members.Members) == 3 })
 	})
 }
@@ -199,7 +199,7 @@
 		c := started(t, 3)
 		for i, x := range c.nodes {
 			x.crash()
-			c.list.put(platform.Instance{ID: x.self.ID}, false)
+			c.list.put(external.Instance{ID: x.self.ID}, false)
 			x.self.ID += "-new"
 			x.self.PeerAddr = fmt.Sprintf("127.0.0.1:%d", 7100+i)
 			x.start()
--- a/pkg/controller/configsync/accept.go
+++ b/pkg/controller/configsync/accept.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fresh"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -174,7 +174,7 @@
 
 // outdated returns deletions of change rows that nobody needs: instances that
 // are further behind load the state rows.
-func (c *Controller) outdated(ctx context.Context, h head) []platform.Write {
+func (c *Controller) outdated(ctx context.Context, h head) []external.Write {
 	if h.Revision <= c.o.ChangeRows {
 		return nil
 	}
@@ -183,11 +183,11 @@
 	if err != nil {
 		return nil
 	}
-	var out []platform.Write
+	var out []external.Write
 	for _, row := range rows {
 		revision, err := changeRevision(row.Key)
 		if err == nil && revision < limit && revision != h.Members {
-			out = append(out, platform.Write{Key: row.Key, Delete: true})
+			out = append(out, external.Write{Key: row.Key, Delete: true})
 		}
 	}
 	return out
--- a/pkg/controller/configsync/bootstrap.go
+++ b/pkg/controller/configsync/bootstrap.go
@@ -7,13 +7,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Bootstrap writes the first changes to an empty table, before any instance
 // exists: with no members, each is accepted once it is committed. It returns
-// platform.ErrConflict when the table has a head already.
-func Bootstrap(ctx context.Context, table platform.Table, changes []config.Change) error {
+// external.ErrConflict when the table has a head already.
+func Bootstrap(ctx context.Context, table external.Table, changes []config.Change) error {
 	version := uint64(0)
 	for i, c := range changes {
 		c.Revision = uint64(i + 1)
@@ -21,9 +21,9 @@
 		if err != nil {
 			return err
 		}
-		version, err = table.Commit(ctx, platform.Txn{
+		version, err = table.Commit(ctx, external.Txn{
 			Token:      rand.Text(),
-			Conditions: []platform.Condition{{Key: headKey, Version: version}},
+			Conditions: []external.Condition{{Key: headKey, Version: version}},
 			Writes:     writes,
 		})
 		if err != nil {
@@ -34,8 +34,8 @@
 }
 
 // Append commits one change from outside an instance, keeping the accepted
-// revision. It returns platform.ErrConflict when another change came first.
-func Append(ctx context.Context, table platform.Table, c config.Change) error {
+// revision. It returns external.ErrConflict when another change came first.
+func Append(ctx context.Context, table external.Table, c config.Change) error {
 	h, row, err := store{table, changeTimeout}.head(ctx)
 	if err != nil {
 		return err
@@ -46,9 +46,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = table.Commit(ctx, platform.Txn{
+	_, err = table.Commit(ctx, external.Txn{
 		Token:      rand.Text(),
-		Conditions: []platform.Condition{{Key: headKey, Version: row.Version}},
+		Conditions: []external.Condition{{Key: headKey, Version: row.Version}},
 		Writes:     writes,
 	})
 	return err
--- a/pkg/controller/configsync/controller.go
+++ b/pkg/controller/configsync/controller.go
@@ -15,9 +15,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fresh"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -29,11 +29,11 @@
 // Options are the dependencies of a Controller.
 type Options struct {
 	Self  config.Member
-	Table platform.Table
+	Table external.Table
 	Peers Peers
 	// List names other router instances before a membership is known; its Addr
 	// is their peer address. It may be nil.
-	List   platform.InstanceList
+	List   external.InstanceList
 	Log    hclog.Logger
 	Rand   *rand.Rand   // jitter; used by the controller only
 	Params fresh.Params // zero means fresh.DefaultParams
@@ -271,16 +271,16 @@
 
 // countingTable counts reads.
 type countingTable struct {
-	platform.Table
+	external.Table
 	reads *atomic.Int64
 }
 
-func (t countingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t countingTable) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	t.reads.Add(1)
 	return t.Table.Get(ctx, keys...)
 }
 
-func (t countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t countingTable) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	t.reads.Add(1)
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
--- a/pkg/controller/configsync/load.go
+++ b/pkg/controller/configsync/load.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // scanLimit is the number of rows per table read.
@@ -18,7 +18,7 @@
 
 // store reads the configuration's rows.
 type store struct {
-	table   platform.Table
+	table   external.Table
 	timeout time.Duration // of a read of the head
 }
 
@@ -26,12 +26,12 @@
 // they can wait for a table that is slow.
 func (s store) patient() store { return store{s.table, changeTimeout} }
 
-func (s store) head(ctx context.Context) (head, platform.Row, error) {
+func (s store) head(ctx context.Context) (head, external.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	rows, err := s.table.Get(ctx, headKey)
 	if err != nil {
-		return head{}, platform.Row{}, errors.Wrap(err, "read head")
+		return head{}, external.Row{}, errors.Wrap(err, "read head")
 	}
 	h, err := decodeHead(rows[0])
 	return h, rows[0], err
--- a/pkg/controller/configsync/propose.go
+++ b/pkg/controller/configsync/propose.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fresh"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // Bounds of Propose.
@@ -22,8 +22,8 @@
 // Propose reads the newest snapshot, calls build, commits the change that it
 // returns and installs it. build is called again after a conflict; an error of
 // build ends the call and is returned. The error is
-// platform.ErrUnavailable when nothing was written and
-// platform.ErrOutcomeUnknown when the change may take effect.
+// external.ErrUnavailable when nothing was written and
+// external.ErrOutcomeUnknown when the change may take effect.
 func (c *Controller) Propose(ctx context.Context, build func(*config.Snapshot) (config.Change, error)) (uint64, error) {
 	p := &proposal{Controller: c, build: build, tried: map[string]uint64{}}
 	for try := range proposeTries {
@@ -35,7 +35,7 @@
 			return 0, p.uncertain(err)
 		}
 	}
-	return 0, p.uncertain(errors.Wrap(platform.ErrConflict, "too many conflicting changes"))
+	return 0, p.uncertain(errors.Wrap(external.ErrConflict, "too many conflicting changes"))
 }
 
 // proposal is one call of Propose. tried holds the token and revision of every
@@ -67,18 +67,18 @@
 	if err != nil {
 		return 0, false, err
 	}
-	txn := platform.Txn{
+	txn := external.Txn{
 		Token:      rand.Text(),
-		Conditions: []platform.Condition{{Key: headKey, Version: row.Version}},
+		Conditions: []external.Condition{{Key: headKey, Version: row.Version}},
 		Writes:     writes,
 	}
 	_, err = p.o.Table.Commit(ctx, txn)
 	switch {
 	case err == nil:
 		return change.Revision, true, p.installOwn(sent, h, change)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return 0, false, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return 0, false, err
 	}
 	p.tried[txn.Token] = change.Revision
@@ -86,19 +86,19 @@
 }
 
 // newest returns the head row and the snapshot at that head.
-func (p *proposal) newest(ctx context.Context) (head, platform.Row, *config.Snapshot, error) {
+func (p *proposal) newest(ctx context.Context) (head, external.Row, *config.Snapshot, error) {
 	if err := p.readTable(ctx, p.store.patient()); err != nil {
-		return head{}, platform.Row{}, nil, err
+		return head{}, external.Row{}, nil, err
 	}
 	h, row, err := p.store.patient().head(ctx)
 	if err != nil {
-		return head{}, platform.Row{}, nil, err
+		return head{}, external.Row{}, nil, err
 	}
 	s := p.Snapshot()
 	if s.Revision < h.Revision {
 		changes, err := p.store.changes(ctx, s.Revision, h.Revision)
 		if err != nil {
-			return head{}, platform.Row{}, nil, err
+			return head{}, external.Row{}, nil, err
 		}
 		s, err = applyAll(s, changes)
 		return h, row, s, err
@@ -128,10 +128,10 @@
 // uncertain turns an error into ErrOutcomeUnknown when an earlier commit may
 // still take effect.
 func (p *proposal) uncertain(err error) error {
-	if err == nil || len(p.tried) == 0 || errors.Is(err, platform.ErrOutcomeUnknown) {
+	if err == nil || len(p.tried) == 0 || errors.Is(err, external.ErrOutcomeUnknown) {
 		return err
 	}
-	return errors.Wrap(platform.ErrOutcomeUnknown, err.Error())
+	return errors.Wrap(external.ErrOutcomeUnknown, err.Error())
 }
 
 // installOwn puts a committed change in force here. The commit proves that its
@@ -149,15 +149,15 @@
 }
 
 // writeHead commits a new head that is conditional on the row.
-func (c *Controller) writeHead(ctx context.Context, row platform.Row, h head, extra ...platform.Write) error {
+func (c *Controller) writeHead(ctx context.Context, row external.Row, h head, extra ...external.Write) error {
 	data, err := json.Marshal(h)
 	if err != nil {
 		return errors.Wrap(err, "encode head")
 	}
-	txn := platform.Txn{
+	txn := external.Txn{
 		Token:      rand.Text(),
-		Conditions: []platform.Condition{{Key: headKey, Version: row.Version}},
-		Writes:     append([]platform.Write{{Key: headKey, Value: data}}, extra...),
+		Conditions: []external.Condition{{Key: headKey, Version: row.Version}},
+		Writes:     append([]external.Write{{Key: headKey, Value: data}}, extra...),
 	}
 	_, err = c.o.Table.Commit(ctx, txn)
 	return err
--- a/pkg/controller/configsync/rows.go
+++ b/pkg/controller/configsync/rows.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Keys of the table rows.
@@ -37,7 +37,7 @@
 	return strconv.ParseUint(strings.TrimPrefix(key, changePrefix), 10, 64)
 }
 
-func decodeHead(row platform.Row) (head, error) {
+func decodeHead(row external.Row) (head, error) {
 	var h head
 	if row.Version == 0 {
 		return h, nil
@@ -46,7 +46,7 @@
 	return h, errors.Wrap(err, "decode head row")
 }
 
-func decodeChange(row platform.Row) (config.Change, error) {
+func decodeChange(row external.Row) (config.Change, error) {
 	var c config.Change
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return c, errors.Wrapf(err, "decode row %s", row.Key)
@@ -55,12 +55,12 @@
 }
 
 // writesOf returns the rows of a change: head, change row and state row.
-func writesOf(h head, c config.Change) ([]platform.Write, error) {
+func writesOf(h head, c config.Change) ([]external.Write, error) {
 	stateKey, value := stateRow(c)
 	if stateKey == "" {
 		return nil, errors.New("change is empty")
 	}
-	var writes []platform.Write
+	var writes []external.Write
 	for _, row := range []struct {
 		key   string
 		value any
@@ -69,7 +69,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "encode row %s", row.key)
 		}
-		writes = append(writes, platform.Write{Key: row.key, Value: data})
+		writes = append(writes, external.Write{Key: row.key, Value: data})
 	}
 	return writes, nil
 }
@@ -95,7 +95,7 @@
 	Members     config.Membership    `json:"members"`
 }
 
-func (p *parts) add(row platform.Row) error {
+func (p *parts) add(row external.Row) error {
 	var err error
 	switch {
 	case strings.HasPrefix(row.Key, configPrefix):
--- a/pkg/controller/configsync/startup.go
+++ b/pkg/controller/configsync/startup.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fresh"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // Periods and bounds of the start.
@@ -48,7 +48,7 @@
 func (c *Controller) listed(ctx context.Context) []config.Member {
 	var out []config.Member
 	for _, x := range c.routers(ctx) {
-		if x.State == platform.Live {
+		if x.State == external.Live {
 			out = append(out, config.Member{ID: x.ID, PeerAddr: x.Addr, Domain: x.Domain})
 		}
 	}
@@ -57,7 +57,7 @@
 
 // routers returns all router instances of the platform's list, also those that
 // are leaving.
-func (c *Controller) routers(ctx context.Context) []platform.Instance {
+func (c *Controller) routers(ctx context.Context) []external.Instance {
 	if c.o.List == nil {
 		return nil
 	}
@@ -67,9 +67,9 @@
 	if err != nil {
 		c.o.Log.Debug("instance list unavailable", "error", err)
 	}
-	var out []platform.Instance
+	var out []external.Instance
 	for _, x := range instances {
-		if x.Pool == platform.RouterPool {
+		if x.Pool == external.RouterPool {
 			out = append(out, x)
 		}
 	}
--- a/pkg/controller/fakes_test.go
+++ b/pkg/controller/fakes_test.go
@@ -11,14 +11,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
 // fakeTable is an in-memory table with faults.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]external.Row
 	version uint64
 	reads   int
 	down    bool
@@ -27,7 +27,7 @@
 	late    time.Duration // lost commits take effect this much later
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]external.Row{}} }
 
 func (t *fakeTable) set(f func(t *fakeTable)) {
 	t.mu.Lock()
@@ -41,25 +41,25 @@
 	t.mu.Unlock()
 	select {
 	case <-ctx.Done():
-		return errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return errors.Wrap(external.ErrUnavailable, ctx.Err().Error())
 	case <-time.After(delay):
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.down {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	return nil
 }
 
-func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	out := make([]platform.Row, len(keys))
+	out := make([]external.Row, len(keys))
 	for i, k := range keys {
 		out[i] = t.rows[k]
 		out[i].Key = k
@@ -67,14 +67,14 @@
 	return out, nil
 }
 
-func (t *fakeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *fakeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	if err := t.enter(ctx); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
-	var out []platform.Row
+	var out []external.Row
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) && k > after {
 			out = append(out, r)
@@ -84,7 +84,7 @@
 	return out[:min(limit, len(out))], nil
 }
 
-func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *fakeTable) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	if err := t.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -97,15 +97,15 @@
 		} else {
 			_, _ = t.apply(txn)
 		}
-		return 0, platform.ErrOutcomeUnknown
+		return 0, external.ErrOutcomeUnknown
 	}
 	return t.apply(txn)
 }
 
-func (t *fakeTable) apply(txn platform.Txn) (uint64, error) {
+func (t *fakeTable) apply(txn external.Txn) (uint64, error) {
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
-			return 0, platform.ErrConflict
+			return 0, external.ErrConflict
 		}
 	}
 	t.version++
@@ -114,7 +114,7 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: t.version, Token: txn.Token}
+		t.rows[w.Key] = external.Row{Key: w.Key, Value: w.Value, Version: t.version, Token: txn.Token}
 	}
 	return t.version, nil
 }
@@ -122,20 +122,20 @@
 // fakeList is the platform's list.
 type fakeList struct {
 	mu        sync.Mutex
-	instances map[string]platform.Instance
+	instances map[string]external.Instance
 }
 
-func (l *fakeList) List(context.Context) ([]platform.Instance, error) {
+func (l *fakeList) List(context.Context) ([]external.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []platform.Instance
+	var out []external.Instance
 	for _, x := range l.instances {
 		out = append(out, x)
 	}
 	return out, nil
 }
 
-func (l *fakeList) put(x platform.Instance, listed bool) {
+func (l *fakeList) put(x external.Instance, listed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.instances, x.ID)
--- a/pkg/controller/guarantees_test.go
+++ b/pkg/controller/guarantees_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // revokedBound is how long after the commit of a revocation an instance may
@@ -191,12 +191,12 @@
 		}()
 		time.Sleep(2 * time.Second)
 		c.net.setCut(gone.self.PeerAddr, true)
-		c.list.put(platform.Instance{ID: gone.self.ID}, false)
+		c.list.put(external.Instance{ID: gone.self.ID}, false)
 		without := func(s *config.Snapshot) bool { return len(s.Members.Members) == 5 }
 		c.until("removed from the membership", 40*time.Second, func() bool { return without(holders[1].sync.Snapshot()) })
 		time.Sleep(15 * time.Second) // a share used twice exceeds the burst by then
 		c.net.setCut(gone.self.PeerAddr, false)
-		gone.c.list.put(platform.Instance{ID: gone.self.ID, Addr: gone.self.PeerAddr, Pool: platform.RouterPool, Domain: gone.self.Domain, State: platform.Live}, true)
+		gone.c.list.put(external.Instance{ID: gone.self.ID, Addr: gone.self.PeerAddr, Pool: external.RouterPool, Domain: gone.self.Domain, State: external.Live}, true)
 		<-done
 		t.Logf("asked %d, refused %d %v, overshoot %.0f", l.asked, l.refused, l.byCode, l.overshoot())
 		if l.overshoot() > 0 {
--- a/pkg/controller/members/members.go
+++ b/pkg/controller/members/members.go
@@ -13,8 +13,8 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -38,7 +38,7 @@
 	Self  config.Member
 	Sync  Sync
 	Peers Peers
-	List  platform.InstanceList // may be nil: then nobody is removed
+	List  external.InstanceList // may be nil: then nobody is removed
 	Log   hclog.Logger
 }
 
@@ -264,9 +264,9 @@
 	if err != nil {
 		return
 	}
-	var routers []platform.Instance
+	var routers []external.Instance
 	for _, x := range listed {
-		if x.Pool == platform.RouterPool {
+		if x.Pool == external.RouterPool {
 			routers = append(routers, x)
 		}
 	}
--- a/pkg/controller/orders/batch.go
+++ b/pkg/controller/orders/batch.go
@@ -7,13 +7,13 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // op is one conditional write of one row.
 type op struct {
-	cond   platform.Condition
-	write  platform.Write
+	cond   external.Condition
+	write  external.Write
 	result chan result // with room for one
 }
 
@@ -30,7 +30,7 @@
 
 // batcher commits the writes of concurrent orders in shared transactions.
 type batcher struct {
-	table   platform.Table
+	table   external.Table
 	options Options
 	limiter *rate.Limiter
 	ops     chan op
@@ -38,7 +38,7 @@
 	token   func() string
 }
 
-func newBatcher(table platform.Table, o Options, token func() string) *batcher {
+func newBatcher(table external.Table, o Options, token func() string) *batcher {
 	b := &batcher{
 		table:   table,
 		options: o,
@@ -64,18 +64,18 @@
 
 // commit waits for the result of one write. When ctx ends first, the write may
 // still take effect.
-func (b *batcher) commit(ctx context.Context, cond platform.Condition, write platform.Write) (uint64, error) {
+func (b *batcher) commit(ctx context.Context, cond external.Condition, write external.Write) (uint64, error) {
 	o := op{cond: cond, write: write, result: make(chan result, 1)}
 	select {
 	case b.ops <- o:
 	default:
-		return 0, errors.Wrap(platform.ErrUnavailable, "too many pending writes of orders")
+		return 0, errors.Wrap(external.ErrUnavailable, "too many pending writes of orders")
 	}
 	select {
 	case r := <-o.result:
 		return r.version, r.err
 	case <-ctx.Done():
-		return 0, errors.Mark(ctx.Err(), platform.ErrOutcomeUnknown)
+		return 0, errors.Mark(ctx.Err(), external.ErrOutcomeUnknown)
 	}
 }
 
@@ -104,7 +104,7 @@
 	for {
 		select {
 		case o := <-b.ops:
-			o.result <- result{err: errors.Wrap(platform.ErrUnavailable, "shutting down")}
+			o.result <- result{err: errors.Wrap(external.ErrUnavailable, "shutting down")}
 		default:
 			return
 		}
@@ -155,7 +155,7 @@
 func (b *batcher) write(batch []op) {
 	for len(batch) > 0 {
 		version, err := b.commitAll(batch)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, external.ErrConflict) {
 			answer(batch, result{version: version, err: err})
 			return
 		}
@@ -164,7 +164,7 @@
 }
 
 func (b *batcher) commitAll(batch []op) (uint64, error) {
-	txn := platform.Txn{Token: b.token()}
+	txn := external.Txn{Token: b.token()}
 	for _, o := range batch {
 		txn.Conditions = append(txn.Conditions, o.cond)
 		txn.Writes = append(txn.Writes, o.write)
@@ -172,15 +172,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), b.options.TableTimeout)
 	defer cancel()
 	version, err := b.table.Commit(ctx, txn)
-	if err == nil || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
+	if err == nil || errors.Is(err, external.ErrConflict) || errors.Is(err, external.ErrUnavailable) {
 		return version, err
 	}
-	return 0, errors.Mark(err, platform.ErrOutcomeUnknown)
+	return 0, errors.Mark(err, external.ErrOutcomeUnknown)
 }
 
 func (b *batcher) withoutConflicts(batch []op) []op {
 	if len(batch) == 1 {
-		answer(batch, result{err: platform.ErrConflict})
+		answer(batch, result{err: external.ErrConflict})
 		return nil
 	}
 	keys := make([]string, len(batch))
@@ -192,7 +192,7 @@
 	rows, err := b.table.Get(ctx, keys...)
 	if err != nil || len(rows) != len(batch) {
 		// The conflict proves that nothing of this transaction was written.
-		answer(batch, result{err: errors.Wrap(platform.ErrUnavailable, "rows of a conflict cannot be read")})
+		answer(batch, result{err: errors.Wrap(external.ErrUnavailable, "rows of a conflict cannot be read")})
 		return nil
 	}
 	var rest []op
@@ -201,7 +201,7 @@
 			rest = append(rest, o)
 			continue
 		}
-		o.result <- result{err: platform.ErrConflict}
+		o.result <- result{err: external.ErrConflict}
 	}
 	return rest
 }
--- a/pkg/controller/orders/operate.go
+++ b/pkg/controller/orders/operate.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/order"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // pageSize is the number of rows of one scan.
@@ -28,7 +28,7 @@
 // at most limit. It reads all order rows.
 func (s *Service) Unresolved(ctx context.Context, limit int) ([]Unresolved, error) {
 	var list []Unresolved
-	err := s.scan(ctx, func(row platform.Row, r order.Record) bool {
+	err := s.scan(ctx, func(row external.Row, r order.Record) bool {
 		if r.Unresolved(s.options.Now(), s.options.ResolveMargin) {
 			list = append(list, Unresolved{
 				Reference: order.Reference(row.Key),
@@ -61,8 +61,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.commit(ctx, platform.Condition{Key: key, Version: row.Version},
-		platform.Write{Key: key, Value: record.Encode()})
+	_, err = s.commit(ctx, external.Condition{Key: key, Version: row.Version},
+		external.Write{Key: key, Value: record.Encode()})
 	return err
 }
 
@@ -89,7 +89,7 @@
 // Sweep removes the finished orders whose retention is over.
 func (s *Service) Sweep(ctx context.Context) error {
 	var failed error
-	err := s.scan(ctx, func(row platform.Row, r order.Record) bool {
+	err := s.scan(ctx, func(row external.Row, r order.Record) bool {
 		if r.Removable(s.options.Now(), s.options.Retention) {
 			failed = s.remove(ctx, row, r)
 		}
@@ -100,15 +100,15 @@
 
 // remove deletes the object first: a row without its object is found again, an
 // object without its row is not.
-func (s *Service) remove(ctx context.Context, row platform.Row, r order.Record) error {
+func (s *Service) remove(ctx context.Context, row external.Row, r order.Record) error {
 	if r.Object != "" {
-		if err := s.objects.Delete(ctx, r.Object); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err := s.objects.Delete(ctx, r.Object); err != nil && !errors.Is(err, external.ErrNotFound) {
 			return err
 		}
 	}
-	_, err := s.commit(ctx, platform.Condition{Key: row.Key, Version: row.Version},
-		platform.Write{Key: row.Key, Delete: true})
-	if errors.Is(err, platform.ErrConflict) {
+	_, err := s.commit(ctx, external.Condition{Key: row.Key, Version: row.Version},
+		external.Write{Key: row.Key, Delete: true})
+	if errors.Is(err, external.ErrConflict) {
 		return nil // another instance was faster
 	}
 	return err
@@ -116,7 +116,7 @@
 
 // scan calls visit for every order row until it returns false. Rows that cannot
 // be decoded are logged and skipped.
-func (s *Service) scan(ctx context.Context, visit func(platform.Row, order.Record) bool) error {
+func (s *Service) scan(ctx context.Context, visit func(external.Row, order.Record) bool) error {
 	after := ""
 	for {
 		rows, err := s.page(ctx, after)
@@ -140,7 +140,7 @@
 	}
 }
 
-func (s *Service) page(ctx context.Context, after string) ([]platform.Row, error) {
+func (s *Service) page(ctx context.Context, after string) ([]external.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.TableTimeout)
 	defer cancel()
 	return s.table.Scan(ctx, order.RowPrefix, after, pageSize)
--- a/pkg/controller/orders/orders.go
+++ b/pkg/controller/orders/orders.go
@@ -14,9 +14,9 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/filter/requestid"
 	"github.com/fescuestep/fescuestep/pkg/order"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // Options of the service.
@@ -60,8 +60,8 @@
 
 // Service runs orders. Close it after the last order.
 type Service struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   external.Table
+	objects external.ObjectStore
 	options Options
 	batch   *batcher
 	log     hclog.Logger
@@ -74,7 +74,7 @@
 }
 
 // New starts the service.
-func New(table platform.Table, objects platform.ObjectStore, o Options, log hclog.Logger) *Service {
+func New(table external.Table, objects external.ObjectStore, o Options, log hclog.Logger) *Service {
 	s := &Service{
 		table:   table,
 		objects: objects,
@@ -191,18 +191,18 @@
 }
 
 // commit waits at most as long as a transaction can take with its queue.
-func (s *Service) commit(ctx context.Context, cond platform.Condition, write platform.Write) (uint64, error) {
+func (s *Service) commit(ctx context.Context, cond external.Condition, write external.Write) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*s.options.TableTimeout+s.batch.spacing())
 	defer cancel()
 	return s.batch.commit(ctx, cond, write)
 }
 
-func (s *Service) read(ctx context.Context, key string) (platform.Row, error) {
+func (s *Service) read(ctx context.Context, key string) (external.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.TableTimeout)
 	defer cancel()
 	rows, err := s.table.Get(ctx, key)
 	if err != nil || len(rows) != 1 {
-		return platform.Row{}, firstError(err, platform.ErrUnavailable)
+		return external.Row{}, firstError(err, external.ErrUnavailable)
 	}
 	return rows[0], nil
 }
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -15,7 +15,7 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Upstreams sends control commands; *engine.Client implements it.
@@ -41,8 +41,8 @@
 type Options struct {
 	Self  string // ID of the instance in the membership
 	Name  string // unique per process start
-	Table platform.Table
-	List  platform.InstanceList
+	Table external.Table
+	List  external.InstanceList
 	State State
 	Calls Upstreams
 	Rand  *rand.Rand
@@ -205,8 +205,8 @@
 	}
 }
 
-func (c *Controller) leaseRead(rows []platform.Row, err error) {
-	var row platform.Row
+func (c *Controller) leaseRead(rows []external.Row, err error) {
+	var row external.Row
 	if err == nil {
 		row = rows[0]
 	}
--- a/pkg/controller/rollout/rollout_test.go
+++ b/pkg/controller/rollout/rollout_test.go
@@ -16,7 +16,7 @@
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin"
 	"github.com/fescuestep/fescuestep/pkg/standin/table"
 	"github.com/fescuestep/fescuestep/pkg/transport"
@@ -65,9 +65,9 @@
 	s.stale = stale
 }
 
-type fakeList []platform.Instance
+type fakeList []external.Instance
 
-func (l fakeList) List(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l fakeList) List(context.Context) ([]external.Instance, error) { return l, nil }
 
 // fakeEngines are upstreams in memory; their names tell whether they check
 // tokens.
@@ -93,7 +93,7 @@
 		pool := []string{"checks", "ignores"}[i%2]
 		id := fmt.Sprintf("%d-%s", i, pool)
 		f.state[id] = &engine.CommandResult{Weights: "1"}
-		list = append(list, platform.Instance{ID: id, Addr: id, Pool: pool, State: platform.Live})
+		list = append(list, external.Instance{ID: id, Addr: id, Pool: pool, State: external.Live})
 	}
 	return f, list
 }
@@ -180,7 +180,7 @@
 	return p.fakeEngines.Control(ctx, addr, cmd)
 }
 
-func run(ctx context.Context, name string, seed int64, t platform.Table, l platform.InstanceList, s rollout.State, u rollout.Upstreams) (c *rollout.Controller, done chan struct{}) {
+func run(ctx context.Context, name string, seed int64, t external.Table, l external.InstanceList, s rollout.State, u rollout.Upstreams) (c *rollout.Controller, done chan struct{}) {
 	c = rollout.New(rollout.Options{
 		Self: name, Name: name, Table: t, List: l, State: s, Calls: u, Rand: rand.New(rand.NewPCG(uint64(seed), 0)),
 	})
@@ -342,9 +342,9 @@
 	state := &fakeState{snapshot: config.Restore(1, []*config.Deployment{d}, nil, config.Membership{})}
 	client := engine.NewClient(engine.Options{})
 	defer client.Close()
-	rows := platform.NewTableClient(fleet.Platform.Table.Addr(), 0)
+	rows := external.NewTableClient(fleet.Platform.Table.Addr(), 0)
 	defer rows.Close()
-	list := platform.NewListClient(fleet.Platform.List.Addr(), 0)
+	list := external.NewListClient(fleet.Platform.List.Addr(), 0)
 	defer list.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	c, done := run(ctx, "a", 1, rows, list, state, client)
--- a/pkg/controller/rollout/wanted.go
+++ b/pkg/controller/rollout/wanted.go
@@ -5,17 +5,17 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // wanted returns the live engines of the list with what the configuration
 // wants of them. Leaving engines get no commands.
-func wanted(s *config.Snapshot, instances []platform.Instance) []control.Upstream {
+func wanted(s *config.Snapshot, instances []external.Instance) []control.Upstream {
 	adapters := adaptersByPool(s)
 	var out []control.Upstream
 	for _, instance := range instances {
 		pool := s.Pool(instance.Pool)
-		if pool == nil || pool.Kind != config.Model || instance.State != platform.Live {
+		if pool == nil || pool.Kind != config.Model || instance.State != external.Live {
 			continue
 		}
 		out = append(out, control.Upstream{
--- a/pkg/controller/shards/shards.go
+++ b/pkg/controller/shards/shards.go
@@ -17,7 +17,7 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/poll"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/shard"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -37,7 +37,7 @@
 type Options struct {
 	Self     config.Member
 	Snapshot func() *config.Snapshot
-	Listed   func() []platform.Instance // the platform's list as last read
+	Listed   func() []external.Instance // the platform's list as last read
 	Peers    Peers
 	Client   Client
 	Pace     shard.Pace
@@ -78,7 +78,7 @@
 	owner    *shard.Owner
 	assigned *shard.Map
 	members  []config.Member // that assigned was made from
-	listed   map[string]platform.Instance
+	listed   map[string]external.Instance
 	failed   map[string]int // reports that failed in a row
 	rng      *rand.Rand
 }
@@ -93,7 +93,7 @@
 		start:    time.Now(),
 		follower: shard.NewFollower(o.Self, o.Pace),
 		owner:    shard.NewOwner(o.Self),
-		listed:   map[string]platform.Instance{},
+		listed:   map[string]external.Instance{},
 		failed:   map[string]int{},
 		rng:      rand.New(rand.NewPCG(o.Seed, 3)),
 	}
@@ -148,7 +148,7 @@
 	defer c.mu.Unlock()
 	c.assign(s)
 	c.owner.Expire(c.now())
-	c.listed = map[string]platform.Instance{}
+	c.listed = map[string]external.Instance{}
 	listed := map[string]shard.Listed{}
 	for _, x := range instances {
 		if p := s.Pool(x.Pool); p != nil && p.Kind == config.Model {
--- a/pkg/controller/shards_test.go
+++ b/pkg/controller/shards_test.go
@@ -12,8 +12,8 @@
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/pick"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/shard"
 )
 
@@ -36,7 +36,7 @@
 		for level := range 4 {
 			f.chains[addr] = append(f.chains[addr], block.Hash(1_000_003*(i+1)<<20+level))
 		}
-		c.list.put(platform.Instance{ID: addr, Addr: addr, Pool: "plume", Domain: c.nodes[i%len(c.nodes)].self.Domain, State: platform.Live}, true)
+		c.list.put(external.Instance{ID: addr, Addr: addr, Pool: "plume", Domain: c.nodes[i%len(c.nodes)].self.Domain, State: external.Live}, true)
 	}
 	return f
 }
@@ -47,7 +47,7 @@
 	f.polls[addr]++
 	b := engine.EventBatch{Incarnation: f.incarnation[addr], Weights: "1", Seq: 1}
 	if b.Incarnation == "" {
-		return b, platform.ErrUnavailable
+		return b, external.ErrUnavailable
 	}
 	if after.Incarnation != b.Incarnation {
 		chain := f.chains[addr]
@@ -61,7 +61,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.incarnation[addr] == "" {
-		return engine.LoadReport{}, platform.ErrUnavailable
+		return engine.LoadReport{}, external.ErrUnavailable
 	}
 	return engine.LoadReport{Incarnation: f.incarnation[addr], Weights: "1", Running: 3}, nil
 }
@@ -137,7 +137,7 @@
 		c.until("the new incarnation is found", 5*time.Second, c.allFind)
 
 		c.nodes[2].crash()
-		c.list.put(platform.Instance{ID: c.nodes[2].self.ID}, false)
+		c.list.put(external.Instance{ID: c.nodes[2].self.ID}, false)
 		c.until("found without the crashed instance", 60*time.Second, c.allFind)
 		c.nodes[2].start()
 		c.until("found after its restart", 30*time.Second, c.allFind)
@@ -197,7 +197,7 @@
 }
 
 // now returns the list without delay or error.
-func (l *fakeList) now() []platform.Instance {
+func (l *fakeList) now() []external.Instance {
 	out, _ := l.List(context.Background())
 	return out
 }
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -15,12 +15,12 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/poll"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Pools receives what the controller learns. *upstream.Pools implements it.
 type Pools interface {
-	OnList(instances []platform.Instance)
+	OnList(instances []external.Instance)
 	OnEvents(upstreamID string, batch engine.EventBatch)
 	OnReport(upstreamID string, report engine.LoadReport)
 	OnPollFailed(upstreamID string)
@@ -35,7 +35,7 @@
 
 // Options are the dependencies of a Controller.
 type Options struct {
-	List     platform.InstanceList
+	List     external.InstanceList
 	Pools    Pools
 	Client   Client
 	Snapshot func() *config.Snapshot
@@ -72,13 +72,13 @@
 // Controller polls the list and the upstreams.
 type Controller struct {
 	o      Options
-	listed atomic.Pointer[[]platform.Instance]
+	listed atomic.Pointer[[]external.Instance]
 }
 
 // New returns a controller that knows no upstreams yet.
 func New(o Options) *Controller {
 	c := &Controller{o: o}
-	c.listed.Store(&[]platform.Instance{})
+	c.listed.Store(&[]external.Instance{})
 	return c
 }
 
@@ -138,7 +138,7 @@
 }
 
 // Listed returns the platform's list as last read.
-func (c *Controller) Listed() []platform.Instance { return *c.listed.Load() }
+func (c *Controller) Listed() []external.Instance { return *c.listed.Load() }
 
 // targets returns the listed upstreams of the pools that want accepts.
 func (c *Controller) targets(want func(config.Kind) bool) []poll.Target {
--- a/pkg/controller/upstreams/upstreams_test.go
+++ b/pkg/controller/upstreams/upstreams_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
@@ -23,7 +23,7 @@
 // fleet is the platform's list and the upstreams' answers.
 type fleet struct {
 	mu     sync.Mutex
-	list   []platform.Instance
+	list   []external.Instance
 	listed bool            // the list answers
 	silent map[string]bool // addresses that accept connections and don't answer
 	refuse map[string]bool // addresses that refuse connections
@@ -34,7 +34,7 @@
 	f := &fleet{listed: true, silent: map[string]bool{}, refuse: map[string]bool{}, leave: map[string]bool{}}
 	for i := range n {
 		id := fmt.Sprintf("e%d", i)
-		f.list = append(f.list, platform.Instance{ID: id, Addr: id, Pool: "lm", State: platform.Live})
+		f.list = append(f.list, external.Instance{ID: id, Addr: id, Pool: "lm", State: external.Live})
 	}
 	return f
 }
@@ -45,13 +45,13 @@
 	change()
 }
 
-func (f *fleet) List(context.Context) ([]platform.Instance, error) {
+func (f *fleet) List(context.Context) ([]external.Instance, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.listed {
-		return nil, platform.ErrUnavailable
+		return nil, external.ErrUnavailable
 	}
-	return append([]platform.Instance(nil), f.list...), nil
+	return append([]external.Instance(nil), f.list...), nil
 }
 
 func (f *fleet) Load(ctx context.Context, addr string) (engine.LoadReport, error) {
@@ -82,7 +82,7 @@
 		size  int
 		event func(f *fleet)
 	}{
-		"listed as leaving":              {8, func(f *fleet) { f.list[0].State = platform.Leaving }},
+		"listed as leaving":              {8, func(f *fleet) { f.list[0].State = external.Leaving }},
 		"gone from the list":             {8, func(f *fleet) { f.list = f.list[1:] }},
 		"reports that it leaves":         {8, func(f *fleet) { f.leave["e0"] = true; f.listed = false }},
 		"refuses connections, list down": {8, func(f *fleet) { f.refuse["e0"] = true; f.listed = false }},
@@ -117,7 +117,7 @@
 	f.set(func() { event(f) })
 	time.Sleep(noWorkAfter)
 	for _, x := range f.list {
-		takesNone[x.ID] = x.State != platform.Live || f.silent[x.Addr] || f.refuse[x.Addr] || f.leave[x.Addr]
+		takesNone[x.ID] = x.State != external.Live || f.silent[x.Addr] || f.refuse[x.Addr] || f.leave[x.Addr]
 	}
 	for range 200 {
 		s, err := pools.Acquire(ctx, upstream.Query{Pool: "lm", Customer: "c", Tokens: 100, MaxOutput: 10, Deadline: time.Now().Add(time.Second)})
--- a/pkg/platform/decode.go
+++ b/pkg/external/decode.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"encoding/json"
--- a/pkg/platform/platform.go
+++ b/pkg/external/platform.go
@@ -1,7 +1,7 @@
-// Package platform declares what the router uses of the platform: the
+// Package external declares what the router uses of the platform: the
 // transactional table service, the object store, the lagging instance list
 // and the weight store.
-package platform
+package external
 
 import (
 	"context"
--- a/pkg/platform/platform_test.go
+++ b/pkg/external/platform_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -25,11 +25,11 @@
 		want   error
 	}{
 		{http.StatusOK, nil}, {http.StatusNoContent, nil},
-		{http.StatusServiceUnavailable, platform.ErrUnavailable},
-		{http.StatusTooManyRequests, platform.ErrUnavailable},
-		{http.StatusInternalServerError, platform.ErrOutcomeUnknown},
-		{http.StatusBadGateway, platform.ErrOutcomeUnknown},
-		{http.StatusTemporaryRedirect, platform.ErrOutcomeUnknown},
+		{http.StatusServiceUnavailable, external.ErrUnavailable},
+		{http.StatusTooManyRequests, external.ErrUnavailable},
+		{http.StatusInternalServerError, external.ErrOutcomeUnknown},
+		{http.StatusBadGateway, external.ErrOutcomeUnknown},
+		{http.StatusTemporaryRedirect, external.ErrOutcomeUnknown},
 	}
 	for _, c := range cases {
 		calls := 0
@@ -38,14 +38,14 @@
 			w.Header().Set("Location", "/")
 			w.WriteHeader(c.status)
 		}))
-		objects := platform.NewObjectClient(server.Listener.Addr().String(), time.Minute)
-		table := platform.NewTableClient(server.Listener.Addr().String(), time.Minute)
+		objects := external.NewObjectClient(server.Listener.Addr().String(), time.Minute)
+		table := external.NewTableClient(server.Listener.Addr().String(), time.Minute)
 		if err := objects.Put(context.Background(), "k", []byte("v")); !errors.Is(err, c.want) {
 			t.Errorf("object, status %d: got %v, want %v", c.status, err, c.want)
 		}
 		// A table answer that Twirp did not write may come from anywhere.
-		_, err := table.Commit(context.Background(), platform.Txn{Token: "t"})
-		if c.want != nil && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		_, err := table.Commit(context.Background(), external.Txn{Token: "t"})
+		if c.want != nil && !errors.Is(err, external.ErrOutcomeUnknown) {
 			t.Errorf("table, status %d: got %v, want ErrOutcomeUnknown", c.status, err)
 		}
 		objects.Close()
@@ -62,8 +62,8 @@
 func TestListMalformed(t *testing.T) {
 	for _, body := range []string{"", "null", "{}", `[{"id":""}]`, `[{"id":"a"},{"id":"a"}]`, `[{"id":"a"}`} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
-		client := platform.NewListClient(server.Listener.Addr().String(), time.Minute)
-		if instances, err := client.List(context.Background()); !errors.Is(err, platform.ErrUnavailable) {
+		client := external.NewListClient(server.Listener.Addr().String(), time.Minute)
+		if instances, err := client.List(context.Background()); !errors.Is(err, external.ErrUnavailable) {
 			t.Errorf("%q: got %v, %v, want ErrUnavailable", body, instances, err)
 		}
 		client.Close()
@@ -73,7 +73,7 @@
 
 func FuzzDecodeInstances(f *testing.F) {
 	f.Fuzz(func(t *testing.T, data []byte) {
-		instances, err := platform.DecodeInstances(data)
+		instances, err := external.DecodeInstances(data)
 		if err == nil && bytes.TrimSpace(data)[0] != '[' {
 			t.Errorf("accepted %q as %v", data, instances)
 		}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -23,12 +23,12 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/shards"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/requestid"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
 	"github.com/fescuestep/fescuestep/pkg/peer"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/router"
 	"github.com/fescuestep/fescuestep/pkg/router/listener"
 	"github.com/fescuestep/fescuestep/pkg/settings"
@@ -55,9 +55,9 @@
 	tls       tlsConfigs
 	record    *recording // nil unless inputs are recorded
 
-	table   *platform.TableClient
-	objects *platform.ObjectClient
-	list    *platform.ListClient
+	table   *external.TableClient
+	objects *external.ObjectClient
+	list    *external.ListClient
 	engines *engine.Client
 	peers   *peer.Client
 
@@ -112,9 +112,9 @@
 
 func (i *Instance) connect() {
 	s := i.settings
-	i.table = platform.NewTableClient(s.Table, s.PlatformTimeout)
-	i.objects = platform.NewObjectClient(s.Objects, s.PlatformTimeout)
-	i.list = platform.NewListClient(s.List, s.PlatformTimeout)
+	i.table = external.NewTableClient(s.Table, s.PlatformTimeout)
+	i.objects = external.NewObjectClient(s.Objects, s.PlatformTimeout)
+	i.list = external.NewListClient(s.List, s.PlatformTimeout)
 	i.engines = engine.NewClient(engine.Options{})
 	i.peers = peer.NewClient(string(s.PeerCredential), i.tls.peerClient, nil)
 }
--- a/pkg/instance/shards.go
+++ b/pkg/instance/shards.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/fescuestep/fescuestep/pkg/controller/shards"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/peer"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/shard"
 )
 
@@ -13,7 +13,7 @@
 	return shards.New(shards.Options{
 		Self:     i.self,
 		Snapshot: i.sync.Snapshot,
-		Listed:   func() []platform.Instance { return i.upstreams.Listed() },
+		Listed:   func() []external.Instance { return i.upstreams.Listed() },
 		Peers:    peers,
 		Client:   i.engines,
 		Pace:     shard.DefaultPace,
--- a/pkg/load/embedded/system.go
+++ b/pkg/load/embedded/system.go
@@ -13,9 +13,9 @@
 
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/instance"
 	"github.com/fescuestep/fescuestep/pkg/load"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/pkg/standin"
 	"github.com/fescuestep/fescuestep/pkg/standin/table"
@@ -126,9 +126,9 @@
 	n.current, n.cancel, n.ended, n.leaving = i, cancel, make(chan struct{}), false
 	ended := n.ended
 	n.mu.Unlock()
-	s.fleet.Platform.List.Store.Put(platform.Instance{
-		ID: i.Member().ID, Addr: i.Member().PeerAddr, Pool: platform.RouterPool,
-		Domain: i.Member().Domain, State: platform.Live,
+	s.fleet.Platform.List.Store.Put(external.Instance{
+		ID: i.Member().ID, Addr: i.Member().PeerAddr, Pool: external.RouterPool,
+		Domain: i.Member().Domain, State: external.Live,
 	})
 	s.work.Go(func() {
 		defer close(ended)
--- a/pkg/load/virtual.go
+++ b/pkg/load/virtual.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fair"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
@@ -68,7 +68,7 @@
 	quota     []bucket
 	probes    int                 // reports polled for a choice
 	moved     int                 // requests withdrawn from an engine and submitted again
-	listed    []platform.Instance // as the list shows them
+	listed    []external.Instance // as the list shows them
 }
 
 func runVirtual(o Options, policy string, arrivals []Arrival) (*measured, error) {
@@ -119,11 +119,11 @@
 	}
 }
 
-func (v *virtualRun) list() []platform.Instance {
-	var out []platform.Instance
+func (v *virtualRun) list() []external.Instance {
+	var out []external.Instance
 	for _, e := range v.fleet.engines {
-		out = append(out, platform.Instance{
-			ID: e.id, Addr: e.id, Pool: v.options.Profile.Pool, Domain: e.domain, State: platform.Live,
+		out = append(out, external.Instance{
+			ID: e.id, Addr: e.id, Pool: v.options.Profile.Pool, Domain: e.domain, State: external.Live,
 		})
 	}
 	return out
--- a/pkg/local/local.go
+++ b/pkg/local/local.go
@@ -15,8 +15,8 @@
 
 	"github.com/fescuestep/fescuestep/examples"
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/instance"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
 	"github.com/fescuestep/fescuestep/pkg/quota"
 	"github.com/fescuestep/fescuestep/pkg/settings"
@@ -211,7 +211,7 @@
 	n.Admin = admin.NewAdminProtobufClient(n.AdminURL, &http.Client{Transport: credential{}})
 	var ctx context.Context
 	ctx, n.cancel = context.WithCancel(context.Background())
-	c.Platform.List.Store.Put(n.listed(platform.Live))
+	c.Platform.List.Store.Put(n.listed(external.Live))
 	go func() {
 		defer close(n.done)
 		n.err = i.Run(ctx)
@@ -286,11 +286,11 @@
 	return resp.StatusCode == http.StatusOK && n.fresh()
 }
 
-func (n *Node) listed(state platform.State) platform.Instance {
-	return platform.Instance{
+func (n *Node) listed(state external.State) external.Instance {
+	return external.Instance{
 		ID:     n.Site.ID,
 		Addr:   n.Instance.Addrs().Peers,
-		Pool:   platform.RouterPool,
+		Pool:   external.RouterPool,
 		Domain: n.Site.Domain,
 		State:  state,
 	}
@@ -299,7 +299,7 @@
 // Stop stops the instance gracefully, as the platform does: it is listed as
 // leaving first. It returns after the last request has ended.
 func (n *Node) Stop() error {
-	n.cluster.Platform.List.Store.Put(n.listed(platform.Leaving))
+	n.cluster.Platform.List.Store.Put(n.listed(external.Leaving))
 	n.cancel()
 	<-n.done
 	n.cluster.Platform.List.Store.Remove(n.Site.ID)
--- a/pkg/member/change.go
+++ b/pkg/member/change.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // Leave names a member incarnation that goes.
@@ -81,7 +81,7 @@
 // Gone returns the members to propose for removal at time now. An empty list
 // removes nobody: it is more likely a fault of the list than the end of every
 // instance.
-func (w *Watch) Gone(now time.Duration, m config.Membership, listed []platform.Instance) []Leave {
+func (w *Watch) Gone(now time.Duration, m config.Membership, listed []external.Instance) []Leave {
 	if len(listed) == 0 {
 		clear(w.missing)
 		return nil
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -8,8 +8,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/member"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 func fleet(n int) config.Membership {
@@ -82,11 +82,11 @@
 func TestWatchNeedsLastingAbsence(t *testing.T) {
 	m := fleet(2)
 	w := member.NewWatch(10*time.Second, 3*time.Second)
-	one := []platform.Instance{{ID: "r001"}}
-	both := append(one, platform.Instance{ID: "r000"})
+	one := []external.Instance{{ID: "r001"}}
+	both := append(one, external.Instance{ID: "r000"})
 	looks := []struct {
 		at     time.Duration
-		listed []platform.Instance
+		listed []external.Instance
 		gone   int
 	}{
 		{0, one, 0}, {2, both, 0}, {4, one, 0}, {6, one, 0}, {10, one, 0}, // too long without a look
--- a/pkg/metrics/collect/collect_test.go
+++ b/pkg/metrics/collect/collect_test.go
@@ -16,11 +16,11 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/filter/endpoint"
 	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/order"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -46,15 +46,15 @@
 }
 
 type fakeTable struct {
-	platform.Table
+	external.Table
 	err error
 }
 
-func (f fakeTable) Commit(context.Context, platform.Txn) (uint64, error) { return 7, f.err }
+func (f fakeTable) Commit(context.Context, external.Txn) (uint64, error) { return 7, f.err }
 
-type fakeObjects struct{ platform.ObjectStore }
+type fakeObjects struct{ external.ObjectStore }
 
-func (fakeObjects) Get(context.Context, string) ([]byte, error) { return nil, platform.ErrNotFound }
+func (fakeObjects) Get(context.Context, string) ([]byte, error) { return nil, external.ErrNotFound }
 
 type fakePeers struct{ err error }
 
@@ -73,9 +73,9 @@
 // with the wrong outcome or whose answer is changed.
 func TestCalls(t *testing.T) {
 	m := metrics.New()
-	unknown := errors.Wrap(platform.ErrOutcomeUnknown, "no answer")
-	for _, err := range []error{nil, platform.ErrConflict, platform.ErrUnavailable, unknown} {
-		version, got := Table(fakeTable{err: err}, m).Commit(ctx, platform.Txn{})
+	unknown := errors.Wrap(external.ErrOutcomeUnknown, "no answer")
+	for _, err := range []error{nil, external.ErrConflict, external.ErrUnavailable, unknown} {
+		version, got := Table(fakeTable{err: err}, m).Commit(ctx, external.Txn{})
 		if version != 7 || !errors.Is(got, err) {
 			t.Errorf("answer %d, %v", version, got)
 		}
@@ -193,7 +193,7 @@
 	events int
 }
 
-func (f *fakeFeed) OnList([]platform.Instance)             {}
+func (f *fakeFeed) OnList([]external.Instance)             {}
 func (f *fakeFeed) OnReport(string, engine.LoadReport)     {}
 func (f *fakeFeed) OnEvents(_ string, _ engine.EventBatch) { f.events++ }
 func (f *fakeFeed) Position(string) engine.Position        { return f.at }
@@ -204,7 +204,7 @@
 	m := metrics.New()
 	next := &fakeFeed{at: engine.Position{Incarnation: "a", Seq: 10}}
 	f := NewFeed(next, m)
-	f.OnList([]platform.Instance{{ID: "u1", Pool: "plume"}})
+	f.OnList([]external.Instance{{ID: "u1", Pool: "plume"}})
 	f.OnEvents("u1", engine.EventBatch{Incarnation: "a", Events: []engine.Event{{Seq: 11}, {Seq: 12}}})
 	f.OnEvents("u1", engine.EventBatch{Incarnation: "a", Events: []engine.Event{{Seq: 13}, {Seq: 15}}})
 	f.OnEvents("u1", engine.EventBatch{Incarnation: "b", Events: []engine.Event{{Seq: 90}}})
--- a/pkg/metrics/collect/feed.go
+++ b/pkg/metrics/collect/feed.go
@@ -6,8 +6,8 @@
 
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // OnList implements upstreams.Pools.
-func (f *Feed) OnList(instances []platform.Instance) {
+func (f *Feed) OnList(instances []external.Instance) {
 	poolOf := make(map[string]string, len(instances))
 	for _, x := range instances {
 		poolOf[x.ID] = x.Pool
--- a/pkg/metrics/collect/platform.go
+++ b/pkg/metrics/collect/platform.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // calls records calls to one service of the platform.
@@ -26,44 +26,44 @@
 // proper answer.
 func outcomeOf(err error) metrics.Outcome {
 	switch {
-	case err == nil, errors.Is(err, platform.ErrNotFound):
+	case err == nil, errors.Is(err, external.ErrNotFound):
 		return metrics.OK
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return metrics.Conflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return metrics.Unavailable
 	}
 	return metrics.Unknown
 }
 
 type table struct {
-	next platform.Table
+	next external.Table
 	calls
 }
 
 // Table records the calls to a table.
-func Table(next platform.Table, m *metrics.Metrics) platform.Table {
+func Table(next external.Table, m *metrics.Metrics) external.Table {
 	return table{next, calls{m, metrics.Table}}
 }
 
-// Get implements platform.Table.
-func (t table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements external.Table.
+func (t table) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	start := time.Now()
 	rows, err := t.next.Get(ctx, keys...)
 	t.record(start, err)
 	return rows, err
 }
 
-// Scan implements platform.Table.
-func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements external.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	start := time.Now()
 	rows, err := t.next.Scan(ctx, prefix, after, limit)
 	t.record(start, err)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t table) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements external.Table.
+func (t table) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	start := time.Now()
 	version, err := t.next.Commit(ctx, txn)
 	t.record(start, err)
@@ -71,16 +71,16 @@
 }
 
 type objects struct {
-	next platform.ObjectStore
+	next external.ObjectStore
 	calls
 }
 
 // Objects records the calls to an object store.
-func Objects(next platform.ObjectStore, m *metrics.Metrics) platform.ObjectStore {
+func Objects(next external.ObjectStore, m *metrics.Metrics) external.ObjectStore {
 	return objects{next, calls{m, metrics.Objects}}
 }
 
-// Put implements platform.ObjectStore.
+// Put implements external.ObjectStore.
 func (o objects) Put(ctx context.Context, key string, value []byte) error {
 	start := time.Now()
 	err := o.next.Put(ctx, key, value)
@@ -88,7 +88,7 @@
 	return err
 }
 
-// Get implements platform.ObjectStore.
+// Get implements external.ObjectStore.
 func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
 	start := time.Now()
 	value, err := o.next.Get(ctx, key)
@@ -96,7 +96,7 @@
 	return value, err
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements external.ObjectStore.
 func (o objects) Delete(ctx context.Context, key string) error {
 	start := time.Now()
 	err := o.next.Delete(ctx, key)
@@ -105,17 +105,17 @@
 }
 
 type list struct {
-	next platform.InstanceList
+	next external.InstanceList
 	calls
 }
 
 // List records the calls to an instance list.
-func List(next platform.InstanceList, m *metrics.Metrics) platform.InstanceList {
+func List(next external.InstanceList, m *metrics.Metrics) external.InstanceList {
 	return list{next, calls{m, metrics.List}}
 }
 
-// List implements platform.InstanceList.
-func (l list) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements external.InstanceList.
+func (l list) List(ctx context.Context) ([]external.Instance, error) {
 	start := time.Now()
 	instances, err := l.next.List(ctx)
 	l.record(start, err)
--- a/pkg/order/action.go
+++ b/pkg/order/action.go
@@ -7,7 +7,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // ActionKind says what the shell does next.
@@ -27,8 +27,8 @@
 // Action is the next step of a call.
 type Action struct {
 	Kind      ActionKind
-	Condition platform.Condition
-	Write     platform.Write
+	Condition external.Condition
+	Write     external.Write
 	Delay     time.Duration
 	Until     time.Time
 	Object    string
@@ -91,13 +91,13 @@
 }
 
 // Next returns the commit for the row as read, or done when none is needed.
-func (j *Cleanup) Next(row platform.Row) (cond platform.Condition, write platform.Write, done bool) {
+func (j *Cleanup) Next(row external.Row) (cond external.Condition, write external.Write, done bool) {
 	rec, err := Decode(row.Value)
 	if row.Version == 0 || err != nil || rec.Token != j.Token || rec.State != Claimed {
 		return cond, write, true
 	}
-	cond = platform.Condition{Key: j.RowKey, Version: row.Version}
-	write = platform.Write{Key: j.RowKey, Delete: j.Record == nil}
+	cond = external.Condition{Key: j.RowKey, Version: row.Version}
+	write = external.Write{Key: j.RowKey, Delete: j.Record == nil}
 	if j.Record != nil {
 		write.Value = j.Record.Encode()
 	}
--- a/pkg/order/call.go
+++ b/pkg/order/call.go
@@ -7,7 +7,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 type phase int
@@ -89,8 +89,8 @@
 func (c *Call) commit(version uint64) Action {
 	return Action{
 		Kind:      Commit,
-		Condition: platform.Condition{Key: c.row, Version: version},
-		Write:     platform.Write{Key: c.row, Value: c.record.Encode()},
+		Condition: external.Condition{Key: c.row, Version: version},
+		Write:     external.Write{Key: c.row, Value: c.record.Encode()},
 	}
 }
 
@@ -128,7 +128,7 @@
 	switch {
 	case err == nil:
 		return c.send(now)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return c.refuseStore(err)
 	}
 	c.phase = looking
@@ -140,7 +140,7 @@
 func (c *Call) Waited(time.Time) Action { return c.read() }
 
 // Loaded takes the row that was read. A missing row has version 0.
-func (c *Call) Loaded(now time.Time, row platform.Row, err error) Action {
+func (c *Call) Loaded(now time.Time, row external.Row, err error) Action {
 	var rec Record
 	if err == nil && row.Version != 0 {
 		rec, err = Decode(row.Value)
@@ -158,7 +158,7 @@
 }
 
 // look acts on the row found instead of a successful claim.
-func (c *Call) look(now time.Time, row platform.Row, rec Record) Action {
+func (c *Call) look(now time.Time, row external.Row, rec Record) Action {
 	switch {
 	case row.Version == 0:
 		return c.claim(now, 0)
@@ -234,8 +234,8 @@
 	c.phase = releasing
 	return Action{
 		Kind:      Commit,
-		Condition: platform.Condition{Key: c.row, Version: c.version},
-		Write:     platform.Write{Key: c.row, Delete: true},
+		Condition: external.Condition{Key: c.row, Version: c.version},
+		Write:     external.Write{Key: c.row, Delete: true},
 	}
 }
 
@@ -286,7 +286,7 @@
 }
 
 // recordState decides on the row read after a record that was not confirmed.
-func (c *Call) recordState(row platform.Row, rec Record, err error) Action {
+func (c *Call) recordState(row external.Row, rec Record, err error) Action {
 	if err == nil && (rec.Token != c.token || rec.State != Claimed) {
 		return c.finish(nil) // recorded, or resolved by an operator meanwhile
 	}
@@ -309,7 +309,7 @@
 		e = c.unknown("the state of the order cannot be read now").WithRetryAfter(RetryTable).WithCause(cause)
 	}
 	a := c.refuse(e)
-	if !errors.Is(cause, platform.ErrUnavailable) || c.claims > 1 {
+	if !errors.Is(cause, external.ErrUnavailable) || c.claims > 1 {
 		a.Cleanup = &Cleanup{RowKey: c.row, Token: c.token}
 	}
 	return a
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // TestMain fixes the seed unless the command line gives one.
@@ -34,7 +34,7 @@
 type world struct {
 	t       *rapid.T
 	now     time.Time
-	rows    map[string]platform.Row
+	rows    map[string]external.Row
 	version uint64
 	objects map[string][]byte
 	late    []Action // commits that may still take effect
@@ -58,12 +58,12 @@
 	sends int
 }
 
-var errLost = errors.Mark(errors.New("lost"), platform.ErrOutcomeUnknown)
+var errLost = errors.Mark(errors.New("lost"), external.ErrOutcomeUnknown)
 
 const margin = time.Minute
 
 func newWorld(t *rapid.T) *world {
-	return &world{t: t, now: time.Unix(1e9, 0), rows: map[string]platform.Row{}, objects: map[string][]byte{}, ran: map[string][]int{}}
+	return &world{t: t, now: time.Unix(1e9, 0), rows: map[string]external.Row{}, objects: map[string][]byte{}, ran: map[string][]int{}}
 }
 
 func (w *world) tick() int64 { w.time++; return w.time }
@@ -81,25 +81,25 @@
 
 func (w *world) apply(a Action) (uint64, error) {
 	if w.rows[a.Condition.Key].Version != a.Condition.Version {
-		return 0, platform.ErrConflict
+		return 0, external.ErrConflict
 	}
 	w.version++
 	if a.Write.Delete {
 		delete(w.rows, a.Write.Key)
 		return w.version, nil
 	}
-	w.rows[a.Write.Key] = platform.Row{Key: a.Write.Key, Value: a.Write.Value, Version: w.version}
+	w.rows[a.Write.Key] = external.Row{Key: a.Write.Key, Value: a.Write.Value, Version: w.version}
 	return w.version, nil
 }
 
 // commit applies a commit with a drawn fault.
 func (w *world) commit(a Action) (uint64, error) {
 	if w.down {
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	}
 	switch rapid.SampledFrom([]string{"ok", "ok", "ok", "down", "answer lost", "late", "never"}).Draw(w.t, "commit") {
 	case "down":
-		return 0, platform.ErrUnavailable
+		return 0, external.ErrUnavailable
 	case "answer lost":
 		_, _ = w.apply(a)
 		return 0, errLost
@@ -114,7 +114,7 @@
 
 func (w *world) fails(what string) error {
 	if w.down || rapid.IntRange(0, 4).Draw(w.t, what) == 0 {
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}
 	return nil
 }
@@ -240,7 +240,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = w.apply(Action{Condition: platform.Condition{Key: row.Key, Version: row.Version}, Write: platform.Write{Key: row.Key, Value: rec.Encode()}})
+	_, _ = w.apply(Action{Condition: external.Condition{Key: row.Key, Version: row.Version}, Write: external.Write{Key: row.Key, Value: rec.Encode()}})
 }
 
 func (w *world) live() []*simCall {
@@ -336,9 +336,9 @@
 	first := c.Start(now)
 	c.Committed(now, 0, errLost)
 	now = now.Add(2 * time.Minute)
-	c.Loaded(now, platform.Row{}, nil) // claims again
-	c.Committed(now, 0, platform.ErrConflict)
-	a := c.Loaded(now, platform.Row{Version: 1, Value: first.Write.Value}, nil)
+	c.Loaded(now, external.Row{}, nil) // claims again
+	c.Committed(now, 0, external.ErrConflict)
+	a := c.Loaded(now, external.Row{Version: 1, Value: first.Write.Value}, nil)
 	if a.Kind != Commit || !a.Write.Delete {
 		t.Errorf("got %+v, want the claim released", a)
 	}
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -13,8 +13,8 @@
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fair"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 	"github.com/fescuestep/fescuestep/pkg/upstream"
 )
 
@@ -38,9 +38,9 @@
 	core.Record(now, recorder)
 	core.OnExport(func(upstream.Transfer) {})
 	core.OnMove(func(*upstream.Grant) bool { return rng.IntN(2) == 0 })
-	var engines []platform.Instance
+	var engines []external.Instance
 	for i := range 4 {
-		engines = append(engines, platform.Instance{ID: fmt.Sprint("e", i), Addr: fmt.Sprint("127.0.0.1:", 7000+i), Pool: "plume", State: platform.Live})
+		engines = append(engines, external.Instance{ID: fmt.Sprint("e", i), Addr: fmt.Sprint("127.0.0.1:", 7000+i), Pool: "plume", State: external.Live})
 	}
 	core.OnList(now, engines)
 	var waits []*upstream.Wait
--- a/pkg/standin/access.go
+++ b/pkg/standin/access.go
@@ -2,15 +2,15 @@
 
 import (
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/engine"
 	"github.com/fescuestep/fescuestep/pkg/standin/kv"
 	"github.com/fescuestep/fescuestep/pkg/standin/orders"
 )
 
 // Instances returns the upstreams in order of their start.
-func (f *Fleet) Instances() []platform.Instance {
-	out := make([]platform.Instance, 0, len(f.order))
+func (f *Fleet) Instances() []external.Instance {
+	out := make([]external.Instance, 0, len(f.order))
 	for _, id := range f.order {
 		out = append(out, f.instances[id])
 	}
@@ -60,7 +60,7 @@
 		server.Leave()
 	}
 	instance := f.instances[id]
-	instance.State = platform.Leaving
+	instance.State = external.Leaving
 	f.instances[id] = instance
 	f.list(instance)
 }
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 	"github.com/fescuestep/fescuestep/pkg/transport"
 )
@@ -23,7 +23,7 @@
 	options Options
 	addr    string
 	client  *transport.Client // to the KV store
-	store   *platform.WeightClient
+	store   *external.WeightClient
 
 	mu       sync.Mutex
 	current  *life // nil while down
@@ -60,7 +60,7 @@
 		held:   durable{weights: o.Weights, role: o.Role},
 	}
 	if o.WeightsAddr != "" {
-		s.store = platform.NewWeightClient(o.WeightsAddr, 0)
+		s.store = external.NewWeightClient(o.WeightsAddr, 0)
 	}
 	if err := s.Restart(); err != nil {
 		stop()
--- a/pkg/standin/fleet.go
+++ b/pkg/standin/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/engine"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 	"github.com/fescuestep/fescuestep/pkg/standin/kv"
@@ -123,7 +123,7 @@
 
 	ownPlatform bool
 	order       []string // instance IDs in order of their start
-	instances   map[string]platform.Instance
+	instances   map[string]external.Instance
 	engines     map[string]*engine.Server
 	services    map[string]*orders.Server
 	stores      map[string]*kv.Server
@@ -134,7 +134,7 @@
 func Start(c Config) (*Fleet, error) {
 	f := &Fleet{
 		Name: c.Name, Platform: c.Platform,
-		instances: map[string]platform.Instance{}, engines: map[string]*engine.Server{},
+		instances: map[string]external.Instance{}, engines: map[string]*engine.Server{},
 		services: map[string]*orders.Server{}, stores: map[string]*kv.Server{}, ledgers: map[string]*orders.Ledger{},
 	}
 	if f.Platform == nil {
@@ -174,7 +174,7 @@
 
 func (f *Fleet) startOne(c Config, pool Pool, i int) error {
 	id := fmt.Sprintf("%s-%d", pool.Name, i+1)
-	instance := platform.Instance{ID: id, Pool: pool.Name, State: platform.Live}
+	instance := external.Instance{ID: id, Pool: pool.Name, State: external.Live}
 	if len(c.Domains) > 0 {
 		instance.Domain = c.Domains[i%len(c.Domains)]
 	}
@@ -198,7 +198,7 @@
 	return nil
 }
 
-func (f *Fleet) list(instance platform.Instance) {
+func (f *Fleet) list(instance external.Instance) {
 	if f.Platform.List != nil {
 		f.Platform.List.Store.Put(instance)
 	}
--- a/pkg/standin/fleet_test.go
+++ b/pkg/standin/fleet_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin"
 	"github.com/fescuestep/fescuestep/pkg/standin/objects"
 	"github.com/fescuestep/fescuestep/pkg/standin/orders"
@@ -38,7 +38,7 @@
 // or read wrongly.
 func TestFleetList(t *testing.T) {
 	fleet := startFleet(t)
-	client := platform.NewListClient(fleet.Platform.List.Addr(), 0)
+	client := external.NewListClient(fleet.Platform.List.Addr(), 0)
 	defer client.Close()
 	fleet.Leave("plume-2")
 	fleet.Stop("plume-3")
@@ -70,7 +70,7 @@
 // against store failures with the wrong error.
 func TestObjects(t *testing.T) {
 	fleet := startFleet(t)
-	client := platform.NewObjectClient(fleet.Platform.Objects.Addr(), 0)
+	client := external.NewObjectClient(fleet.Platform.Objects.Addr(), 0)
 	defer client.Close()
 	ctx := context.Background()
 	keys := []string{"order/a%2Fb/1", "order/a/b/1", "../x", "å?#"}
@@ -84,16 +84,16 @@
 			t.Errorf("key %q: got %q, %v", key, value, err)
 		}
 	}
-	if _, err := client.Get(ctx, "absent"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := client.Get(ctx, "absent"); !errors.Is(err, external.ErrNotFound) {
 		t.Errorf("got %v, want ErrNotFound", err)
 	}
 	faults := &fleet.Platform.Objects.Store.Faults
 	faults.Set(objects.Faults{LoseAnswers: 1})
-	if err := client.Put(ctx, "lost", nil); !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if err := client.Put(ctx, "lost", nil); !errors.Is(err, external.ErrOutcomeUnknown) {
 		t.Errorf("got %v, want ErrOutcomeUnknown", err)
 	}
 	faults.Set(objects.Faults{Down: true})
-	if err := client.Put(ctx, "down", nil); !errors.Is(err, platform.ErrUnavailable) {
+	if err := client.Put(ctx, "down", nil); !errors.Is(err, external.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 }
@@ -102,14 +102,14 @@
 // a whole one.
 func TestWeightClient(t *testing.T) {
 	fleet := startFleet(t)
-	client := platform.NewWeightClient(fleet.Platform.Weights.Addr(), 0)
+	client := external.NewWeightClient(fleet.Platform.Weights.Addr(), 0)
 	defer client.Close()
 	var sink strings.Builder
 	if n, err := client.Fetch(context.Background(), "2", &sink); err != nil || n != weights.DefaultSize {
 		t.Errorf("got %d bytes, %v", n, err)
 	}
 	fleet.Platform.Weights.Store.Faults.Set(weights.Faults{BreakOff: 1})
-	if _, err := client.Fetch(context.Background(), "2", &sink); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Fetch(context.Background(), "2", &sink); !errors.Is(err, external.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 }
--- a/pkg/standin/list/list.go
+++ b/pkg/standin/list/list.go
@@ -16,7 +16,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/xxh3"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 )
 
@@ -35,14 +35,14 @@
 }
 
 // Store keeps the list and its recent versions. It implements
-// platform.InstanceList.
+// external.InstanceList.
 type Store struct {
 	Faults host.Faults[Faults]
 
 	options Options
 	mu      sync.Mutex
 	history []version // oldest first, never empty
-	last    []platform.Instance
+	last    []external.Instance
 
 	unchanged atomic.Int64
 }
@@ -52,30 +52,30 @@
 
 type version struct {
 	at        time.Time
-	instances map[string]platform.Instance
+	instances map[string]external.Instance
 }
 
-var _ platform.InstanceList = (*Store)(nil)
+var _ external.InstanceList = (*Store)(nil)
 
 // NewStore returns an empty list.
 func NewStore(o Options) *Store {
-	return &Store{options: o, history: []version{{instances: map[string]platform.Instance{}}}}
+	return &Store{options: o, history: []version{{instances: map[string]external.Instance{}}}}
 }
 
 // Put adds or replaces an instance.
-func (s *Store) Put(instance platform.Instance) {
-	s.change(func(m map[string]platform.Instance) { m[instance.ID] = instance })
+func (s *Store) Put(instance external.Instance) {
+	s.change(func(m map[string]external.Instance) { m[instance.ID] = instance })
 }
 
 // Remove deletes an instance.
 func (s *Store) Remove(id string) {
-	s.change(func(m map[string]platform.Instance) { delete(m, id) })
+	s.change(func(m map[string]external.Instance) { delete(m, id) })
 }
 
 // maxHistory bounds the kept versions; older ones count as visible.
 const maxHistory = 4096
 
-func (s *Store) change(apply func(map[string]platform.Instance)) {
+func (s *Store) change(apply func(map[string]external.Instance)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := maps.Clone(s.history[len(s.history)-1].instances)
@@ -86,11 +86,11 @@
 	}
 }
 
-// List implements platform.InstanceList; entries are ordered by ID.
-func (s *Store) List(context.Context) ([]platform.Instance, error) {
+// List implements external.InstanceList; entries are ordered by ID.
+func (s *Store) List(context.Context) ([]external.Instance, error) {
 	faults := s.Faults.Get()
 	if faults.Down {
-		return nil, errors.Wrap(platform.ErrUnavailable, "list stand-in is down")
+		return nil, errors.Wrap(external.ErrUnavailable, "list stand-in is down")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +99,7 @@
 	}
 	lag := s.options.Scale.Of(s.options.Lag + faults.Lag)
 	visible := s.visible(time.Now().Add(-lag))
-	out := make([]platform.Instance, 0, len(visible))
+	out := make([]external.Instance, 0, len(visible))
 	for _, id := range slices.Sorted(maps.Keys(visible)) {
 		if !slices.Contains(faults.Omit, id) {
 			out = append(out, visible[id])
@@ -110,7 +110,7 @@
 }
 
 // visible returns the newest version not after the time.
-func (s *Store) visible(at time.Time) map[string]platform.Instance {
+func (s *Store) visible(at time.Time) map[string]external.Instance {
 	for i := len(s.history) - 1; i > 0; i-- {
 		if !s.history[i].at.After(at) {
 			return s.history[i].instances
@@ -163,7 +163,7 @@
 }
 
 func (s *Store) handlePut(c echo.Context) error {
-	var instance platform.Instance
+	var instance external.Instance
 	if err := c.Bind(&instance); err != nil {
 		return err
 	}
--- a/pkg/standin/list/list_test.go
+++ b/pkg/standin/list/list_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/list"
 )
 
@@ -33,11 +33,11 @@
 				t.Errorf("%s: %s", name, diff)
 			}
 		}
-		store.Put(platform.Instance{ID: "a", State: platform.Live})
+		store.Put(external.Instance{ID: "a", State: external.Live})
 		check("before the lag")
 		time.Sleep(time.Second)
 		check("after the lag", "a live")
-		store.Put(platform.Instance{ID: "a", State: platform.Leaving})
+		store.Put(external.Instance{ID: "a", State: external.Leaving})
 		time.Sleep(500 * time.Millisecond)
 		store.Remove("a")
 		check("change not visible", "a live")
@@ -45,7 +45,7 @@
 		check("first change visible", "a leaving")
 		time.Sleep(500 * time.Millisecond)
 		check("second change visible")
-		store.Put(platform.Instance{ID: "b", State: platform.Live})
+		store.Put(external.Instance{ID: "b", State: external.Live})
 		store.Faults.Set(list.Faults{Frozen: true})
 		time.Sleep(time.Minute)
 		check("frozen")
--- a/pkg/standin/objects/objects.go
+++ b/pkg/standin/objects/objects.go
@@ -15,7 +15,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 )
 
@@ -34,7 +34,7 @@
 	WritesPerSec float64 // 0: unlimited
 }
 
-// Store keeps objects in memory. It implements platform.ObjectStore.
+// Store keeps objects in memory. It implements external.ObjectStore.
 type Store struct {
 	Faults host.Faults[Faults]
 
@@ -45,7 +45,7 @@
 	objects map[string][]byte
 }
 
-var _ platform.ObjectStore = (*Store)(nil)
+var _ external.ObjectStore = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore(o Options) *Store {
@@ -65,13 +65,13 @@
 func (s *Store) before(ctx context.Context, limit *rate.Limiter) error {
 	faults := s.Faults.Get()
 	if faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "object stand-in is down")
+		return errors.Wrap(external.ErrUnavailable, "object stand-in is down")
 	}
 	if err := limit.Wait(ctx); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(external.ErrUnavailable, err.Error())
 	}
 	if err := host.Sleep(ctx, s.scale.Of(faults.Latency)); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(external.ErrUnavailable, err.Error())
 	}
 	return nil
 }
@@ -85,22 +85,22 @@
 	execute()
 	s.mu.Unlock()
 	if s.Faults.Use(func(f *Faults) *int { return &f.LoseAnswers }) {
-		return errors.Wrap(platform.ErrOutcomeUnknown, "answer lost")
+		return errors.Wrap(external.ErrOutcomeUnknown, "answer lost")
 	}
 	return nil
 }
 
-// Put implements platform.ObjectStore.
+// Put implements external.ObjectStore.
 func (s *Store) Put(ctx context.Context, key string, value []byte) error {
 	return s.change(ctx, func() { s.objects[key] = slices.Clone(value) })
 }
 
-// Delete implements platform.ObjectStore.
+// Delete implements external.ObjectStore.
 func (s *Store) Delete(ctx context.Context, key string) error {
 	return s.change(ctx, func() { delete(s.objects, key) })
 }
 
-// Get implements platform.ObjectStore.
+// Get implements external.ObjectStore.
 func (s *Store) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
@@ -109,7 +109,7 @@
 	defer s.mu.Unlock()
 	value, ok := s.objects[key]
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %q", key)
+		return nil, errors.Wrapf(external.ErrNotFound, "object %q", key)
 	}
 	return slices.Clone(value), nil
 }
@@ -147,7 +147,7 @@
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	value, err := io.ReadAll(io.LimitReader(c.Request().Body, platform.MaxAnswerBytes))
+	value, err := io.ReadAll(io.LimitReader(c.Request().Body, external.MaxAnswerBytes))
 	if err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
@@ -178,9 +178,9 @@
 	switch {
 	case err == nil:
 		return c.NoContent(http.StatusNoContent)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, external.ErrNotFound):
 		return echo.NewHTTPError(http.StatusNotFound, err.Error())
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, external.ErrOutcomeUnknown):
 		host.Drop()
 	}
 	return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
--- a/pkg/standin/table/server.go
+++ b/pkg/standin/table/server.go
@@ -8,7 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/twitchtv/twirp"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 	rpc "github.com/fescuestep/fescuestep/rpc/platform"
 )
@@ -99,15 +99,15 @@
 
 // Commit implements rpc.Table.
 func (s service) Commit(ctx context.Context, req *rpc.CommitRequest) (*rpc.CommitResponse, error) {
-	txn := platform.Txn{Token: req.Token}
+	txn := external.Txn{Token: req.Token}
 	for _, c := range req.Conditions {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: c.GetKey(), Version: c.GetVersion()})
+		txn.Conditions = append(txn.Conditions, external.Condition{Key: c.GetKey(), Version: c.GetVersion()})
 	}
 	for _, w := range req.Writes {
-		txn.Writes = append(txn.Writes, platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
+		txn.Writes = append(txn.Writes, external.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
 	}
 	version, err := s.store.Commit(ctx, txn)
-	if l, ok := ctx.Value(lossKey{}).(*loss); ok && errors.Is(err, platform.ErrOutcomeUnknown) {
+	if l, ok := ctx.Value(lossKey{}).(*loss); ok && errors.Is(err, external.ErrOutcomeUnknown) {
 		l.set = true
 	}
 	if err != nil {
@@ -118,15 +118,15 @@
 
 func toTwirp(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, external.ErrConflict):
 		return twirp.NewError(twirp.Aborted, err.Error())
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, external.ErrUnavailable):
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	}
 	return twirp.InternalErrorWith(err)
 }
 
-func toRows(rows []platform.Row) []*rpc.Row {
+func toRows(rows []external.Row) []*rpc.Row {
 	out := make([]*rpc.Row, 0, len(rows))
 	for _, r := range rows {
 		out = append(out, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Token: r.Token})
--- a/pkg/standin/table/store.go
+++ b/pkg/standin/table/store.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 )
 
@@ -41,7 +41,7 @@
 	Commits uint64 `json:"commits"`
 }
 
-// Store is the table in memory. It implements platform.Table.
+// Store is the table in memory. It implements external.Table.
 type Store struct {
 	Faults host.Faults[Faults]
 
@@ -50,13 +50,13 @@
 	writes  *rate.Limiter
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]external.Row
 	keys    []string // of rows, sorted
 	version uint64
 	counts  Counts
 }
 
-var _ platform.Table = (*Store)(nil)
+var _ external.Table = (*Store)(nil)
 
 // NewStore returns an empty table.
 func NewStore(o Options) *Store {
@@ -64,7 +64,7 @@
 		options: o,
 		reads:   limiter(o.ReadsPerSec),
 		writes:  limiter(o.WritesPerSec),
-		rows:    map[string]platform.Row{},
+		rows:    map[string]external.Row{},
 	}
 }
 
@@ -87,27 +87,27 @@
 func (s *Store) before(ctx context.Context, limit *rate.Limiter) error {
 	faults := s.Faults.Get()
 	if faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "table stand-in is down")
+		return errors.Wrap(external.ErrUnavailable, "table stand-in is down")
 	}
 	if err := limit.Wait(ctx); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(external.ErrUnavailable, err.Error())
 	}
 	delay := s.options.Scale.Of(s.options.AlwaysLatency + faults.Latency)
 	if err := host.Sleep(ctx, delay); err != nil {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(external.ErrUnavailable, err.Error())
 	}
 	return nil
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements external.Table.
+func (s *Store) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Reads++
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]external.Row, 0, len(keys))
 	for _, key := range keys {
 		out = append(out, s.row(key))
 	}
@@ -115,17 +115,17 @@
 }
 
 // row returns a copy of the row or a row with version 0.
-func (s *Store) row(key string) platform.Row {
+func (s *Store) row(key string) external.Row {
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{Key: key}
+		return external.Row{Key: key}
 	}
 	row.Value = slices.Clone(row.Value)
 	return row
 }
 
-// Scan implements platform.Table.
-func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements external.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
 	}
@@ -133,7 +133,7 @@
 	defer s.mu.Unlock()
 	s.counts.Reads++
 	start, _ := slices.BinarySearch(s.keys, max(prefix, after))
-	var out []platform.Row
+	var out []external.Row
 	for _, key := range s.keys[start:] {
 		if len(out) >= limit || (key > prefix && !strings.HasPrefix(key, prefix)) {
 			break
@@ -145,36 +145,36 @@
 	return out, nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements external.Table.
+func (s *Store) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	if txn.Token == "" {
-		return 0, errors.Wrap(platform.ErrUnavailable, "a transaction needs a token")
+		return 0, errors.Wrap(external.ErrUnavailable, "a transaction needs a token")
 	}
 	if err := s.before(ctx, s.writes); err != nil {
 		return 0, err
 	}
 	if s.Faults.Use(func(f *Faults) *int { return &f.LoseCommits }) {
-		return 0, errors.Wrap(platform.ErrOutcomeUnknown, "commit lost")
+		return 0, errors.Wrap(external.ErrOutcomeUnknown, "commit lost")
 	}
 	version, err := s.execute(txn)
 	if err != nil {
 		return 0, err
 	}
 	if err := host.Sleep(ctx, s.options.Scale.Of(s.Faults.Get().AnswerDelay)); err != nil {
-		return 0, errors.Wrap(platform.ErrOutcomeUnknown, err.Error())
+		return 0, errors.Wrap(external.ErrOutcomeUnknown, err.Error())
 	}
 	if s.Faults.Use(func(f *Faults) *int { return &f.LoseAnswers }) {
-		return 0, errors.Wrap(platform.ErrOutcomeUnknown, "answer lost")
+		return 0, errors.Wrap(external.ErrOutcomeUnknown, "answer lost")
 	}
 	return version, nil
 }
 
-func (s *Store) execute(txn platform.Txn) (uint64, error) {
+func (s *Store) execute(txn external.Txn) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if got := s.rows[c.Key].Version; got != c.Version {
-			return 0, errors.Wrapf(platform.ErrConflict, "row %q has version %d, not %d", c.Key, got, c.Version)
+			return 0, errors.Wrapf(external.ErrConflict, "row %q has version %d, not %d", c.Key, got, c.Version)
 		}
 	}
 	s.version++
@@ -185,7 +185,7 @@
 	return s.version, nil
 }
 
-func (s *Store) write(w platform.Write, token string) {
+func (s *Store) write(w external.Write, token string) {
 	at, found := slices.BinarySearch(s.keys, w.Key)
 	switch {
 	case w.Delete && found:
@@ -197,5 +197,5 @@
 	case !found:
 		s.keys = slices.Insert(s.keys, at, w.Key)
 	}
-	s.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version, Token: token}
+	s.rows[w.Key] = external.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version, Token: token}
 }
--- a/pkg/standin/table/table_test.go
+++ b/pkg/standin/table/table_test.go
@@ -10,25 +10,25 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/table"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func start(t *testing.T) (*table.Server, *platform.TableClient) {
+func start(t *testing.T) (*table.Server, *external.TableClient) {
 	t.Helper()
 	server, err := table.Start("", table.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := platform.NewTableClient(server.Addr(), 5*time.Second)
+	client := external.NewTableClient(server.Addr(), 5*time.Second)
 	t.Cleanup(func() { client.Close(); server.Close() })
 	return server, client
 }
 
-func put(token, key, value string, condition ...platform.Condition) platform.Txn {
-	return platform.Txn{Token: token, Conditions: condition, Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func put(token, key, value string, condition ...external.Condition) external.Txn {
+	return external.Txn{Token: token, Conditions: condition, Writes: []external.Write{{Key: key, Value: []byte(value)}}}
 }
 
 // TestTransactions guards against a transaction taking effect in part or
@@ -41,15 +41,15 @@
 			t.Fatal(err)
 		}
 	}
-	txn := put("t9", "b", "w", platform.Condition{Key: "a/0", Version: 9})
-	if _, err := client.Commit(ctx, txn); !errors.Is(err, platform.ErrConflict) {
+	txn := put("t9", "b", "w", external.Condition{Key: "a/0", Version: 9})
+	if _, err := client.Commit(ctx, txn); !errors.Is(err, external.ErrConflict) {
 		t.Fatalf("got %v, want ErrConflict", err)
 	}
 	rows, err := client.Get(ctx, "b", "a/1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []platform.Row{{Key: "b"}, {Key: "a/1", Value: []byte("v"), Version: 2, Token: "t1"}}
+	want := []external.Row{{Key: "b"}, {Key: "a/1", Value: []byte("v"), Version: 2, Token: "t1"}}
 	if diff := cmp.Diff(want, rows); diff != "" {
 		t.Error(diff)
 	}
@@ -83,9 +83,9 @@
 		want    error
 		written bool
 	}{
-		{"answer lost", table.Faults{LoseAnswers: 1}, platform.ErrOutcomeUnknown, true},
-		{"commit lost", table.Faults{LoseCommits: 1}, platform.ErrOutcomeUnknown, false},
-		{"down", table.Faults{Down: true}, platform.ErrUnavailable, false},
+		{"answer lost", table.Faults{LoseAnswers: 1}, external.ErrOutcomeUnknown, true},
+		{"commit lost", table.Faults{LoseCommits: 1}, external.ErrOutcomeUnknown, false},
+		{"down", table.Faults{Down: true}, external.ErrUnavailable, false},
 	}
 	for _, c := range cases {
 		server.Store.Faults.Set(c.faults)
@@ -119,12 +119,12 @@
 		}
 		cancel()
 	}()
-	if _, err := client.Commit(ctx, put("t", "k", "v")); !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if _, err := client.Commit(ctx, put("t", "k", "v")); !errors.Is(err, external.ErrOutcomeUnknown) {
 		t.Errorf("got %v, want ErrOutcomeUnknown", err)
 	}
 	server.Close()
 	client.Close()
-	if _, err := client.Commit(context.Background(), put("t", "k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(context.Background(), put("t", "k", "v")); !errors.Is(err, external.ErrUnavailable) {
 		t.Errorf("got %v, want ErrUnavailable", err)
 	}
 }
--- a/pkg/standin/weights/weights.go
+++ b/pkg/standin/weights/weights.go
@@ -14,7 +14,7 @@
 	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/standin/host"
 )
 
@@ -42,7 +42,7 @@
 	Versions []string      // stored versions; empty: every version exists
 }
 
-// Store sends weights at a limited rate. It implements platform.WeightStore.
+// Store sends weights at a limited rate. It implements external.WeightStore.
 type Store struct {
 	Faults host.Faults[Faults]
 
@@ -56,7 +56,7 @@
 	loads  int
 }
 
-var _ platform.WeightStore = (*Store)(nil)
+var _ external.WeightStore = (*Store)(nil)
 
 // NewStore returns a store.
 func NewStore(o Options) *Store {
@@ -92,15 +92,15 @@
 	s.active--
 }
 
-// Versions implements platform.WeightStore.
+// Versions implements external.WeightStore.
 func (s *Store) Versions(context.Context) ([]string, error) {
 	if s.Faults.Get().Down {
-		return nil, errors.Wrap(platform.ErrUnavailable, "weight stand-in is down")
+		return nil, errors.Wrap(external.ErrUnavailable, "weight stand-in is down")
 	}
 	return slices.Clone(s.options.Versions), nil
 }
 
-// Fetch implements platform.WeightStore.
+// Fetch implements external.WeightStore.
 func (s *Store) Fetch(ctx context.Context, version string, dst io.Writer) (int64, error) {
 	if err := s.check(ctx, version); err != nil {
 		return 0, err
@@ -114,7 +114,7 @@
 	}
 	n, err := s.copy(ctx, dst, size)
 	if err == nil && broken {
-		err = errors.Wrap(platform.ErrUnavailable, "transfer broken off")
+		err = errors.Wrap(external.ErrUnavailable, "transfer broken off")
 	}
 	return n, err
 }
@@ -122,10 +122,10 @@
 func (s *Store) check(ctx context.Context, version string) error {
 	faults := s.Faults.Get()
 	if faults.Down {
-		return errors.Wrap(platform.ErrUnavailable, "weight stand-in is down")
+		return errors.Wrap(external.ErrUnavailable, "weight stand-in is down")
 	}
 	if len(s.options.Versions) > 0 && !slices.Contains(s.options.Versions, version) {
-		return errors.Wrapf(platform.ErrNotFound, "weights version %q", version)
+		return errors.Wrapf(external.ErrNotFound, "weights version %q", version)
 	}
 	return host.Sleep(ctx, s.options.Scale.Of(faults.Latency))
 }
@@ -184,7 +184,7 @@
 func (s *Store) handleFetch(c echo.Context) error {
 	ctx := c.Request().Context()
 	version := c.Param("version")
-	if err := s.check(ctx, version); errors.Is(err, platform.ErrNotFound) {
+	if err := s.check(ctx, version); errors.Is(err, external.ErrNotFound) {
 		return echo.NewHTTPError(http.StatusNotFound, err.Error())
 	} else if err != nil {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
--- a/pkg/upstream/holders_test.go
+++ b/pkg/upstream/holders_test.go
@@ -8,9 +8,9 @@
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fair"
 	"github.com/fescuestep/fescuestep/pkg/pick"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 func shardedCore(t *testing.T, now time.Time) *Core {
@@ -19,9 +19,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var list []platform.Instance
+	var list []external.Instance
 	for i := range 40 {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("e%02d", i), Addr: "a", Pool: "plume", State: platform.Live})
+		list = append(list, external.Instance{ID: fmt.Sprintf("e%02d", i), Addr: "a", Pool: "plume", State: external.Live})
 	}
 	c.OnList(now, list)
 	return c
--- a/pkg/upstream/inputs.go
+++ b/pkg/upstream/inputs.go
@@ -5,14 +5,14 @@
 
 	"github.com/fescuestep/fescuestep/pkg/cacheindex"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/pick"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // OnList applies the platform's list; entries of other pools are skipped. An
 // upstream that is no longer listed takes no new work; its flights end as
 // usual.
-func (c *Core) OnList(now time.Time, instances []platform.Instance) {
+func (c *Core) OnList(now time.Time, instances []external.Instance) {
 	c.rec.add(now, Entry{Kind: EntryList, List: instances})
 	listed := map[string]bool{}
 	for i := range instances {
@@ -31,7 +31,7 @@
 	c.Dispatch(now)
 }
 
-func (c *Core) list(now time.Time, in *platform.Instance) {
+func (c *Core) list(now time.Time, in *external.Instance) {
 	u := c.store.Get(in.ID)
 	if u != nil && u.Addr != in.Addr {
 		c.store.Remove(in.ID) // another process under the same ID
@@ -42,7 +42,7 @@
 		c.store.Add(u)
 	}
 	u.Domain = in.Domain
-	u.ListedLeaving = in.State != platform.Live
+	u.ListedLeaving = in.State != external.Live
 }
 
 // OnReport applies a load report, which also proves that the upstream is
--- a/pkg/upstream/kv_test.go
+++ b/pkg/upstream/kv_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // fakeKV records transfers.
@@ -54,7 +54,7 @@
 	s := snapshot(20)
 	s.Pool("lm").KVPool, s.Pool("lm").KVImportPerSec = "kv", 100000
 	p.OnSnapshot(s)
-	p.OnList(instances(platform.Live, platform.Live))
+	p.OnList(instances(external.Live, external.Live))
 	for _, id := range []string{"a", "b"} {
 		p.OnReport(id, engine.LoadReport{Incarnation: id + "1"})
 	}
--- a/pkg/upstream/move_test.go
+++ b/pkg/upstream/move_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // TestMove guards against a short request that stays behind another instance's
@@ -26,7 +26,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := testPools(20, platform.Live, platform.Live)
+				p := testPools(20, external.Live, external.Live)
 				for _, id := range []string{"a", "b"} {
 					p.OnReport(id, engine.LoadReport{Incarnation: "1"})
 				}
@@ -58,7 +58,7 @@
 // that arrived behind it.
 func TestLongPrefillStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := testPools(20, platform.Live, platform.Live)
+		p := testPools(20, external.Live, external.Live)
 		for _, id := range []string{"a", "b"} {
 			p.OnReport(id, engine.LoadReport{Incarnation: "1"})
 		}
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -10,8 +10,8 @@
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/fair"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // Options sets up Pools.
@@ -38,7 +38,7 @@
 	owners  atomic.Pointer[map[string]*pool] // by upstream ID
 
 	mu        sync.Mutex // serializes changes to pools and instances
-	instances []platform.Instance
+	instances []external.Instance
 	members   int
 }
 
@@ -237,10 +237,10 @@
 }
 
 // OnList applies the platform's list.
-func (p *Pools) OnList(instances []platform.Instance) {
+func (p *Pools) OnList(instances []external.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.instances = append([]platform.Instance(nil), instances...)
+	p.instances = append([]external.Instance(nil), instances...)
 	p.applyList(*p.pools.Load())
 }
 
--- a/pkg/upstream/pools_test.go
+++ b/pkg/upstream/pools_test.go
@@ -11,7 +11,7 @@
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 func snapshot(slots int) *config.Snapshot {
@@ -21,16 +21,16 @@
 	return config.Restore(1, []*config.Deployment{d}, nil, config.Membership{})
 }
 
-func instances(states ...platform.State) []platform.Instance {
-	var out []platform.Instance
+func instances(states ...external.State) []external.Instance {
+	var out []external.Instance
 	for i, s := range states {
 		id := string(rune('a' + i))
-		out = append(out, platform.Instance{ID: id, Addr: "127.0.0.1:" + id, Pool: "lm", State: s})
+		out = append(out, external.Instance{ID: id, Addr: "127.0.0.1:" + id, Pool: "lm", State: s})
 	}
 	return out
 }
 
-func testPools(slots int, states ...platform.State) *Pools {
+func testPools(slots int, states ...external.State) *Pools {
 	p := NewPools(Options{Seed: 1})
 	p.OnSnapshot(snapshot(slots))
 	p.OnList(instances(states...))
@@ -53,8 +53,8 @@
 // leaving, gone, refuses connections or fails its poll.
 func TestNoWorkAfterEvidence(t *testing.T) {
 	evidence := map[string]func(p *Pools){
-		"listed leaving":   func(p *Pools) { p.OnList(instances(platform.Leaving, platform.Live)) },
-		"no longer listed": func(p *Pools) { p.OnList(instances(platform.Leaving, platform.Live)[1:]) },
+		"listed leaving":   func(p *Pools) { p.OnList(instances(external.Leaving, external.Live)) },
+		"no longer listed": func(p *Pools) { p.OnList(instances(external.Leaving, external.Live)[1:]) },
 		"reported leaving": func(p *Pools) { p.OnReport("a", engine.LoadReport{Incarnation: "1", Leaving: true}) },
 		"failed poll":      func(p *Pools) { p.OnPollFailed("a") },
 		"refused": func(p *Pools) {
@@ -71,7 +71,7 @@
 	for name, apply := range evidence {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := testPools(20, platform.Live, platform.Live)
+				p := testPools(20, external.Live, external.Live)
 				apply(p)
 				for range 10 {
 					s, err := p.Acquire(t.Context(), query(time.Second))
@@ -92,7 +92,7 @@
 // against a request that waits for a slot past its deadline.
 func TestRefusalsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := testPools(1, platform.Live)
+		p := testPools(1, external.Live)
 		s, err := p.Acquire(t.Context(), query(time.Second))
 		if err != nil {
 			t.Fatal(err)
@@ -124,7 +124,7 @@
 // its waiter went away.
 func TestCancelledWaitLeaksNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := testPools(1, platform.Live)
+		p := testPools(1, external.Live)
 		first, _ := p.Acquire(t.Context(), query(time.Second))
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
@@ -150,7 +150,7 @@
 // prefill the same long prefix.
 func TestCoalesceColdPrefix(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := testPools(20, platform.Live, platform.Live, platform.Live)
+		p := testPools(20, external.Live, external.Live, external.Live)
 		for _, id := range []string{"a", "b", "c"} {
 			p.OnReport(id, engine.LoadReport{Incarnation: "1"})
 		}
--- a/pkg/upstream/probe_test.go
+++ b/pkg/upstream/probe_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // fakeLoad answers probes after a delay; engine addresses in busy have a queue.
@@ -48,7 +48,7 @@
 				p := NewPools(Options{Seed: 1, Load: &fakeLoad{c.delay, map[string]bool{"127.0.0.1:a": true, "127.0.0.1:c": true}}})
 				defer p.Close()
 				p.OnSnapshot(snapshot(20))
-				p.OnList(instances(platform.Live, platform.Live, platform.Live))
+				p.OnList(instances(external.Live, external.Live, external.Live))
 				for _, id := range []string{"a", "b", "c"} {
 					p.OnReport(id, engine.LoadReport{Incarnation: "1"})
 				}
--- a/pkg/upstream/record.go
+++ b/pkg/upstream/record.go
@@ -6,8 +6,8 @@
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
+	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/pick"
-	"github.com/fescuestep/fescuestep/pkg/platform"
 )
 
 // EntryKind names an input or output of a pool's state machine.
@@ -46,7 +46,7 @@
 	Settings  *Settings           `json:"settings,omitempty"`
 	Instances int                 `json:"instances,omitempty"`
 	Query     *RecordedQuery      `json:"query,omitempty"`
-	List      []platform.Instance `json:"list,omitempty"`
+	List      []external.Instance `json:"list,omitempty"`
 	Upstream  string              `json:"upstream,omitempty"`
 	Report    *engine.LoadReport  `json:"report,omitempty"`
 	Events    *engine.EventBatch  `json:"events,omitempty"`
--- a/pkg/upstream/stress_test.go
+++ b/pkg/upstream/stress_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/engine"
-	"github.com/fescuestep/fescuestep/pkg/platform"
+	"github.com/fescuestep/fescuestep/pkg/external"
 )
 
 // TestConcurrentUse guards against slots that leak or exceed the limit, and
@@ -18,7 +18,7 @@
 func TestConcurrentUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const limit = 3
-		p := testPools(limit, platform.Live, platform.Live, platform.Live)
+		p := testPools(limit, external.Live, external.Live, external.Live)
 		var mu sync.Mutex
 		inFlight := map[string]int{}
 		var group sync.WaitGroup
@@ -65,10 +65,10 @@
 
 // disturb changes the list, restarts engines and fails polls.
 func disturb(p *Pools) {
-	states := []platform.State{platform.Live, platform.Leaving}
+	states := []external.State{external.Live, external.Leaving}
 	for i := range 60 {
 		time.Sleep(50 * time.Millisecond)
-		p.OnList(instances(states[i/5%2], platform.Live, states[i/7%2]))
+		p.OnList(instances(states[i/5%2], external.Live, states[i/7%2]))
 		id := string(rune('a' + i%3))
 		incarnation := string(rune('0' + i/20))
 		if i%11 == 0 {
