--- /dev/null
+++ b/cmd/fescuestep/edge.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/edge"
+	"github.com/fescuestep/fescuestep/pkg/logging"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
+	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/settings"
+	"github.com/fescuestep/fescuestep/platform"
+)
+
+type edgeCmd struct {
+	streams
+	file     string
+	logLevel string
+	settings *platform.Settings
+}
+
+func (*edgeCmd) Name() string            { return "edge" }
+func (*edgeCmd) Synopsis() string        { return "run one instance on the users' platform" }
+func (*edgeCmd) Args() (least, most int) { return 0, 0 }
+func (*edgeCmd) Usage() string {
+	return `edge [flags]
+
+Runs one instance on the users' platform until SIGTERM or SIGINT and then stops
+gracefully. Addresses, limits and bounds come from the platform's settings file;
+configuration, upstreams and weights from its store.
+`
+}
+
+func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&c.file, "settings-file", os.Getenv(platform.SettingsVariable), "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
+	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
+}
+
+// Validate reads the settings file.
+func (c *edgeCmd) Validate() settings.Errors {
+	if c.file == "" {
+		return settings.Errors{errNoSettingsFile}
+	}
+	loaded, err := platform.LoadSettings(c.file)
+	if err != nil {
+		return settings.Errors{err}
+	}
+	c.settings = loaded
+	return nil
+}
+
+var errNoSettingsFile = errors.Newf("-settings-file or the variable %s must name the settings file", platform.SettingsVariable)
+
+const (
+	// logQueue is the number of log lines that may wait to be written.
+	logQueue = 2048
+	// logWait is how long the last lines may take at the end.
+	logWait = 200 * time.Millisecond
+	// memoryLimitShare of the instance's memory is the garbage collector's soft
+	// limit; the rest is for what the collector does not see.
+	memoryLimitShare = 0.7
+	// gcPercent trades processor time, of which little is used, for memory.
+	gcPercent = 40
+	// storeDialTimeout bounds connections to the store and to engines.
+	storeDialTimeout = time.Second
+	// settingsInterval is between looks at the settings file, which may change
+	// without a signal.
+	settingsInterval = time.Second
+)
+
+func (c *edgeCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(c.settings.MemoryBytes) * memoryLimitShare))
+	queue := logging.NewQueue(c.out, logQueue)
+	defer queue.Close(logWait)
+	log := newEdgeLog(c.settings.Name, c.logLevel, queue)
+	m := metrics.New()
+	defer func() { _ = m.Close() }()
+	instance, err := edge.New(edgeOptions(c.settings), edgeParts(c.settings, m, log))
+	if err != nil {
+		log.Error("cannot start", "error", err)
+		return subcommands.ExitFailure
+	}
+	go c.watchSettings(ctx, instance, log)
+	if err := instance.Run(ctx); err != nil {
+		log.Error("ended", "error", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func newEdgeLog(name, level string, out io.Writer) hclog.Logger {
+	return logging.New(logging.Options{Name: name, Level: level, JSON: true, Output: out})
+}
+
+func edgeOptions(s *platform.Settings) edge.Options {
+	return edge.Options{
+		Name: s.Name, Domain: s.Domain,
+		Callers: s.Callers, Ready: s.Ready, ReadyPath: platform.ReadinessPath, Control: s.Control,
+		PeerAddr:    netip.AddrPortFrom(s.Callers.Addr(), s.PeerPort),
+		Seeds:       s.Seeds,
+		MemoryBytes: s.MemoryBytes,
+		Grace:       s.Bounds.Grace, WeightsApply: s.Bounds.WeightsApply, OrderGap: s.Bounds.Lease,
+		ChecksFencing: s.ChecksFencing,
+		Retries:       edge.RetryBounds{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Extra: s.Bounds.RetryExtra},
+		InstanceTable: platform.TableInstances,
+	}
+}
+
+func edgeParts(s *platform.Settings, m *metrics.Metrics, log hclog.Logger) edge.Parts {
+	dial := netopt.Dialer(storeDialTimeout).DialContext
+	return edge.Parts{
+		Dialect: platform.Dialect{},
+		Store:   platform.NewStore(s.Store, dial),
+		Decoder: platform.Decoder{},
+		Engines: platform.NewEngines(s.Name, dial),
+		Metrics: collect.Requests(m),
+		Scrape:  m.Handler(),
+		Log:     log,
+	}
+}
+
+// watchSettings follows the settings file, with or without SIGHUP.
+func (c *edgeCmd) watchSettings(ctx context.Context, instance *edge.Instance, log hclog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		raw, err := os.ReadFile(c.file)
+		if err != nil {
+			log.Warn("settings file not read", "error", err)
+			continue
+		}
+		if string(raw) == last {
+			continue
+		}
+		reload := last != ""
+		last = string(raw)
+		loaded, err := platform.ParseSettings(raw)
+		if err != nil {
+			log.Error("settings refused, the last ones stay in force", "error", err)
+			continue
+		}
+		instance.SetSeeds(loaded.Seeds)
+		if reload {
+			log.Info("settings reloaded", "seeds", loaded.Seeds)
+		}
+	}
+}
--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -14,6 +14,7 @@
 		{"configuration", newQuestionnaireGroup(s)},
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
+		{"running", &edgeCmd{streams: s}},
 		{"running", &demoCmd{streams: s}},
 		{"testing", &standinCmd{streams: s}},
 		{"testing", &replayCmd{streams: s}},
--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/block"
+	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/prompt"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
 // Request is the state of one request on its way through the chain. A request
@@ -38,6 +40,10 @@
 	Blocks      []block.Hash // chained hashes of the whole blocks of the prompt
 	Path        string       // path that the upstream sees
 
+	// Edge is set by the edge listener, whose callers state in headers what the
+	// callers' interface of the product finds in the body; nil otherwise.
+	Edge *Edge
+
 	// Set by endpoint for one attempt.
 	Target Target
 	// OnFirstToken is called by relay when the first event of a model's answer
@@ -51,6 +57,21 @@
 	Outcome Outcome
 }
 
+// Edge is the state of a request to an edge instance.
+type Edge struct {
+	Call     call.Request
+	Routing  *routing.Snapshot
+	Route    *routing.Route
+	Customer *routing.Customer // nil on public routes and without customers
+
+	// Set by dispatch, read by the access log.
+	Service  string
+	Upstream string        // of the last attempt
+	Weights  int           // version that the last attempt asked for
+	Attempts int           // upstreams that the request was sent to
+	Expected time.Duration // until the first token, as estimated at the last choice
+}
+
 // Target is the upstream chosen for one attempt.
 type Target struct {
 	ID          string // upstream ID
--- /dev/null
+++ b/pkg/edge/accesslog.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+)
+
+// accessLog writes one line per request with what decided it.
+type accessLog struct {
+	log hclog.Logger
+	now func() time.Time
+}
+
+// Name implements chain.Filter.
+func (accessLog) Name() string { return "accesslog" }
+
+// Wrap implements chain.Filter.
+func (a accessLog) Wrap(next chain.Handler) chain.Handler {
+	return func(ctx context.Context, r *chain.Request) error {
+		err := next(ctx, r)
+		a.write(r, err)
+		return err
+	}
+}
+
+func (a accessLog) write(r *chain.Request, err error) {
+	total := a.now().Sub(r.Arrived)
+	fields := make([]any, 0, 40)
+	fields = append(fields, "request", r.ID, "total_ms", total.Milliseconds())
+	if e := r.Edge; e != nil {
+		fields = append(fields, edgeFields(e)...)
+	}
+	fields = append(fields, "status", r.Outcome.Status, "sent", r.Outcome.Sent,
+		"first_ms", r.Outcome.FirstToken.Milliseconds(), "complete", r.Outcome.Complete)
+	var failure *code.Error
+	if errors.As(err, &failure) {
+		fields = append(fields, "code", int(failure.Code), "result", failure.Code.Info().Name, "run", string(failure.Run),
+			"retry_after_ms", failure.RetryAfter.Milliseconds(), "started", r.Outcome.Started)
+		if failure.Cause != nil {
+			fields = append(fields, "cause", failure.Cause.Error())
+		}
+	}
+	a.log.Info("request", fields...)
+}
+
+func edgeFields(e *chain.Edge) []any {
+	fields := make([]any, 0, 24)
+	if e.Routing != nil {
+		fields = append(fields, "config", e.Routing.Version)
+	}
+	if e.Route != nil {
+		fields = append(fields, "route", e.Route.Name, "kind", e.Route.Kind.String())
+	}
+	if e.Customer != nil {
+		fields = append(fields, "customer", e.Customer.Name)
+	}
+	if e.Upstream != "" {
+		fields = append(fields, "service", e.Service, "upstream", e.Upstream, "weights", e.Weights,
+			"sent_to", e.Attempts, "expected_ms", e.Expected.Milliseconds())
+	}
+	if e.Call.Counted {
+		fields = append(fields, "prompt_tokens", e.Call.PromptTokens)
+	}
+	return fields
+}
--- /dev/null
+++ b/pkg/edge/instance.go
@@ -0,0 +1,301 @@
+// Package edge runs an instance between callers that state their requests in
+// headers and upstreams that a platform lists. Configuration, upstreams and
+// named weights come from the platform's store; nothing is kept on the machine.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/control"
+	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
+	"github.com/fescuestep/fescuestep/pkg/filter/body"
+	"github.com/fescuestep/fescuestep/pkg/filter/customerkey"
+	"github.com/fescuestep/fescuestep/pkg/filter/dispatch"
+	"github.com/fescuestep/fescuestep/pkg/filter/hostroute"
+	"github.com/fescuestep/fescuestep/pkg/filter/ratelimit"
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/httpconn"
+	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+	"github.com/fescuestep/fescuestep/pkg/state"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// Dialect translates between headers and the product's types.
+type Dialect interface {
+	dispatch.Dialect
+	hostroute.Decoder
+	Refusals
+}
+
+// Store is the platform's store.
+type Store interface {
+	state.Store
+	Rows
+	Registry
+}
+
+// Options of an instance.
+type Options struct {
+	Name          string
+	Domain        string // failure domain
+	Callers       netip.AddrPort
+	Ready         netip.AddrPort
+	ReadyPath     string
+	Control       netip.AddrPort // for other instances; zero: not started
+	PeerAddr      netip.AddrPort // for datagrams of other instances
+	Seeds         []string       // Control addresses of other instances
+	MemoryBytes   int64
+	Grace         time.Duration // from the stop signal to the end of the process
+	WeightsApply  time.Duration // until requests begin on named weights only
+	OrderGap      time.Duration // least time between orders of two leaders
+	ChecksFencing bool          // engines reject orders with a stale fencing token
+	Retries       RetryBounds
+	InstanceTable string // table in which instances are listed
+}
+
+// Parts are what an instance is built from.
+type Parts struct {
+	Dialect Dialect
+	Store   Store
+	Decoder state.Decoder
+	Engines Engines
+	Metrics accounting.Metrics
+	Scrape  http.Handler // serves metrics at /metrics next to readiness
+	Log     hclog.Logger
+}
+
+// Instance is one edge instance.
+type Instance struct {
+	options  Options
+	parts    Parts
+	now      func() time.Time
+	snapshot atomic.Pointer[routing.Snapshot]
+	placer   *placer
+	limiter  *limiter
+	conns    *httpconn.Pools
+	listener *listener
+	follower *state.Follower
+	peers    *peers
+	rollouts *rollouts
+	draining atomic.Bool
+}
+
+const (
+	// idlePerUpstream bounds unused connections to one upstream.
+	idlePerUpstream = 16
+	// bodyShare is the part of the memory that bodies may fill.
+	bodyShare = 4
+	// dialTimeout bounds connections to the store, engines and instances.
+	dialTimeout = time.Second
+)
+
+// New assembles an instance; Run starts it.
+func New(o Options, p Parts) (*Instance, error) {
+	now := time.Now
+	seed := rand.Uint64()
+	i := &Instance{options: o, parts: p, now: now}
+	book := placement.NewBook(placement.Config{
+		Domain: o.Domain, PrefillPerMS: placement.DefaultPrefillPerMS, WeightsApply: o.WeightsApply,
+	}, rand.New(rand.NewPCG(seed, 1)))
+	i.placer = newPlacer(book, now)
+	i.limiter = newLimiter(now)
+	i.follower = state.New(p.Store, p.Decoder, i, p.Log.Named("state"), now)
+	if err := i.newPeers(); err != nil {
+		return nil, err
+	}
+	i.conns = httpconn.NewPools(netopt.Dialer(dialTimeout).DialContext, idlePerUpstream, now)
+	i.rollouts = &rollouts{
+		self: o.Name, checksFencing: o.ChecksFencing, holdOff: o.OrderGap,
+		rows: p.Store, engines: p.Engines, placer: i.placer, peers: i.peers,
+		log: p.Log.Named("rollout"), now: now, start: now(),
+		rng:   rand.New(rand.NewPCG(seed, 2)),
+		lease: control.NewLease(leaseConfig(), o.Name+"-"+strconv.FormatUint(seed, 16)),
+	}
+	i.listener = newListener(i.chain(), p.Dialect, p.Log.Named("callers"), now)
+	return i, nil
+}
+
+// leaseConfig waits out a leader's orders before a takeover.
+func leaseConfig() control.LeaseConfig {
+	c := control.DefaultLeaseConfig()
+	c.CommandTimeout = 600 * time.Millisecond
+	return c
+}
+
+func (i *Instance) newPeers() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(i.options.PeerAddr))
+	if err != nil {
+		return errors.Wrap(err, "cannot listen for other instances")
+	}
+	self := &rpc.Address{Name: i.options.Name, Digests: i.options.PeerAddr.String()}
+	if i.options.Control.IsValid() {
+		self.Control = i.options.Control.String()
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         netopt.Dialer(dialTimeout).DialContext,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second,
+	}}
+	incarnation := uint64(i.now().UnixNano())
+	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.parts.Log.Named("peers"), i.now)
+	i.peers.setSeeds(i.options.Seeds)
+	return nil
+}
+
+// chain returns the filters that every request passes, in this order.
+func (i *Instance) chain() chain.Handler {
+	p := i.parts
+	retries := newRetries(i.options.Retries, i.peers.instances, i.now)
+	last := dispatch.New(p.Dialect, i.placer, retries, i.conns, i.options.Domain, p.Log.Named("dispatch"), i.now)
+	return chain.Build(last.Handle,
+		accessLog{log: p.Log.Named("access"), now: i.now},
+		accounting.New(p.Metrics, i.now),
+		hostroute.New(p.Dialect, i.snapshot.Load),
+		customerkey.Filter{},
+		body.New(i.options.MemoryBytes/bodyShare),
+		ratelimit.New(i.limiter),
+	)
+}
+
+// ConfigChanged implements state.Sink.
+func (i *Instance) ConfigChanged(s *routing.Snapshot) {
+	i.limiter.configure(s)
+	i.listener.setLimits(s.Limits)
+	i.snapshot.Store(s)
+}
+
+// WeightsNamed implements state.Sink.
+func (i *Instance) WeightsNamed(w state.Weights) { i.placer.setWanted(w.Model, w.Version) }
+
+// UpstreamsChanged implements state.Sink.
+func (i *Instance) UpstreamsChanged(v *fleet.View) {
+	i.placer.setView(v)
+	i.parts.Log.Info("upstreams changed", "count", v.Len())
+}
+
+// SetSeeds replaces the addresses of other instances to ask for state.
+func (i *Instance) SetSeeds(seeds []string) { i.peers.setSeeds(seeds) }
+
+// Run serves until ctx ends and then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	callers, err := netopt.Listen(ctx, i.options.Callers.String())
+	if err != nil {
+		return errors.Wrap(err, "cannot listen for callers")
+	}
+	servers, err := i.controlServers(ctx)
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { i.follower.Run(background) })
+	wg.Go(func() { i.peers.run(background) })
+	wg.Go(func() { i.peers.register(background, i.parts.Store, i.options.InstanceTable) })
+	wg.Go(func() { i.rollouts.run(ctx) })
+	wg.Go(func() { i.conns.Run(background) })
+	accepted := make(chan error, 1)
+	go func() { accepted <- i.listener.accept(callers) }()
+	i.parts.Log.Info("started", "instance", i.options.Name, "domain", i.options.Domain, "callers", i.options.Callers.String())
+	select {
+	case <-ctx.Done():
+	case err = <-accepted:
+		i.parts.Log.Error("listener for callers ended", "error", err)
+	}
+	failure := i.shutdown(callers)
+	stop()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	wg.Wait()
+	return errors.CombineErrors(err, failure)
+}
+
+const (
+	// drainLeast is how long an instance serves after it reports not ready:
+	// the platform asks once a second and looks twice.
+	drainLeast = 2500 * time.Millisecond
+	// drainQuiet without requests ends the drain.
+	drainQuiet = 500 * time.Millisecond
+	// drainPoll is between looks.
+	drainPoll = 50 * time.Millisecond
+	// stopReserve is left before the process is killed.
+	stopReserve = 700 * time.Millisecond
+	// finishSpan is left for running requests after new ones are refused.
+	finishSpan = 2500 * time.Millisecond
+)
+
+// shutdown serves open connections until they fall quiet, then lets running
+// requests end.
+func (i *Instance) shutdown(callers net.Listener) error {
+	began := i.now()
+	i.parts.Log.Info("stopping", "running", i.listener.running.Load(), "grace", i.options.Grace.String())
+	i.draining.Store(true)
+	i.listener.startDrain()
+	i.peers.setLeaving()
+	last := began.Add(i.options.Grace - stopReserve)
+	for {
+		time.Sleep(drainPoll)
+		now := i.now()
+		if now.Sub(began) >= drainLeast && i.listener.quiet(drainQuiet) {
+			break
+		}
+		if now.After(last.Add(-finishSpan)) {
+			break
+		}
+	}
+	_ = callers.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), last)
+	defer cancel()
+	err := i.listener.shutdown(ctx)
+	i.parts.Log.Info("stopped", "after", i.now().Sub(began).String(), "error", err)
+	return errors.Wrap(err, "requests were cut at the shutdown")
+}
+
+// ready reports whether the platform should send connections.
+func (i *Instance) ready() bool { return !i.draining.Load() && i.snapshot.Load() != nil }
+
+// controlServers starts the servers for the platform and other instances.
+func (i *Instance) controlServers(ctx context.Context) ([]*http.Server, error) {
+	e := echo.New()
+	e.GET(i.options.ReadyPath, func(c echo.Context) error {
+		if !i.ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	e.GET("/metrics", echo.WrapHandler(i.parts.Scrape))
+	handlers := map[netip.AddrPort]http.Handler{i.options.Ready: e}
+	if i.options.Control.IsValid() {
+		handlers[i.options.Control] = rpc.NewEdgeServer(i.peers)
+	}
+	var servers []*http.Server
+	for addr, handler := range handlers {
+		ln, err := netopt.Listen(ctx, addr.String())
+		if err != nil {
+			return nil, errors.Wrapf(err, "cannot listen on %s", addr)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout, IdleTimeout: time.Minute}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				i.parts.Log.Error("control server ended", "addr", addr.String(), "error", err)
+			}
+		}()
+	}
+	return servers, nil
+}
--- /dev/null
+++ b/pkg/edge/listener.go
@@ -0,0 +1,230 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+// Refusals spells answers that the instance makes itself.
+type Refusals interface {
+	EncodeRefusal(h http.Header, requestID string, retryAfter time.Duration)
+}
+
+// listener serves callers. The limits of headers and waiting times follow the
+// configuration: net/http fixes them per server, so a change starts a new
+// server for the connections that come later.
+type listener struct {
+	handler  chain.Handler
+	refusals Refusals
+	log      hclog.Logger
+	now      func() time.Time
+
+	draining atomic.Bool
+	running  atomic.Int64
+	lastSeen atomic.Int64 // Unix ns of the last request
+
+	mu      sync.Mutex
+	limits  routing.Limits
+	current *handoff
+	servers []*http.Server
+	closed  bool
+}
+
+func newListener(handler chain.Handler, refusals Refusals, log hclog.Logger, now func() time.Time) *listener {
+	l := &listener{handler: handler, refusals: refusals, log: log, now: now}
+	l.setLimits(routing.DefaultLimits())
+	return l
+}
+
+// setLimits applies limits to connections that are accepted from now on.
+func (l *listener) setLimits(limits routing.Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || (l.current != nil && l.limits == limits) {
+		return
+	}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(l.serve),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ErrorLog:          l.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	next := newHandoff()
+	previous := l.current
+	l.limits, l.current = limits, next
+	l.servers = append(l.servers, server)
+	go func() {
+		if err := server.Serve(next); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			l.log.Error("callers' server ended", "error", err)
+		}
+	}()
+	if previous != nil {
+		_ = previous.Close() // the server goes on serving its connections
+	}
+}
+
+// accept passes connections to the current server until ln is closed.
+func (l *listener) accept(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors, most likely: others will be closed.
+			l.log.Warn("cannot accept a connection", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		l.mu.Lock()
+		current := l.current
+		l.mu.Unlock()
+		if !current.put(conn) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// acceptPause is waited after a failed accept.
+const acceptPause = 20 * time.Millisecond
+
+// startDrain makes answers close their connections.
+func (l *listener) startDrain() { l.draining.Store(true) }
+
+// quiet reports whether nothing runs and no request came for a while.
+func (l *listener) quiet(span time.Duration) bool {
+	last := time.Unix(0, l.lastSeen.Load())
+	return l.running.Load() == 0 && l.now().Sub(last) >= span
+}
+
+// shutdown closes idle connections and waits for running requests until ctx
+// ends, whose error it then returns.
+func (l *listener) shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	l.closed = true
+	servers := l.servers
+	l.mu.Unlock()
+	var failure error
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			failure = err
+			_ = server.Close()
+		}
+	}
+	return failure
+}
+
+func (l *listener) serve(w http.ResponseWriter, req *http.Request) {
+	l.running.Add(1)
+	defer l.running.Add(-1)
+	r := &chain.Request{HTTP: req, Writer: w, Arrived: l.now()}
+	l.lastSeen.Store(r.Arrived.UnixNano())
+	if l.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	err := l.call(req.Context(), r)
+	if err == nil {
+		return
+	}
+	if r.Outcome.Started {
+		panic(http.ErrAbortHandler) // the answer must not look complete
+	}
+	l.refuse(r, asError(err))
+}
+
+// call turns a panic of a filter into an error, so that the caller is answered.
+func (l *listener) call(ctx context.Context, r *chain.Request) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Error("panic", "request", r.ID, "value", p, "stack", string(debug.Stack()))
+			err = code.New(code.Internal, "unexpected failure")
+		}
+	}()
+	return l.handler(ctx, r)
+}
+
+func asError(err error) *code.Error {
+	var e *code.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return code.New(code.Internal, "unexpected failure").WithCause(err)
+}
+
+// refuse answers with an error of the instance itself.
+func (l *listener) refuse(r *chain.Request, e *code.Error) {
+	body := e.JSON(r.ID)
+	h := r.Writer.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	l.refusals.EncodeRefusal(h, r.ID, e.RetryAfter)
+	r.Writer.WriteHeader(refusalStatus(e))
+	_, _ = r.Writer.Write(body) // the caller may have left
+}
+
+// refusalStatus returns the status of an error. Statuses that promise that the
+// request has not run are kept for errors that know it.
+func refusalStatus(e *code.Error) int {
+	status := e.Code.Info().Status
+	if e.Run == code.NotRun {
+		return status
+	}
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusMisdirectedRequest:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// handoff is a net.Listener that is fed with accepted connections.
+type handoff struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newHandoff() *handoff {
+	return &handoff{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (h *handoff) put(conn net.Conn) bool {
+	select {
+	case h.conns <- conn:
+		return true
+	case <-h.done:
+		return false
+	}
+}
+
+// Accept implements net.Listener.
+func (h *handoff) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handoff) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handoff) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/pkg/edge/peers.go
@@ -0,0 +1,501 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/state"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+const (
+	// digestInterval is the least time between two digests to an instance, and
+	// digestPerPeer what each instance adds to it, so that the number of
+	// datagrams a second stays bounded.
+	digestInterval = 200 * time.Millisecond
+	digestPerPeer  = 10 * time.Millisecond
+	// workMaxAge is how long the work in a digest counts, in digest intervals.
+	workMaxAge = 5
+	// maxDigest bounds a datagram; larger ones would be split on the way.
+	maxDigest = 1400
+	// peerForgotten is how long an unheard instance is still written to.
+	peerForgotten = 60 * time.Second
+	// stoppedAfter is the silence after which an instance that said it is leaving
+	// has stopped.
+	stoppedAfter = time.Second
+	// stateTimeout bounds a request for the state of another instance.
+	stateTimeout = 700 * time.Millisecond
+	// stateInterval is between such requests while the store is away.
+	stateInterval = 300 * time.Millisecond
+	// weightsToldFor is how long learned versions are repeated in digests.
+	weightsToldFor = 3 * time.Second
+)
+
+// peer is another instance.
+type peer struct {
+	addr    *rpc.Address
+	udp     netip.AddrPort
+	control string
+	heard   time.Time // zero: only listed
+	listed  time.Time
+	digest  *rpc.Digest // last one
+}
+
+// toldWeights is a version of weights to be repeated in digests.
+type toldWeights struct {
+	upstream, model string
+	version         int
+	until           time.Time
+}
+
+// peers exchanges digests with the other instances.
+type peers struct {
+	self        *rpc.Address
+	incarnation uint64
+	conn        *net.UDPConn
+	client      *http.Client
+	placer      *placer
+	limiter     *limiter
+	follower    *state.Follower
+	log         hclog.Logger
+	now         func() time.Time
+	wake        chan struct{} // sends a digest at once
+
+	mu       sync.Mutex
+	known    map[string]*peer
+	seeds    []string
+	sequence uint64
+	leaving  bool
+	loads    map[string]time.Time // engines that load, until when they are expected to
+	weights  []toldWeights
+}
+
+func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
+	return &peers{
+		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f,
+		log: log, now: now, wake: make(chan struct{}, 1),
+		known: map[string]*peer{}, loads: map[string]time.Time{},
+	}
+}
+
+// run exchanges digests until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.receive(ctx) })
+	wg.Go(func() { p.fallback(ctx) })
+	timer := time.NewTimer(p.interval())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = p.conn.Close()
+			wg.Wait()
+			return
+		case <-timer.C:
+		case <-p.wake:
+		}
+		p.send()
+		p.mergeWork()
+		timer.Reset(p.interval())
+	}
+}
+
+func (p *peers) interval() time.Duration {
+	return max(digestInterval, digestPerPeer*time.Duration(p.count()))
+}
+
+// count returns the number of other instances that are expected to run.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)
+}
+
+// instances returns the number of instances, this one included.
+func (p *peers) instances() int { return p.count() + 1 }
+
+// live returns the names of the instances that were heard lately.
+func (p *peers) live() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	limit := workMaxAge * max(digestInterval, digestPerPeer*time.Duration(len(p.known)))
+	var out []string
+	for name, other := range p.known {
+		if now.Sub(other.heard) < limit {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// add records the address of an instance.
+func (p *peers) add(addr *rpc.Address) *peer {
+	if addr.GetName() == "" || addr.GetName() == p.self.Name {
+		return nil
+	}
+	udp, err := netip.ParseAddrPort(addr.GetDigests())
+	if err != nil {
+		p.log.Warn("instance with an address that is not valid", "instance", addr.GetName(), "addr", addr.GetDigests())
+		return nil
+	}
+	other := p.known[addr.Name]
+	if other == nil {
+		other = &peer{listed: p.now()}
+		p.known[addr.Name] = other
+		p.limiter.expect(addr.Name)
+		p.log.Info("instance found", "instance", addr.Name, "addr", addr.Digests)
+	}
+	other.addr, other.udp, other.control = addr, udp, addr.GetControl()
+	return other
+}
+
+// addListed records an instance that the store or another instance lists.
+func (p *peers) addListed(addr *rpc.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known[addr.GetName()] == nil {
+		p.add(addr)
+	}
+}
+
+// setSeeds sets addresses of instances to ask for state.
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+// setLeaving makes the digests say that this instance stops.
+func (p *peers) setLeaving() {
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
+	p.hurry()
+}
+
+// hurry sends a digest at once.
+func (p *peers) hurry() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tellLoading says that an engine takes no work for a while, or does again.
+func (p *peers) tellLoading(id string, until time.Time) {
+	p.mu.Lock()
+	p.loads[id] = until
+	p.mu.Unlock()
+	p.hurry()
+}
+
+// tellWeights says which version an engine has.
+func (p *peers) tellWeights(id, model string, version int) {
+	p.mu.Lock()
+	p.loads[id] = p.now()
+	p.weights = append(p.weights, toldWeights{id, model, version, p.now().Add(weightsToldFor)})
+	p.mu.Unlock()
+	p.hurry()
+}
+
+// send sends one digest to every instance.
+func (p *peers) send() {
+	raw, targets := p.digest()
+	for _, target := range targets {
+		// A lost digest is made up for by the next one.
+		_, _ = p.conn.WriteToUDPAddrPort(raw, target)
+	}
+}
+
+func (p *peers) digest() ([]byte, []netip.AddrPort) {
+	work := p.placer.own()
+	spent := p.limiter.spent()
+	version := p.follower.Version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	now := p.now()
+	d := &rpc.Digest{
+		Sender: p.self, Incarnation: p.incarnation, Sequence: p.sequence, Leaving: p.leaving, StoreVersion: version,
+	}
+	for customer, tokens := range spent {
+		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens})
+	}
+	for id, until := range p.loads {
+		left := until.Sub(now)
+		d.Loads = append(d.Loads, &rpc.Load{Upstream: id, Ms: uint32(max(0, left.Milliseconds()))})
+		if left < -weightsToldFor {
+			delete(p.loads, id)
+		}
+	}
+	kept := p.weights[:0]
+	for _, w := range p.weights {
+		if now.Before(w.until) {
+			kept = append(kept, w)
+			d.Weights = append(d.Weights, &rpc.Weights{Upstream: w.upstream, Model: w.model, Version: uint32(w.version)})
+		}
+	}
+	p.weights = kept
+	for id, w := range work {
+		d.Work = append(d.Work, &rpc.Work{
+			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.Prefill)), Memory: uint32(max(0, w.Memory)),
+		})
+	}
+	return p.encode(d), p.targets(now)
+}
+
+// encode drops work entries until the digest fits into a datagram.
+func (p *peers) encode(d *rpc.Digest) []byte {
+	for {
+		raw, err := proto.Marshal(d)
+		if err != nil {
+			p.log.Error("cannot encode a digest", "error", err)
+			return nil
+		}
+		if len(raw) <= maxDigest || len(d.Work) == 0 {
+			return raw
+		}
+		d.Work = d.Work[:len(d.Work)/2]
+	}
+}
+
+func (p *peers) targets(now time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	for name, other := range p.known {
+		last := other.heard
+		if last.Before(other.listed) {
+			last = other.listed
+		}
+		unheard := now.Sub(last)
+		stopped := other.digest.GetLeaving() && unheard > stoppedAfter
+		if stopped || unheard > peerForgotten {
+			delete(p.known, name)
+			p.limiter.leave(name)
+			p.log.Info("instance forgotten", "instance", name)
+			continue
+		}
+		out = append(out, other.udp)
+	}
+	return out
+}
+
+func (p *peers) receive(ctx context.Context) {
+	buffer := make([]byte, 4<<10)
+	for ctx.Err() == nil {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				p.log.Warn("cannot receive digests", "error", err)
+				time.Sleep(acceptPause)
+			}
+			continue
+		}
+		d := &rpc.Digest{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			p.log.Warn("datagram is no digest", "error", err)
+			continue
+		}
+		p.take(d)
+	}
+}
+
+// take applies a digest; older ones than the last are ignored.
+func (p *peers) take(d *rpc.Digest) {
+	p.mu.Lock()
+	other := p.add(d.GetSender())
+	if other == nil {
+		p.mu.Unlock()
+		return
+	}
+	last := other.digest
+	if last != nil && (d.Incarnation < last.Incarnation || (d.Incarnation == last.Incarnation && d.Sequence <= last.Sequence)) {
+		p.mu.Unlock()
+		return
+	}
+	now := p.now()
+	fresh := other.heard.IsZero()
+	other.heard, other.digest = now, d
+	name := d.Sender.Name
+	if d.Leaving {
+		other.digest.Work = nil
+	}
+	p.mu.Unlock()
+	if fresh {
+		p.hurry() // the sender may not know this instance yet
+	}
+	totals := make(map[string]float64, len(d.Spent))
+	for _, s := range d.Spent {
+		totals[s.Customer] = s.Tokens
+	}
+	p.limiter.heard(name, d.Incarnation, totals)
+	for _, l := range d.Loads {
+		p.placer.SetBusy(l.Upstream, time.Duration(l.Ms)*time.Millisecond)
+	}
+	for _, w := range d.Weights {
+		p.placer.SawWeights(w.Upstream, w.Model, int(w.Version))
+	}
+}
+
+// mergeWork sums the work of the instances that were heard lately.
+func (p *peers) mergeWork() {
+	p.mu.Lock()
+	now := p.now()
+	limit := workMaxAge * max(digestInterval, digestPerPeer*time.Duration(len(p.known)))
+	total := map[string]placement.Work{}
+	for _, other := range p.known {
+		if other.digest == nil || now.Sub(other.heard) > limit {
+			continue
+		}
+		for _, w := range other.digest.Work {
+			sum := total[w.Upstream]
+			sum.Requests += int(w.Requests)
+			sum.Prefill += int(w.Prefill)
+			sum.Memory += int(w.Memory)
+			total[w.Upstream] = sum
+		}
+	}
+	p.mu.Unlock()
+	p.placer.setPeers(total)
+}
+
+// fallback takes state from other instances while the store cannot be
+// followed.
+func (p *peers) fallback(ctx context.Context) {
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if p.follower.Healthy() {
+			continue
+		}
+		if addr := p.source(turn); addr != "" {
+			p.fetchState(ctx, addr)
+		}
+	}
+}
+
+// source returns the address of an instance that knows more, or of a seed if
+// this instance knows nothing and nobody.
+func (p *peers) source(turn int) string {
+	version := p.follower.Version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, most := "", version
+	for _, other := range p.known {
+		if other.digest != nil && other.control != "" && other.digest.StoreVersion > most {
+			best, most = other.control, other.digest.StoreVersion
+		}
+	}
+	if best != "" || version > 0 || len(p.seeds) == 0 {
+		return best
+	}
+	seed := p.seeds[turn%len(p.seeds)]
+	if seed == p.self.Control {
+		return ""
+	}
+	return seed
+}
+
+func (p *peers) fetchState(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{})
+	if err != nil {
+		p.log.Info("instance gives no state", "addr", addr, "error", err)
+		return
+	}
+	rows := make([]state.Row, 0, len(resp.Rows))
+	for _, r := range resp.Rows {
+		rows = append(rows, state.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version})
+	}
+	p.log.Info("state taken from an instance", "addr", addr, "version", resp.StoreVersion, "held", p.follower.Version(), "rows", len(rows))
+	p.follower.Adopt(resp.StoreVersion, rows)
+	for _, instance := range resp.Instances {
+		p.addListed(instance)
+	}
+}
+
+// State implements rpc.Edge.
+func (p *peers) State(context.Context, *rpc.StateRequest) (*rpc.StateResponse, error) {
+	version, rows := p.follower.Rows()
+	out := &rpc.StateResponse{StoreVersion: version, Instances: []*rpc.Address{p.self}}
+	for _, r := range rows {
+		out.Rows = append(out.Rows, &rpc.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.known {
+		out.Instances = append(out.Instances, other.addr)
+	}
+	return out, nil
+}
+
+// Registry lists the instances in the store.
+type Registry interface {
+	Rows(ctx context.Context, table string) (state.Page, error)
+	PutRow(ctx context.Context, table, key string, value []byte) error
+}
+
+// register writes this instance's address into the store and reads the others'
+// once. Later ones make themselves known by their digests.
+func (p *peers) register(ctx context.Context, registry Registry, table string) {
+	value, err := json.Marshal(p.self)
+	if err != nil {
+		p.log.Error("cannot encode the address", "error", err)
+		return
+	}
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			err := registry.PutRow(ctx, table, p.self.Name, value)
+			written = err == nil
+		}
+		if written {
+			page, err := registry.Rows(ctx, table)
+			if err == nil {
+				p.takeListed(page.Rows)
+				return
+			}
+		}
+		sleep(ctx, registerRetry)
+	}
+}
+
+// registerRetry is between attempts to reach the store at the start.
+const registerRetry = 500 * time.Millisecond
+
+func (p *peers) takeListed(rows []state.Row) {
+	for _, row := range rows {
+		addr := &rpc.Address{}
+		if err := json.Unmarshal(row.Value, addr); err != nil {
+			p.log.Warn("listed instance is not valid", "key", row.Key, "error", err)
+			continue
+		}
+		p.addListed(addr)
+	}
+	p.hurry()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/edge/placer.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+)
+
+// placer makes a placement.Book safe for concurrent use.
+type placer struct {
+	now func() time.Time
+
+	mu   sync.Mutex
+	book *placement.Book
+	view *fleet.View
+}
+
+func newPlacer(book *placement.Book, now func() time.Time) *placer {
+	return &placer{now: now, book: book, view: fleet.NewView(nil)}
+}
+
+// Pick implements dispatch.Placer.
+func (p *placer) Pick(q placement.Query) (*placement.Ticket, time.Duration, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Pick(p.now(), q)
+}
+
+// Begin implements dispatch.Placer.
+func (p *placer) Begin(t *placement.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Begin(t, p.now())
+}
+
+// FirstToken implements dispatch.Placer.
+func (p *placer) FirstToken(t *placement.Ticket, saved bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.FirstToken(t, saved, p.now())
+}
+
+// Done implements dispatch.Placer.
+func (p *placer) Done(t *placement.Ticket, r placement.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Done(t, r, p.now())
+}
+
+// SawLoad implements dispatch.Placer.
+func (p *placer) SawLoad(id string, load call.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SawLoad(id, load, p.now())
+}
+
+// SawWeights implements dispatch.Placer.
+func (p *placer) SawWeights(id, model string, version int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SawWeights(id, model, version)
+}
+
+// WeightsDiffer implements dispatch.Placer: an upstream refused the version
+// that it was expected to have, so it has been brought to the wanted one.
+func (p *placer) WeightsDiffer(id, model string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SawWeights(id, model, p.book.Wanted(model))
+}
+
+// SetBusy implements dispatch.Placer.
+func (p *placer) SetBusy(id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SetBusy(id, p.now().Add(d))
+}
+
+func (p *placer) setView(v *fleet.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view = v
+	p.book.SetView(v)
+}
+
+func (p *placer) setWanted(model string, version int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SetWanted(model, version, p.now())
+}
+
+func (p *placer) setPeers(total map[string]placement.Work) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SetPeers(total)
+}
+
+func (p *placer) own() map[string]placement.Work {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Own()
+}
--- /dev/null
+++ b/pkg/filter/dispatch/attempt.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/httpconn"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+// maxAnswer bounds an answer that is held whole, in bytes.
+const maxAnswer = 8 << 20
+
+// Errors of attempts.
+var (
+	errRefused     = errors.New("the upstream did not run the request")
+	errNoProof     = errors.New("the answer carries no proof or a coded body")
+	errUnbacked    = errors.New("the answer's status promises that the request has not run, without proof")
+	errNoAnswer    = errors.New("no answer in time")
+	errServer      = errors.New("the upstream failed")
+	errTooLarge    = errors.New("the answer is too large")
+	errCallerWrite = errors.New("the caller does not read")
+)
+
+// attempt sends the request to one upstream and relays the answer. A nil error
+// means that the caller has a final answer.
+func (x *exchange) attempt(ctx context.Context, t *placement.Ticket) (placement.Result, error) {
+	x.h.placer.Begin(t)
+	x.ranBefore = x.mayRun
+	conn, err := x.send(ctx, t)
+	if conn == nil {
+		return x.resultOf(ctx, placement.Unreachable), err
+	}
+	if err != nil {
+		conn.Close()
+		return x.resultOf(ctx, placement.Failed), err
+	}
+	g := newGuard(x.patience(), conn)
+	defer g.stop()
+	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.belongs)
+	if err != nil {
+		conn.Close()
+		if g.fired.Load() {
+			err = errNoAnswer
+		}
+		return x.resultOf(ctx, placement.Failed), err
+	}
+	a := x.h.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
+	result, err := x.relay(ctx, t, g, resp, a)
+	if g.fired.Load() && err != nil {
+		err = errNoAnswer
+	}
+	x.release(t, conn, resp, a, stop(), err)
+	return x.resultOf(ctx, result), err
+}
+
+// resultOf keeps upstreams from being blamed when the caller or the deadline
+// ended the attempt.
+func (x *exchange) resultOf(ctx context.Context, r placement.Result) placement.Result {
+	if ctx.Err() != nil && r != placement.OK {
+		return placement.Cancelled
+	}
+	return r
+}
+
+// send opens a connection and writes the request. The connection is nil if no
+// byte was sent.
+func (x *exchange) send(ctx context.Context, t *placement.Ticket) (*httpconn.Conn, error) {
+	req := &httpconn.Request{
+		Method: x.r.HTTP.Method, Target: x.r.HTTP.RequestURI, Host: x.r.HTTP.Host, Body: x.r.Body,
+	}
+	maxIdle := onceMaxIdle
+	if x.edge.Route.Idempotent() {
+		maxIdle = anyMaxIdle
+	}
+	for {
+		conn, err := x.connect(ctx, t.Upstream.Addr, maxIdle)
+		if err != nil {
+			return nil, err
+		}
+		req.Header = x.h.dialect.EncodeRequest(x.r.HTTP.Header, x.instructions(t))
+		sent, err := conn.Send(ctx, req)
+		if sent {
+			x.r.Outcome.Sent = true
+			x.edge.Attempts++
+			x.mayRun = true
+			return conn, err
+		}
+		conn.Close()
+		if !conn.Reused() || ctx.Err() != nil {
+			return nil, err
+		}
+		maxIdle = 0 // the upstream had closed the idle connection
+	}
+}
+
+func (x *exchange) connect(ctx context.Context, addr string, maxIdle time.Duration) (*httpconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return x.h.conns.Get(ctx, addr, maxIdle)
+}
+
+// instructions are what the upstream is told besides the caller's headers.
+func (x *exchange) instructions(t *placement.Ticket) call.Send {
+	route, customer := x.edge.Route, x.edge.Customer
+	s := call.Send{
+		Upstream:  t.Upstream.ID,
+		Left:      x.r.Deadline.Sub(x.h.now()),
+		Key:       x.edge.Call.Key,
+		LastEvent: x.lastEvent,
+		Weights:   t.Weights,
+	}
+	if route.Kind != routing.Stream || !route.Resumable {
+		s.LastEvent = ""
+	}
+	if customer != nil {
+		s.Customer = customer.Name
+	}
+	if !route.Prompted || x.service.Engine == nil {
+		return s
+	}
+	s.Priority, s.HasPriority = route.Priority, true
+	if customer != nil && customer.HasPriority {
+		s.Priority = customer.Priority
+	}
+	s.CacheScope = t.Scope
+	s.FetchFrom = t.FetchFrom
+	if t.Save {
+		s.SaveTo = t.FetchFrom
+	}
+	return s
+}
+
+// patience is how long the first bytes of the answer are waited for before
+// another upstream is tried; 0 if there is no other try.
+func (x *exchange) patience() time.Duration {
+	route := x.edge.Route
+	if !route.Idempotent() || x.edge.Attempts >= route.MaxAttempts || route.TargetLatency <= 0 {
+		return 0
+	}
+	return route.TargetLatency
+}
+
+func (x *exchange) belongs(resp *http.Response) bool {
+	a := x.h.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
+	return a.RequestID == x.edge.Call.ID
+}
+
+// relay judges the answer and passes it on.
+func (x *exchange) relay(ctx context.Context, t *placement.Ticket, g *guard, resp *http.Response, a call.Answer) (placement.Result, error) {
+	x.learn(t, a)
+	if a.Refused {
+		x.refused(t, a)
+		return placement.Refused, errors.Wrapf(errRefused, "status %d", a.Status)
+	}
+	x.r.Outcome.Status = a.Status
+	success := a.Status >= 200 && a.Status < 300
+	switch {
+	case promises(a.Status):
+		return placement.Failed, errors.Wrapf(errUnbacked, "status %d", a.Status)
+	case success && (!a.Proven || a.Encoded):
+		return placement.Failed, errNoProof
+	case success && x.edge.Route.Kind == routing.Stream:
+		return x.relayStream(ctx, t, g, resp)
+	}
+	if x.r.Outcome.Started {
+		return placement.Failed, errors.Wrapf(errServer, "status %d for a resumed stream", a.Status)
+	}
+	body, err := readWhole(resp)
+	if err != nil {
+		return placement.Failed, err
+	}
+	g.stop()
+	whole := &answer{status: a.Status, header: resp.Header, body: body}
+	if a.Status >= http.StatusInternalServerError && x.edge.Route.Idempotent() {
+		x.failure = whole
+		return placement.OK, errors.Wrapf(errServer, "status %d", a.Status)
+	}
+	x.write(whole)
+	return placement.OK, nil
+}
+
+// promises reports whether a status states that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (x *exchange) learn(t *placement.Ticket, a call.Answer) {
+	if a.Load != nil {
+		x.h.placer.SawLoad(t.Upstream.ID, *a.Load)
+	}
+	if a.Weights > 0 && !a.Refused {
+		x.h.placer.SawWeights(t.Upstream.ID, x.edge.Call.Model, a.Weights)
+	}
+}
+
+// refused takes an upstream's word that it did not run the request.
+func (x *exchange) refused(t *placement.Ticket, a call.Answer) {
+	x.mayRun = x.ranBefore
+	x.r.Outcome.Sent = x.mayRun
+	x.r.Outcome.Status = a.Status
+	switch {
+	case a.Status == http.StatusMisdirectedRequest && a.ServerID != "" && a.ServerID != t.Upstream.ID:
+		x.h.placer.SetBusy(t.Upstream.ID, replacedPause)
+	case a.Status == http.StatusMisdirectedRequest && t.Weights > 0:
+		x.h.placer.WeightsDiffer(t.Upstream.ID, x.edge.Call.Model)
+	default:
+		x.h.placer.SetBusy(t.Upstream.ID, refusedPause)
+	}
+}
+
+func readWhole(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswer {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// write passes a whole answer on.
+func (x *exchange) write(a *answer) {
+	w := x.r.Writer
+	x.h.dialect.EncodeAnswer(w.Header(), a.header)
+	if bodyAllowed(a.status) {
+		w.Header().Set("Content-Length", itoa(len(a.body)))
+	}
+	x.r.Outcome.Started, x.r.Outcome.Complete = true, true
+	x.r.Outcome.Status = a.status
+	w.WriteHeader(a.status)
+	// A caller that left is not told, and nothing else depends on the write.
+	_, _ = w.Write(a.body)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// release keeps the connection if the answer was read to its end.
+func (x *exchange) release(t *placement.Ticket, conn *httpconn.Conn, resp *http.Response, a call.Answer, intact bool, err error) {
+	reusable := intact && !a.Leaving && !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	if !reusable || (err != nil && !drained(resp, err)) {
+		conn.Close()
+		return
+	}
+	x.h.conns.Put(t.Upstream.Addr, conn, a.KeepAlive)
+}
+
+// maxDrain bounds the rest of a refusal that is read to keep its connection.
+const maxDrain = 4 << 10
+
+// drained reports whether the answer to a failed attempt was read to its end.
+func drained(resp *http.Response, err error) bool {
+	if errors.Is(err, errServer) {
+		return true
+	}
+	if !errors.Is(err, errRefused) || resp.ContentLength > maxDrain {
+		return false
+	}
+	_, failure := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrain))
+	return failure == nil
+}
--- /dev/null
+++ b/pkg/filter/dispatch/dispatch.go
@@ -0,0 +1,273 @@
+// Package dispatch is the last handler of an edge instance's chain: it chooses
+// an upstream, sends the request and relays the answer.
+//
+// A request is sent to another upstream only if the first did not run it or it
+// may run twice, within the route's number of attempts and the budget of
+// retries. A refusal that promises that the request has not run is given only
+// when no byte of it was sent or every upstream that got it said so. An answer
+// counts as a success only with the upstream's proof, for this request, and
+// whole.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/httpconn"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+// Dialect spells what is sent and reads what is answered.
+type Dialect interface {
+	EncodeRequest(caller http.Header, s call.Send) http.Header
+	DecodeAnswer(status int, h http.Header) call.Answer
+	EncodeAnswer(dst, src http.Header)
+}
+
+// Placer chooses upstreams. It is safe for concurrent use.
+type Placer interface {
+	Pick(q placement.Query) (t *placement.Ticket, expected time.Duration, err error)
+	Begin(t *placement.Ticket)
+	FirstToken(t *placement.Ticket, saved bool)
+	Done(t *placement.Ticket, r placement.Result)
+	SawLoad(id string, load call.Load)
+	SawWeights(id, model string, version int)
+	WeightsDiffer(id, model string)
+	SetBusy(id string, d time.Duration)
+}
+
+// Retries is the budget of retries per service.
+type Retries interface {
+	Request(service string)
+	Spend(service string) bool
+}
+
+// Connections to upstreams.
+type Connections interface {
+	Get(ctx context.Context, addr string, maxIdle time.Duration) (*httpconn.Conn, error)
+	Put(addr string, c *httpconn.Conn, keepAlive time.Duration)
+}
+
+// Handler dispatches requests.
+type Handler struct {
+	dialect Dialect
+	placer  Placer
+	retries Retries
+	conns   Connections
+	domain  string
+	log     hclog.Logger
+	now     func() time.Time
+}
+
+// New returns a handler of an instance in a failure domain.
+func New(dialect Dialect, placer Placer, retries Retries, conns Connections, domain string, log hclog.Logger, now func() time.Time) *Handler {
+	return &Handler{dialect, placer, retries, conns, domain, log, now}
+}
+
+const (
+	// maxUnreachable bounds upstreams that are tried without a connection.
+	maxUnreachable = 3
+	// dialTimeout of one upstream; opening packets that are dropped are sent
+	// again after a second, so that waiting longer rarely helps.
+	dialTimeout = 300 * time.Millisecond
+	// onceMaxIdle is how long a connection may have been unused to carry a
+	// request that must not run twice: if the upstream closes it meanwhile, the
+	// outcome is unknown.
+	onceMaxIdle = time.Second
+	// anyMaxIdle leaves it to the upstream's own limit.
+	anyMaxIdle = time.Hour
+	// refusedPause keeps work from an upstream that refused for lack of room.
+	refusedPause = 60 * time.Millisecond
+	// replacedPause keeps work from an address that another server has taken,
+	// until the list says so.
+	replacedPause = 2 * time.Second
+	// retryAfterRefusal is told to callers when upstreams refused.
+	retryAfterRefusal = 250 * time.Millisecond
+	// leastLeft is the least time that an attempt can use.
+	leastLeft = 20 * time.Millisecond
+)
+
+// exchange is the state of one request over all its attempts.
+type exchange struct {
+	h         *Handler
+	r         *chain.Request
+	edge      *chain.Edge
+	service   *routing.Service
+	tried     map[string]bool
+	lastEvent string // relayed to the caller
+	mayRun    bool   // an upstream may have run the request
+	ranBefore bool   // mayRun before the current attempt
+	failure   *answer
+}
+
+// answer is a server's own failure, kept in case no other upstream does better.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Handle is the last handler of the chain.
+func (h *Handler) Handle(ctx context.Context, r *chain.Request) error {
+	edge := r.Edge
+	service := edge.Routing.Service(edge.Route.Service(rand.Float64()))
+	if service == nil {
+		return code.New(code.NoUpstream, "the route's service is not configured").WithRetryAfter(retryAfterRefusal)
+	}
+	edge.Service = service.Name
+	x := &exchange{h: h, r: r, edge: edge, service: service, tried: map[string]bool{}, lastEvent: edge.Call.LastEvent}
+	h.retries.Request(service.Name)
+	return x.run(ctx)
+}
+
+// run makes attempts until one settles the request.
+func (x *exchange) run(ctx context.Context) error {
+	unreachable := 0
+	var last error
+	for {
+		ticket, expected, err := x.h.placer.Pick(x.query())
+		if err != nil {
+			return x.giveUp(ctx, last, err)
+		}
+		x.edge.Upstream, x.edge.Weights, x.edge.Expected = ticket.Upstream.ID, ticket.Weights, expected
+		x.tried[ticket.Upstream.ID] = true
+		result, err := x.attempt(ctx, ticket)
+		x.h.placer.Done(ticket, result)
+		if err == nil {
+			return nil
+		}
+		last = err
+		x.logAttempt(ticket, result, err)
+		switch {
+		case ctx.Err() != nil:
+			return x.ended(ctx, err)
+		case result == placement.Unreachable:
+			if unreachable++; unreachable >= maxUnreachable {
+				return x.giveUp(ctx, last, nil)
+			}
+			continue
+		case !x.mayRetry(result):
+			return x.giveUp(ctx, last, nil)
+		}
+	}
+}
+
+func (x *exchange) query() placement.Query {
+	c := &x.edge.Call
+	q := placement.Query{
+		Service: x.service, Model: c.Model, Parts: c.Parts,
+		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
+		Exclude: func(id string) bool { return x.tried[id] },
+	}
+	if x.edge.Route.Prompted && c.Model != "" {
+		q.Isolated = x.isolation()
+		q.CacheStore = x.edge.Routing.CacheStore(x.h.domain)
+	}
+	return q
+}
+
+// isolation names the customer if it shares no KV cache with others.
+func (x *exchange) isolation() string {
+	if x.edge.Customer != nil && x.edge.Customer.Isolated {
+		return x.edge.Customer.Name
+	}
+	return ""
+}
+
+// mayRetry reports whether the request may go to one more upstream, and takes
+// the retry from the budget.
+func (x *exchange) mayRetry(result placement.Result) bool {
+	route := x.edge.Route
+	if x.edge.Attempts >= route.MaxAttempts {
+		return false
+	}
+	if result != placement.Refused && !route.Idempotent() {
+		return false
+	}
+	if x.r.Outcome.Started && !(route.Kind == routing.Stream && route.Resumable) {
+		return false
+	}
+	if x.r.Deadline.Sub(x.h.now()) < leastLeft {
+		return false
+	}
+	return x.h.retries.Spend(x.service.Name)
+}
+
+// giveUp returns the final answer when no further attempt is made.
+func (x *exchange) giveUp(ctx context.Context, last, pick error) error {
+	if ctx.Err() != nil {
+		return x.ended(ctx, last)
+	}
+	if x.failure != nil && !x.r.Outcome.Started {
+		x.write(x.failure)
+		return nil
+	}
+	if x.mayRun {
+		return code.New(code.UpstreamFailed, "the upstream failed after the request was sent").WithCause(last)
+	}
+	retryAfter := retryAfterRefusal
+	var none *placement.NoUpstream
+	if errors.As(pick, &none) {
+		retryAfter = none.RetryAfter
+	}
+	cause := last
+	if cause == nil {
+		cause = pick
+	}
+	return code.New(code.NoUpstream, "no upstream takes the request").WithRetryAfter(retryAfter).WithCause(cause)
+}
+
+// ended returns the answer to a request whose context is over: the deadline
+// passed or the caller left.
+func (x *exchange) ended(ctx context.Context, last error) error {
+	run := code.NotRun
+	if x.mayRun {
+		run = code.MayHaveRun
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		if run == code.NotRun {
+			return code.New(code.DeadlineUnreachable, "the deadline passed before an upstream ran the request").
+				WithRetryAfter(retryAfterRefusal).WithCause(last)
+		}
+		return code.New(code.UpstreamTimeout, "the deadline passed").WithRun(run).WithCause(last)
+	}
+	return code.New(code.BodyReadTimeout, "the caller left").WithRun(run).WithCause(last)
+}
+
+func (x *exchange) logAttempt(t *placement.Ticket, result placement.Result, err error) {
+	x.h.log.Info("attempt failed", "request", x.r.ID, "upstream", t.Upstream.ID, "addr", t.Upstream.Addr,
+		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayRun, "error", err)
+}
+
+// guard closes a connection unless it is stopped in time, and tells so.
+type guard struct {
+	timer *time.Timer
+	fired atomic.Bool
+}
+
+func newGuard(d time.Duration, c *httpconn.Conn) *guard {
+	g := &guard{}
+	if d > 0 {
+		g.timer = time.AfterFunc(d, func() {
+			g.fired.Store(true)
+			c.Close()
+		})
+	}
+	return g
+}
+
+func (g *guard) stop() {
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
--- /dev/null
+++ b/pkg/filter/dispatch/stream.go
@@ -0,0 +1,127 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/placement"
+)
+
+const (
+	// maxEvent bounds one event of a stream in bytes.
+	maxEvent = 256 << 10
+	// writeGrace is how long after the deadline a caller may still read.
+	writeGrace = 500 * time.Millisecond
+	// eventBuffer bytes hold most events.
+	eventBuffer = 1 << 10
+)
+
+var errCutEvent = errors.New("the stream ended inside an event")
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// relayStream passes events on one by one. The status line is sent with the
+// first event; until then another upstream can be tried.
+func (x *exchange) relayStream(ctx context.Context, t *placement.Ticket, g *guard, resp *http.Response) (placement.Result, error) {
+	reader := bufio.NewReaderSize(resp.Body, eventBuffer)
+	first := true
+	var event bytes.Buffer
+	for {
+		event.Reset()
+		id, err := readEvent(reader, &event)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return placement.Failed, err
+		}
+		if first {
+			g.stop()
+			first = false
+			x.firstEvent(t, resp)
+		}
+		if x.repeated(id) {
+			continue
+		}
+		if err := x.writeEvent(event.Bytes()); err != nil {
+			return placement.Cancelled, errors.Mark(err, errCallerWrite)
+		}
+		if id != "" {
+			x.lastEvent = id
+		}
+	}
+	if first {
+		x.firstEvent(t, resp)
+	}
+	x.r.Outcome.Complete = true
+	return placement.OK, nil
+}
+
+func (x *exchange) firstEvent(t *placement.Ticket, resp *http.Response) {
+	x.h.placer.FirstToken(t, t.Save)
+	if x.r.Outcome.Started {
+		return // a resumed stream keeps the head of its first upstream
+	}
+	x.r.Outcome.FirstToken = x.h.now().Sub(x.r.Arrived)
+	w := x.r.Writer
+	x.h.dialect.EncodeAnswer(w.Header(), resp.Header)
+	// Writers without deadline support are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(x.r.Deadline.Add(writeGrace))
+	w.WriteHeader(resp.StatusCode)
+	x.r.Outcome.Started = true
+}
+
+// repeated reports whether a resumed stream repeats an event that the caller
+// has.
+func (x *exchange) repeated(id string) bool {
+	if x.edge.Attempts < 2 || id == "" || x.lastEvent == "" {
+		return false
+	}
+	got, errGot := strconv.ParseInt(id, 10, 64)
+	last, errLast := strconv.ParseInt(x.lastEvent, 10, 64)
+	return errGot == nil && errLast == nil && got <= last
+}
+
+func (x *exchange) writeEvent(event []byte) error {
+	if _, err := x.r.Writer.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.r.Writer).Flush()
+}
+
+// readEvent reads one event with its final empty line and returns its ID. It
+// returns io.EOF at the end of the stream between events.
+func readEvent(r *bufio.Reader, event *bytes.Buffer) (id string, err error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		event.Write(line)
+		if event.Len() > maxEvent {
+			return "", errTooLarge
+		}
+		switch {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err == io.EOF && event.Len() == 0:
+			return "", io.EOF
+		case err == io.EOF:
+			return "", errCutEvent
+		case err != nil:
+			return "", err
+		}
+		text := strings.TrimRight(string(line), "\r\n")
+		if text == "" {
+			return id, nil
+		}
+		if value, ok := strings.CutPrefix(text, "id:"); ok {
+			id = strings.TrimSpace(value)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/filter/hostroute/hostroute.go
@@ -0,0 +1,80 @@
+// Package hostroute finds the route of an edge request by host and path and
+// sets its deadline: arrival plus the shorter of the route's timeout and the
+// time that the caller states to wait.
+package hostroute
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+// RetryWithoutConfig is told to callers of an instance that has no
+// configuration yet.
+const RetryWithoutConfig = 300 * time.Millisecond
+
+// Decoder reads what the headers state about a request.
+type Decoder interface {
+	DecodeRequest(h http.Header) call.Request
+}
+
+// Filter routes requests.
+type Filter struct {
+	decoder  Decoder
+	snapshot func() *routing.Snapshot // nil without configuration
+}
+
+// New returns the filter.
+func New(decoder Decoder, snapshot func() *routing.Snapshot) *Filter {
+	return &Filter{decoder: decoder, snapshot: snapshot}
+}
+
+// Name implements chain.Filter.
+func (f *Filter) Name() string { return "hostroute" }
+
+// Wrap implements chain.Filter.
+func (f *Filter) Wrap(next chain.Handler) chain.Handler {
+	return func(ctx context.Context, r *chain.Request) error {
+		edge := &chain.Edge{Call: f.decoder.DecodeRequest(r.HTTP.Header)}
+		r.Edge = edge
+		r.ID = edge.Call.ID
+		edge.Routing = f.snapshot()
+		if edge.Routing == nil {
+			return code.New(code.ConfigurationAbsent, "this instance has no configuration yet").
+				WithRetryAfter(RetryWithoutConfig)
+		}
+		edge.Route = edge.Routing.Match(r.HTTP.Host, rawPath(r.HTTP.RequestURI))
+		if edge.Route == nil {
+			return code.New(code.UnknownRoute, "no route matches host and path")
+		}
+		if edge.Call.ID == "" {
+			return code.New(code.BadRequest, "the request has no identifier")
+		}
+		r.Application = &config.Application{ID: edge.Route.Name}
+		r.Deadline = r.Arrived.Add(patience(edge))
+		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+		return next(ctx, r)
+	}
+}
+
+// rawPath returns the path as the caller sent it, without decoding.
+func rawPath(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+func patience(e *chain.Edge) time.Duration {
+	timeout := e.Route.Timeout
+	if e.Call.Patience > 0 && (timeout <= 0 || e.Call.Patience < timeout) {
+		return e.Call.Patience
+	}
+	return timeout
+}
--- a/pkg/filter/ratelimit/ratelimit.go
+++ b/pkg/filter/ratelimit/ratelimit.go
@@ -47,10 +47,10 @@
 // Wrap implements chain.Filter.
 func (f *Filter) Wrap(next chain.Handler) chain.Handler {
 	return func(ctx context.Context, r *chain.Request) error {
-		if r.Prompt == nil || r.Customer == nil {
+		charged, ok := cost(r)
+		if !ok {
 			return next(ctx, r)
 		}
-		charged := r.Prompt.Tokens() + r.Prompt.MaxTokens
 		charge, err := f.limiter.Take(ctx, r.Customer, charged)
 		if err != nil {
 			return refused(ctx, err)
@@ -60,6 +60,31 @@
 	}
 }
 
+// cost returns the tokens that the request may use, and whether it is charged.
+func cost(r *chain.Request) (tokens int, ok bool) {
+	switch {
+	case r.Customer == nil:
+		return 0, false
+	case r.Edge != nil:
+		return edgeCost(r.Edge), true
+	case r.Prompt == nil:
+		return 0, false
+	}
+	return r.Prompt.Tokens() + r.Prompt.MaxTokens, true
+}
+
+// edgeCost charges requests that state no tokens what the customer's limit
+// says of them.
+func edgeCost(e *chain.Edge) int {
+	switch {
+	case e.Customer.PerRequest:
+		return 1
+	case e.Call.Counted:
+		return e.Call.PromptTokens + e.Call.MaxTokens
+	}
+	return e.Customer.PlainTokens
+}
+
 // refused prefers the reason for which the request was cancelled, for example
 // a revoked key, to the limiter's error about the wait that it ended.
 func refused(ctx context.Context, err error) error {
--- /dev/null
+++ b/pkg/fleetrate/fleetrate.go
@@ -0,0 +1,180 @@
+// Package fleetrate limits customers to a rate over all instances. Every
+// instance keeps the bucket of the whole fleet: it takes off what it admits
+// itself and what the others report as spent. Of an instance that is not heard
+// it assumes that it spends an equal share, and corrects this once it is heard
+// again, so that instances that cannot talk still keep to the rate together.
+// It does no I/O and is not safe for concurrent use.
+package fleetrate
+
+import (
+	"time"
+)
+
+const (
+	// silentAfter is how long an instance may be unheard before its spending is
+	// assumed.
+	silentAfter = 1500 * time.Millisecond
+	// forgetAfter ends the assumption: an instance that is unheard for so long
+	// has been removed.
+	forgetAfter = 60 * time.Second
+	// startSpan is the time's worth of rate that a started instance begins
+	// with, since it does not know what was spent before.
+	startSpan = 500 * time.Millisecond
+)
+
+// Rate is a customer's limit.
+type Rate struct {
+	PerSecond float64
+	Burst     float64
+}
+
+type bucket struct {
+	rate  Rate
+	level float64 // may be negative: a request is admitted while it is positive
+	at    time.Time
+	spent float64 // by this instance since its start
+}
+
+type peer struct {
+	incarnation uint64
+	heard       time.Time
+	totals      map[string]float64 // spent, as last reported
+	assumed     map[string]float64 // taken off since the last report
+}
+
+// Limiter holds the buckets of all customers.
+type Limiter struct {
+	buckets map[string]*bucket
+	peers   map[string]*peer
+}
+
+// New returns a limiter without customers.
+func New() *Limiter {
+	return &Limiter{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+}
+
+// Configure replaces the rates. Buckets of customers that stay keep their
+// level.
+func (l *Limiter) Configure(rates map[string]Rate, now time.Time) {
+	for name := range l.buckets {
+		if _, ok := rates[name]; !ok {
+			delete(l.buckets, name)
+		}
+	}
+	for name, rate := range rates {
+		b := l.buckets[name]
+		if b == nil {
+			l.buckets[name] = &bucket{rate: rate, level: min(rate.Burst, rate.PerSecond*startSpan.Seconds()), at: now}
+			continue
+		}
+		l.refill(name, b, now)
+		b.rate = rate
+		b.level = min(b.level, rate.Burst)
+	}
+}
+
+// Expect names an instance that spends though it was not heard yet.
+func (l *Limiter) Expect(name string, now time.Time) {
+	if l.peers[name] == nil {
+		l.peers[name] = &peer{heard: now, totals: map[string]float64{}, assumed: map[string]float64{}}
+	}
+}
+
+// Leave forgets an instance that has stopped.
+func (l *Limiter) Leave(name string) { delete(l.peers, name) }
+
+// Heard records what an instance has spent since its start.
+func (l *Limiter) Heard(name string, incarnation uint64, totals map[string]float64, now time.Time) {
+	l.Expect(name, now)
+	p := l.peers[name]
+	for customer, b := range l.buckets {
+		l.refill(customer, b, now)
+	}
+	first := p.incarnation == 0
+	if p.incarnation != incarnation {
+		// What the earlier process spent after its last report stays assumed.
+		p.incarnation = incarnation
+		p.totals = map[string]float64{}
+		if first {
+			p.totals = totals
+		}
+	}
+	for customer, total := range totals {
+		b := l.buckets[customer]
+		if b == nil {
+			continue
+		}
+		spent := total - p.totals[customer]
+		b.level = min(b.rate.Burst, b.level-spent+p.assumed[customer])
+	}
+	p.totals = totals
+	p.heard = now
+	clear(p.assumed)
+}
+
+// refill adds what the time since the last call brought and takes off the
+// assumed spending of silent instances.
+func (l *Limiter) refill(name string, b *bucket, now time.Time) {
+	elapsed := now.Sub(b.at).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.at = now
+	earned := b.rate.PerSecond * elapsed
+	share := earned / float64(len(l.peers)+1)
+	for id, p := range l.peers {
+		unheard := now.Sub(p.heard)
+		if unheard > forgetAfter {
+			delete(l.peers, id)
+			continue
+		}
+		if unheard > silentAfter {
+			p.assumed[name] += share
+			earned -= share
+		}
+	}
+	b.level = min(b.rate.Burst, b.level+earned)
+}
+
+// Take admits tokens of a customer. If it refuses, it returns the time after
+// which the bucket is positive again. Customers without a rate are admitted.
+func (l *Limiter) Take(name string, tokens float64, now time.Time) (ok bool, retryAfter time.Duration) {
+	b := l.buckets[name]
+	if b == nil || b.rate.PerSecond <= 0 {
+		return true, 0
+	}
+	l.refill(name, b, now)
+	if b.level <= 0 {
+		return false, time.Duration((1 - b.level) / b.rate.PerSecond * float64(time.Second))
+	}
+	b.level -= tokens
+	b.spent += tokens
+	return true, 0
+}
+
+// Return gives back tokens of a request that did not run.
+func (l *Limiter) Return(name string, tokens float64) {
+	b := l.buckets[name]
+	if b == nil || b.rate.PerSecond <= 0 {
+		return
+	}
+	b.level = min(b.rate.Burst, b.level+tokens)
+	b.spent -= tokens
+}
+
+// Spent returns what this instance has spent since its start by customer.
+func (l *Limiter) Spent() map[string]float64 {
+	out := make(map[string]float64, len(l.buckets))
+	for name, b := range l.buckets {
+		out[name] = b.spent
+	}
+	return out
+}
+
+// Level returns the tokens in a customer's bucket, for metrics.
+func (l *Limiter) Level(name string) float64 {
+	if b := l.buckets[name]; b != nil {
+		return b.level
+	}
+	return 0
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -192,7 +192,7 @@
 		Pools:   collect.Pools(endpoint.Of(i.pools), i.metrics),
 		Orders:  collect.Orders(i.orders, i.metrics),
 		Client:  i.engines,
-		Metrics: accountingMetrics{i.metrics},
+		Metrics: collect.Requests(i.metrics),
 		Log:     i.log,
 		Background: []router.Background{
 			i.sync,
--- /dev/null
+++ b/pkg/placement/book.go
@@ -0,0 +1,280 @@
+// Package placement decides which upstream gets a request. It weighs the time
+// until the first token: work queued at an engine, the part of the prompt that
+// it must compute, moves of KV cache, memory, and the version of its weights.
+// It does no I/O and is not safe for concurrent use; times are arguments.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/retry"
+)
+
+// Result is how an attempt ended.
+type Result int
+
+// Results of attempts.
+const (
+	OK          Result = iota
+	Refused            // the upstream did not run the request
+	Unreachable        // no connection
+	Failed             // a failure after the request was sent
+	Cancelled          // given up by the caller or the instance
+)
+
+// String returns the name used in logs.
+func (r Result) String() string {
+	return [...]string{"ok", "refused", "unreachable", "failed", "cancelled"}[r]
+}
+
+// Work is the load of one upstream by the requests of one instance.
+type Work struct {
+	Requests int // running or queued
+	Prefill  int // prompt tokens still to be computed
+	Memory   int // tokens of KV cache held by running requests
+}
+
+func (w *Work) add(o Work) {
+	w.Requests += o.Requests
+	w.Prefill += o.Prefill
+	w.Memory += o.Memory
+}
+
+// reportMaxAge is how long the load that an upstream states in an answer says
+// something about the present.
+const reportMaxAge = 400 * time.Millisecond
+
+// state is what is known of one upstream beyond its listing.
+type state struct {
+	own        Work
+	peers      Work
+	weights    map[string]int // version by model, as seen in answers
+	report     call.Load
+	reportedAt time.Time
+	health     retry.Outlier
+	busyUntil  time.Time // takes no work, for example while it loads weights
+	born       int64
+}
+
+// Book keeps the state of all upstreams.
+type Book struct {
+	cfg     Config
+	rng     *rand.Rand
+	view    *fleet.View
+	states  map[string]*state
+	holders *holders
+	wanted  map[string]wanted // by model
+	outlier retry.OutlierConfig
+}
+
+type wanted struct {
+	version int
+	since   time.Time
+}
+
+// Config holds the figures of placement.
+type Config struct {
+	Domain string // failure domain of this instance
+	// PrefillPerMS is the number of prompt tokens that an engine computes in a
+	// millisecond.
+	PrefillPerMS float64
+	// WeightsApply is how long after a version was named requests may still
+	// begin on an older one.
+	WeightsApply time.Duration
+}
+
+// DefaultPrefillPerMS is assumed of engines, whose speed nothing states.
+const DefaultPrefillPerMS = 60
+
+// NewBook returns a book without upstreams.
+func NewBook(cfg Config, rng *rand.Rand) *Book {
+	return &Book{
+		cfg: cfg, rng: rng,
+		view:    fleet.NewView(nil),
+		states:  map[string]*state{},
+		holders: newHolders(),
+		wanted:  map[string]wanted{},
+		outlier: retry.OutlierConfig{Consecutive: 3, Base: time.Second, Max: 4 * time.Second, SlowStart: 0},
+	}
+}
+
+// SetView replaces the listed upstreams. The state of one that is no longer
+// listed is forgotten, as is that of one that restarted under its ID.
+func (b *Book) SetView(v *fleet.View) {
+	b.view = v
+	for id, s := range b.states {
+		u := v.ByID(id)
+		if u == nil {
+			delete(b.states, id)
+			b.holders.forget(id)
+			continue
+		}
+		if s.born != u.Born {
+			// Requests under way keep their counts until they end.
+			own, peers := s.own, s.peers
+			*s = state{own: own, peers: peers, born: u.Born}
+			b.holders.forget(id)
+		}
+	}
+}
+
+// SetWanted records the version that a model's weights must reach. Lower
+// versions than the one known are ignored.
+func (b *Book) SetWanted(model string, version int, now time.Time) bool {
+	if version <= b.wanted[model].version {
+		return false
+	}
+	b.wanted[model] = wanted{version: version, since: now}
+	return true
+}
+
+// Wanted returns the version that a model's weights must reach; 0: none named.
+func (b *Book) Wanted(model string) int { return b.wanted[model].version }
+
+func (b *Book) state(u *fleet.Upstream) *state {
+	s := b.states[u.ID]
+	if s == nil {
+		s = &state{born: u.Born}
+		b.states[u.ID] = s
+	}
+	return s
+}
+
+// Weights returns the version that an upstream has of a model: the higher of
+// its listing and what answers showed, since versions only increase.
+func (b *Book) Weights(u *fleet.Upstream, model string) int {
+	version := u.Weights[model]
+	if s := b.states[u.ID]; s != nil {
+		version = max(version, s.weights[model])
+	}
+	return version
+}
+
+// SawWeights records the version that an answer or a peer stated.
+func (b *Book) SawWeights(id, model string, version int) {
+	u := b.view.ByID(id)
+	if u == nil || version <= b.Weights(u, model) {
+		return
+	}
+	s := b.state(u)
+	if s.weights == nil {
+		s.weights = map[string]int{}
+	}
+	s.weights[model] = version
+	b.holders.forget(id) // a load drops what the engine kept
+}
+
+// SetBusy keeps work away from an upstream until a time.
+func (b *Book) SetBusy(id string, until time.Time) {
+	if u := b.view.ByID(id); u != nil {
+		b.state(u).busyUntil = until
+	}
+}
+
+// SawLoad records the load that an upstream stated.
+func (b *Book) SawLoad(id string, load call.Load, now time.Time) {
+	if u := b.view.ByID(id); u != nil {
+		s := b.state(u)
+		s.report, s.reportedAt = load, now
+	}
+}
+
+// Own returns the work that this instance has at each upstream.
+func (b *Book) Own() map[string]Work {
+	out := map[string]Work{}
+	for id, s := range b.states {
+		if s.own != (Work{}) {
+			out[id] = s.own
+		}
+	}
+	return out
+}
+
+// Load returns the work of all instances at an upstream.
+func (b *Book) Load(id string) Work {
+	s := b.states[id]
+	if s == nil {
+		return Work{}
+	}
+	total := s.own
+	total.add(s.peers)
+	return total
+}
+
+// SetPeers replaces the work that other instances have at the upstreams.
+func (b *Book) SetPeers(total map[string]Work) {
+	for id, s := range b.states {
+		s.peers = total[id]
+	}
+	for id, work := range total {
+		if u := b.view.ByID(id); u != nil {
+			b.state(u).peers = work
+		}
+	}
+}
+
+// Ticket is one attempt at an upstream, from Pick to Done.
+type Ticket struct {
+	Upstream  *fleet.Upstream
+	Weights   int    // version that the upstream must have; 0: any
+	Scope     string // of KV cache
+	FetchFrom string // IP:port of a store or engine that may hold more of the prompt
+	Save      bool   // the store does not hold the prompt's parts yet
+
+	work    Work
+	prefill int // still counted
+	keys    []uint64
+	model   string
+	done    bool
+}
+
+// Begin counts an attempt before it is sent.
+func (b *Book) Begin(t *Ticket, now time.Time) {
+	s := b.state(t.Upstream)
+	s.own.add(t.work)
+	t.prefill = t.work.Prefill
+	b.holders.add(t.keys, t.Upstream.ID, now)
+}
+
+// FirstToken records that the prompt was computed.
+func (b *Book) FirstToken(t *Ticket, saved bool, now time.Time) {
+	if s := b.states[t.Upstream.ID]; s != nil {
+		s.own.Prefill -= t.prefill
+	}
+	t.prefill = 0
+	if saved {
+		b.holders.saved(t.keys, now)
+	}
+}
+
+// Done ends an attempt.
+func (b *Book) Done(t *Ticket, r Result, now time.Time) {
+	if t.done {
+		return
+	}
+	t.done = true
+	s := b.states[t.Upstream.ID]
+	if s == nil {
+		return
+	}
+	s.own.Requests -= t.work.Requests
+	s.own.Memory -= t.work.Memory
+	s.own.Prefill -= t.prefill
+	t.prefill = 0
+	switch r {
+	case OK:
+		s.health.Success()
+	case Unreachable:
+		s.health.Unreachable(now, &b.outlier, b.rng)
+		b.holders.forgetKeys(t.keys, t.Upstream.ID)
+	case Failed:
+		s.health.Failure(now, &b.outlier, b.rng)
+		b.holders.forgetKeys(t.keys, t.Upstream.ID)
+	case Refused:
+		b.holders.forgetKeys(t.keys, t.Upstream.ID)
+	case Cancelled:
+	}
+}
--- /dev/null
+++ b/pkg/placement/holders.go
@@ -0,0 +1,162 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+)
+
+const (
+	// holderMaxAge is how long after its last use a prompt part is expected to
+	// be kept by an engine.
+	holderMaxAge = 20 * time.Second
+	// savedMaxAge is the same for the store, which has several times the room.
+	savedMaxAge = 25 * time.Second
+	// maxHolderKeys bounds the remembered parts; about 200 bytes each.
+	maxHolderKeys = 20_000
+)
+
+// prefixKeys returns one hash per part of a prompt; each covers the parts
+// before it and the scope.
+func prefixKeys(scope, model string, parts []call.Part) []uint64 {
+	keys := make([]uint64, len(parts))
+	seed := xxh3.HashString(scope) ^ xxh3.HashString(model)*3
+	for i, part := range parts {
+		seed = xxh3.HashStringSeed(part.ID, seed)
+		keys[i] = seed
+	}
+	return keys
+}
+
+type holder struct {
+	id string // upstream
+	at time.Time
+}
+
+type entry struct {
+	engines []holder
+	saved   time.Time // when the store last held it
+}
+
+// holders remembers where parts of prompts are kept.
+type holders struct {
+	byKey map[uint64]*entry
+}
+
+func newHolders() *holders { return &holders{byKey: map[uint64]*entry{}} }
+
+func (h *holders) entry(key uint64) *entry {
+	e := h.byKey[key]
+	if e == nil {
+		if len(h.byKey) >= maxHolderKeys {
+			clear(h.byKey) // engines are found again through the store
+		}
+		e = &entry{}
+		h.byKey[key] = e
+	}
+	return e
+}
+
+// add records that an engine keeps the parts from now on.
+func (h *holders) add(keys []uint64, id string, now time.Time) {
+	for _, key := range keys {
+		e := h.entry(key)
+		found := false
+		for i := range e.engines {
+			if e.engines[i].id == id {
+				e.engines[i].at = now
+				found = true
+			}
+		}
+		if !found {
+			e.engines = append(e.engines, holder{id, now})
+		}
+	}
+}
+
+func (h *holders) saved(keys []uint64, now time.Time) {
+	for _, key := range keys {
+		h.entry(key).saved = now
+	}
+}
+
+// touchSaved records a use of parts that the store holds.
+func (h *holders) touchSaved(keys []uint64, now time.Time) {
+	for _, key := range keys {
+		if e := h.byKey[key]; e != nil && !e.saved.IsZero() {
+			e.saved = now
+		}
+	}
+}
+
+// held returns how many leading parts an engine is expected to keep.
+func (h *holders) held(keys []uint64, id string, now time.Time) int {
+	for i, key := range keys {
+		if !h.holds(key, id, now) {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+func (h *holders) holds(key uint64, id string, now time.Time) bool {
+	e := h.byKey[key]
+	if e == nil {
+		return false
+	}
+	for _, holder := range e.engines {
+		if holder.id == id {
+			return now.Sub(holder.at) < holderMaxAge
+		}
+	}
+	return false
+}
+
+// inStore returns how many leading parts the store is expected to hold.
+func (h *holders) inStore(keys []uint64, now time.Time) int {
+	for i, key := range keys {
+		e := h.byKey[key]
+		if e == nil || e.saved.IsZero() || now.Sub(e.saved) >= savedMaxAge {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// forgetKeys drops an engine from the parts.
+func (h *holders) forgetKeys(keys []uint64, id string) {
+	for _, key := range keys {
+		if e := h.byKey[key]; e != nil {
+			e.drop(id)
+		}
+	}
+}
+
+// forget drops an engine from all parts.
+func (h *holders) forget(id string) {
+	for key, e := range h.byKey {
+		e.drop(id)
+		if len(e.engines) == 0 && e.saved.IsZero() {
+			delete(h.byKey, key)
+		}
+	}
+}
+
+// forgetStore drops what the store is expected to hold.
+func (h *holders) forgetStore() {
+	for _, e := range h.byKey {
+		e.saved = time.Time{}
+	}
+}
+
+func (e *entry) drop(id string) {
+	kept := e.engines[:0]
+	for _, holder := range e.engines {
+		if holder.id != id {
+			kept = append(kept, holder)
+		}
+	}
+	e.engines = kept
+}
