--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -174,6 +174,9 @@
 // ConfigChanged implements state.Sink.
 func (i *Instance) ConfigChanged(s *routing.Snapshot) {
 	i.limiter.configure(s)
+	for _, c := range s.Customers() {
+		i.parts.Log.Debug("customer limit", "config", s.Version, "customer", c.Name, "rate", c.Rate, "burst", c.Burst)
+	}
 	i.listener.setLimits(s.Limits)
 	i.snapshot.Store(s)
 }
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -125,10 +125,7 @@
 	if !route.Prompted || x.service.Engine == nil {
 		return s
 	}
-	s.Priority, s.HasPriority = route.Priority, true
-	if customer != nil && customer.HasPriority {
-		s.Priority = customer.Priority
-	}
+	s.Priority, s.HasPriority = priority(route, customer), true
 	s.CacheScope = t.Scope
 	s.FetchFrom = t.FetchFrom
 	if t.Save {
@@ -137,6 +134,20 @@
 	return s
 }
 
+// routeRanks is the number of route priorities that are told apart among the
+// requests of customers of one priority; upstreams know ten ranks in all.
+const routeRanks = 3
+
+// priority ranks a request by its customer, and by its route among customers of
+// the same priority. 0 is the most urgent.
+func priority(route *routing.Route, customer *routing.Customer) int {
+	rank := min(route.Priority, routeRanks-1)
+	if customer == nil || !customer.HasPriority {
+		return rank
+	}
+	return customer.Priority*routeRanks + rank
+}
+
 // patience is how long the first bytes of the answer are waited for before
 // another upstream is tried; 0 if there is no other try.
 func (x *exchange) patience() time.Duration {
