Keep rollouts going when engines crash and leaders stop

Engines that crashed while they loaded kept both places of a rollout; a leader that got SIGTERM kept its lease, so the successor began 3.8 s later; requests that came late in a graceful stop were cut at its end. Change: an engine without report is no longer awaited; a stopping leader hands the lease over; takeovers are quick where engines check fencing tokens; after the drain new requests are refused as not run.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -66,10 +66,19 @@
 
 	// Set by dispatch, read by the access log.
 	Service  string
-	Upstream string        // of the last attempt
-	Weights  int           // version that the last attempt asked for
-	Attempts int           // upstreams that the request was sent to
-	Expected time.Duration // until the first token, as estimated at the last choice
+	Attempts int       // upstreams that the request was sent to
+	Choice   Placement // of the last attempt
+}
+
+// Placement is what decided the choice of an upstream.
+type Placement struct {
+	Upstream string
+	Weights  int           // version that the upstream must have; 0: any
+	Expected time.Duration // until the first token
+	Prefix   uint64        // identifies the shared parts of the prompt; 0: none
+	Held     int           // tokens that the upstream is expected to keep
+	Stored   int           // tokens that the store of KV cache is expected to hold
+	Saves    bool          // the upstream was asked to save the prompt to the store
 }
 
 // Target is the upstream chosen for one attempt.
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,9 +61,12 @@
 	if e.Customer != nil {
 		fields = append(fields, "customer", e.Customer.Name)
 	}
-	if e.Upstream != "" {
-		fields = append(fields, "service", e.Service, "upstream", e.Upstream, "weights", e.Weights,
-			"sent_to", e.Attempts, "expected_ms", e.Expected.Milliseconds())
+	if c := e.Choice; c.Upstream != "" {
+		fields = append(fields, "service", e.Service, "upstream", c.Upstream, "weights", c.Weights,
+			"sent_to", e.Attempts, "expected_ms", c.Expected.Milliseconds())
+		if c.Prefix != 0 {
+			fields = append(fields, "prefix", strconv.FormatUint(c.Prefix, 16), "held", c.Held, "stored", c.Stored, "saves", c.Saves)
+		}
 	}
 	if e.Call.Counted {
 		fields = append(fields, "prompt_tokens", e.Call.PromptTokens)
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -124,16 +124,24 @@
 		rows: p.Store, engines: p.Engines, placer: i.placer, peers: i.peers,
 		log: p.Log.Named("rollout"), now: now, start: now(),
 		rng:   rand.New(rand.NewPCG(seed, 2)),
-		lease: control.NewLease(leaseConfig(), o.Name+"-"+strconv.FormatUint(seed, 16)),
+		lease: control.NewLease(leaseConfig(o), o.Name+"-"+strconv.FormatUint(seed, 16)),
 	}
 	i.listener = newListener(i.chain(), p.Dialect, p.Log.Named("callers"), now)
 	return i, nil
 }
 
-// leaseConfig waits out a leader's orders before a takeover.
-func leaseConfig() control.LeaseConfig {
+// leaseConfig keeps orders of two leaders apart. Engines that check fencing
+// tokens reject those of an earlier leader, so that a takeover can be quick.
+func leaseConfig(o Options) control.LeaseConfig {
 	c := control.DefaultLeaseConfig()
 	c.CommandTimeout = 600 * time.Millisecond
+	c.ReadEvery = 250 * time.Millisecond
+	if o.ChecksFencing {
+		c.TTL = 1200 * time.Millisecond
+		c.RenewEvery = 400 * time.Millisecond
+		return c
+	}
+	c.TTL = max(c.TTL, o.OrderGap)
 	return c
 }
 
@@ -153,6 +161,7 @@
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.parts.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
+	i.placer.onLong = i.peers.hurry
 	return nil
 }
 
@@ -209,7 +218,7 @@
 	wg.Go(func() { i.follower.Run(background) })
 	wg.Go(func() { i.peers.run(background) })
 	wg.Go(func() { i.peers.register(background, i.parts.Store, i.options.InstanceTable) })
-	wg.Go(func() { i.rollouts.run(ctx) })
+	wg.Go(func() { i.rollouts.run(background, ctx.Done()) })
 	wg.Go(func() { i.conns.Run(background) })
 	accepted := make(chan error, 1)
 	go func() { accepted <- i.listener.accept(callers) }()
@@ -229,40 +238,26 @@
 }
 
 const (
-	// drainLeast is how long an instance serves after it reports not ready:
-	// the platform asks once a second and looks twice.
-	drainLeast = 2500 * time.Millisecond
-	// drainQuiet without requests ends the drain.
-	drainQuiet = 500 * time.Millisecond
-	// drainPoll is between looks.
-	drainPoll = 50 * time.Millisecond
+	// drainSpan is how long an instance takes requests after it reports not
+	// ready: the platform asks once a second and looks twice.
+	drainSpan = 2300 * time.Millisecond
 	// stopReserve is left before the process is killed.
-	stopReserve = 700 * time.Millisecond
-	// finishSpan is left for running requests after new ones are refused.
-	finishSpan = 2500 * time.Millisecond
+	stopReserve = 500 * time.Millisecond
 )
 
-// shutdown serves open connections until they fall quiet, then lets running
-// requests end.
+// shutdown serves until the platform has taken the instance out of rotation
+// and then lets running requests end. What comes later on a kept connection is
+// refused as not run, since it might not end in time.
 func (i *Instance) shutdown(callers net.Listener) error {
 	began := i.now()
 	i.parts.Log.Info("stopping", "running", i.listener.running.Load(), "grace", i.options.Grace.String())
 	i.draining.Store(true)
 	i.listener.startDrain()
 	i.peers.setLeaving()
-	last := began.Add(i.options.Grace - stopReserve)
-	for {
-		time.Sleep(drainPoll)
-		now := i.now()
-		if now.Sub(began) >= drainLeast && i.listener.quiet(drainQuiet) {
-			break
-		}
-		if now.After(last.Add(-finishSpan)) {
-			break
-		}
-	}
+	time.Sleep(min(drainSpan, i.options.Grace/3))
+	i.listener.refuseNew()
 	_ = callers.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), last)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.options.Grace-stopReserve))
 	defer cancel()
 	err := i.listener.shutdown(ctx)
 	i.parts.Log.Info("stopped", "after", i.now().Sub(began).String(), "error", err)
--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -32,9 +32,9 @@
 	log      hclog.Logger
 	now      func() time.Time
 
-	draining atomic.Bool
+	draining atomic.Bool // answers close their connections
+	closing  atomic.Bool // new requests are refused
 	running  atomic.Int64
-	lastSeen atomic.Int64 // Unix ns of the last request
 
 	mu      sync.Mutex
 	limits  routing.Limits
@@ -99,17 +99,18 @@
 	}
 }
 
+// retryElsewhere is told to callers of an instance that stops; others take the
+// request at once.
+const retryElsewhere = 20 * time.Millisecond
+
 // acceptPause is waited after a failed accept.
 const acceptPause = 20 * time.Millisecond
 
 // startDrain makes answers close their connections.
 func (l *listener) startDrain() { l.draining.Store(true) }
 
-// quiet reports whether nothing runs and no request came for a while.
-func (l *listener) quiet(span time.Duration) bool {
-	last := time.Unix(0, l.lastSeen.Load())
-	return l.running.Load() == 0 && l.now().Sub(last) >= span
-}
+// refuseNew makes further requests get a refusal.
+func (l *listener) refuseNew() { l.closing.Store(true) }
 
 // shutdown closes idle connections and waits for running requests until ctx
 // ends, whose error it then returns.
@@ -132,10 +133,13 @@
 	l.running.Add(1)
 	defer l.running.Add(-1)
 	r := &chain.Request{HTTP: req, Writer: w, Arrived: l.now()}
-	l.lastSeen.Store(r.Arrived.UnixNano())
 	if l.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if l.closing.Load() {
+		l.refuse(r, code.New(code.ShuttingDown, "this instance is shutting down").WithRetryAfter(retryElsewhere))
+		return
+	}
 	err := l.call(req.Context(), r)
 	if err == nil {
 		return
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -24,6 +24,8 @@
 	// datagrams a second stays bounded.
 	digestInterval = 200 * time.Millisecond
 	digestPerPeer  = 10 * time.Millisecond
+	// hurryPause collects what happens at the same time into one digest.
+	hurryPause = 4 * time.Millisecond
 	// workMaxAge is how long the work in a digest counts, in digest intervals.
 	workMaxAge = 5
 	// maxDigest bounds a datagram; larger ones would be split on the way.
@@ -77,6 +79,7 @@
 	sequence uint64
 	leaving  bool
 	loads    map[string]time.Time // engines that load, until when they are expected to
+	loadSeen time.Time            // when another instance last said that engines load
 	weights  []toldWeights
 }
 
@@ -103,6 +106,7 @@
 			return
 		case <-timer.C:
 		case <-p.wake:
+			sleep(ctx, hurryPause)
 		}
 		p.send()
 		p.mergeWork()
@@ -184,6 +188,13 @@
 	p.hurry()
 }
 
+// lastLoads returns when another instance last said that engines load.
+func (p *peers) lastLoads() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loadSeen
+}
+
 // hurry sends a digest at once.
 func (p *peers) hurry() {
 	select {
@@ -330,6 +341,11 @@
 	if d.Leaving {
 		other.digest.Work = nil
 	}
+	for _, l := range d.Loads {
+		if l.Ms > 0 {
+			p.loadSeen = now
+		}
+	}
 	p.mu.Unlock()
 	if fresh {
 		p.hurry() // the sender may not know this instance yet
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -9,9 +9,14 @@
 	"github.com/fescuestep/fescuestep/pkg/placement"
 )
 
+// longPrefill is the number of prompt tokens from which other instances are told
+// at once, since their requests would wait behind it.
+const longPrefill = 4096
+
 // placer makes a placement.Book safe for concurrent use.
 type placer struct {
-	now func() time.Time
+	now    func() time.Time
+	onLong func() // called when a prompt that keeps an engine busy was sent; may be nil
 
 	mu   sync.Mutex
 	book *placement.Book
@@ -32,8 +37,11 @@
 // Begin implements dispatch.Placer.
 func (p *placer) Begin(t *placement.Ticket) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.book.Begin(t, p.now())
+	p.mu.Unlock()
+	if t.Prefill() >= longPrefill && p.onLong != nil {
+		p.onLong()
+	}
 }
 
 // FirstToken implements dispatch.Placer.
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -59,26 +59,56 @@
 	lease    *control.Lease
 	plan     *rollout.Plan
 	token    uint64 // of the plan
+	calls    int    // steps of the plan under way
 	needFrom time.Time
 	told     map[string]int // versions told to the others by engine
 }
 
 func (r *rollouts) since(now time.Time) time.Duration { return now.Sub(r.start) }
 
-// run acts until ctx ends and then gives the lease up.
-func (r *rollouts) run(ctx context.Context) {
+// run acts until ctx ends. Once stopping is closed it gives no orders and hands
+// the lease over as soon as the outcome of those given is known.
+func (r *rollouts) run(ctx context.Context, stopping <-chan struct{}) {
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-stopping:
+			r.handOver(ctx)
+			return
 		case <-ticker.C:
 			r.tick(ctx)
 		}
 	}
 }
 
+// handOver releases the lease. Engines that do not check fencing tokens must
+// not get orders of two leaders shortly after each other.
+func (r *rollouts) handOver(ctx context.Context) {
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		r.mu.Lock()
+		now := r.now()
+		_, _, held := r.lease.Held(r.since(now))
+		if !held {
+			r.mu.Unlock()
+			return
+		}
+		if r.calls == 0 && (r.checksFencing || now.Sub(r.plan.LastOrder()) > r.holdOff) {
+			r.release(ctx, now)
+		}
+		r.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (r *rollouts) tick(ctx context.Context) {
 	list := r.wanted()
 	r.mu.Lock()
@@ -125,18 +155,23 @@
 }
 
 // candidate reports whether this instance may take the lease: the instance
-// ranked first at once, the others one after the other.
+// ranked first at once, the others one after the other. While another instance
+// is seen to give orders there is no candidate.
 func (r *rollouts) candidate(now time.Time, need bool) bool {
 	if !need {
 		return false
 	}
+	from := r.needFrom
+	if seen := r.peers.lastLoads(); seen.After(from) {
+		from = seen.Add(candidateStep)
+	}
 	members := []config.Member{{ID: r.self}}
 	for _, name := range r.peers.live() {
 		members = append(members, config.Member{ID: name})
 	}
 	for rank, m := range member.Rank(members, controlRole, len(members)) {
 		if m.ID == r.self {
-			return now.Sub(r.needFrom) >= candidateStep*time.Duration(rank)
+			return now.Sub(from) >= candidateStep*time.Duration(rank)
 		}
 	}
 	return false
@@ -190,11 +225,13 @@
 		r.peers.tellLoading(step.Engine.ID, r.now().Add(loadingSpan))
 	}
 	plan := r.plan
+	r.calls++
 	go func() {
 		if !step.Order {
 			report, err := r.engines.Report(ctx, step.Engine)
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			r.calls--
 			plan.Reported(r.now(), step.Engine.ID, report, err)
 			if err != nil {
 				r.log.Info("engine gives no report", "upstream", step.Engine.ID, "error", err)
@@ -206,6 +243,7 @@
 			"has", step.Engine.Has, "version", step.Version, "orders_before", step.Orders, "token", token, "error", err)
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.calls--
 		if !plan.Ordered(r.now(), step.Engine.ID, err) {
 			r.lease.Doubt()
 		}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -139,7 +139,10 @@
 		if err != nil {
 			return x.giveUp(ctx, last, err)
 		}
-		x.edge.Upstream, x.edge.Weights, x.edge.Expected = ticket.Upstream.ID, ticket.Weights, expected
+		x.edge.Choice = chain.Placement{
+			Upstream: ticket.Upstream.ID, Weights: ticket.Weights, Expected: expected,
+			Prefix: ticket.Prefix, Held: ticket.Held, Stored: ticket.Stored, Saves: ticket.Save,
+		}
 		x.tried[ticket.Upstream.ID] = true
 		result, err := x.attempt(ctx, ticket)
 		x.h.placer.Done(ticket, result)
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -224,13 +224,19 @@
 	FetchFrom string // IP:port of a store or engine that may hold more of the prompt
 	Save      bool   // the store does not hold the prompt's parts yet
 
+	Held   int    // tokens of the prompt that the upstream is expected to keep
+	Stored int    // tokens that the store is expected to hold
+	Prefix uint64 // identifies the shared parts, the same for all versions of weights
+
 	work    Work
 	prefill int // still counted
 	keys    []uint64
-	model   string
 	done    bool
 }
 
+// Prefill returns the prompt tokens that the upstream is expected to compute.
+func (t *Ticket) Prefill() int { return t.work.Prefill }
+
 // Begin counts an attempt before it is sent.
 func (b *Book) Begin(t *Ticket, now time.Time) {
 	s := b.state(t.Upstream)
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -34,8 +34,11 @@
 	oldWeightsSoon  = 10 * time.Millisecond
 	oldWeightsLate  = 250 * time.Millisecond
 	oldWeightsGrace = 1200 * time.Millisecond
-	// weightsMargin is left before requests on older weights must end.
-	weightsMargin = 700 * time.Millisecond
+	// weightsMargin is left between the expected begin of a request and the time
+	// from which none may begin on older weights.
+	weightsMargin = 600 * time.Millisecond
+	// waitSpread times the expected wait covers most of the actual ones.
+	waitSpread = 2
 	// sharedMinimum is the number of shared tokens from which a prompt has an
 	// owner; shorter ones go where there is least work.
 	sharedMinimum = 1024
@@ -157,10 +160,13 @@
 	var best *Ticket
 	var least time.Duration
 	for _, u := range b.view.Service(q.Service.Name) {
-		if !b.takesWork(now, u, q) || !b.weightsAllowed(now, u, q.Model) {
+		if !b.takesWork(now, u, q) {
 			continue
 		}
 		ticket, cost := b.engineCost(now, u, p)
+		if !b.weightsAllowed(now.Add(waitSpread*cost), u, q.Model) {
+			continue
+		}
 		if rank, ok := owners[u.ID]; ok && b.holders.held(ticket.shared(p), u.ID, now) < p.sharedParts {
 			cost += ownerStep * time.Duration(min(rank, maxOwnerRank))
 		}
@@ -172,6 +178,9 @@
 		return nil, 0, b.none(now, q)
 	}
 	best.Scope = cacheScope(q.Isolated, best.Weights)
+	if p.sharedParts > 0 {
+		best.Prefix = p.keysFor(0)[p.sharedParts-1]
+	}
 	if q.CacheStore != nil && p.sharedParts > 0 {
 		shared := best.shared(p)
 		best.FetchFrom = q.CacheStore.Addr
@@ -238,7 +247,7 @@
 		cost += ejectedCost
 	}
 	work := Work{Requests: 1, Prefill: compute, Memory: p.PromptTokens + p.MaxTokens}
-	return &Ticket{Upstream: u, Weights: weights, work: work, keys: keys, model: p.Model}, cost
+	return &Ticket{Upstream: u, Weights: weights, Held: held, Stored: stored, work: work, keys: keys}, cost
 }
 
 func (b *Book) prefill(tokens int) time.Duration {
@@ -259,7 +268,8 @@
 	return time.Duration((share - memoryReserve) / (1 - memoryReserve) * float64(memoryCost))
 }
 
-// weightsAllowed reports whether requests may begin on the engine's weights.
+// weightsAllowed reports whether a request may begin on the engine's weights at
+// the time at which it is expected to.
 func (b *Book) weightsAllowed(now time.Time, u *fleet.Upstream, model string) bool {
 	w, ok := b.wanted[model]
 	if !ok || b.Weights(u, model) >= w.version {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -62,7 +62,7 @@
 	loadTimeout = 5 * time.Second
 	// engineShare is the part of the engines that may load at once: each takes
 	// no work meanwhile, and many loads at once slow each other down.
-	engineShare = 6
+	engineShare = 4
 	// leastLoads may run at once in a small fleet.
 	leastLoads = 2
 )
@@ -181,8 +181,10 @@
 	}
 	e.busy = false
 	if err != nil {
+		// It may have crashed: an order is no longer awaited, so that others
+		// can load, and the state is read again before the next one.
+		e.ordered, e.known = 0, false
 		e.retryAt = now.Add(retryAfter)
-		e.readAt = e.retryAt
 		return
 	}
 	e.Has = max(e.Has, r.Weights[e.Model])
