Remember every named version of weights and never assume the newest

Cause: a refused version was taken as proof that the engine had the newest one. An engine brought to an intermediate version was then asked for a version that it did not have until its next listing, and the time allowed on old weights began anew with each version named.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -79,7 +79,8 @@
 	sequence uint64
 	leaving  bool
 	loads    map[string]time.Time // engines that load, until when they are expected to
-	loadSeen time.Time            // when another instance last said that engines load
+	leader   string               // the instance that last gave orders
+	loadSeen time.Time            // when it last said that engines load
 	weights  []toldWeights
 }
 
@@ -136,7 +137,7 @@
 	limit := workMaxAge * max(digestInterval, digestPerPeer*time.Duration(len(p.known)))
 	var out []string
 	for name, other := range p.known {
-		if now.Sub(other.heard) < limit {
+		if now.Sub(other.heard) < limit && !other.digest.GetLeaving() {
 			out = append(out, name)
 		}
 	}
@@ -188,8 +189,22 @@
 	p.hurry()
 }
 
-// lastLoads returns when another instance last said that engines load.
-func (p *peers) lastLoads() time.Time {
+// followLeader notes that the sender gives orders, until it says that it stops.
+// The caller holds mu.
+func (p *peers) followLeader(d *rpc.Digest, now time.Time) {
+	for _, l := range d.Loads {
+		if l.Ms > 0 && !d.Leaving {
+			p.leader, p.loadSeen = d.Sender.Name, now
+		}
+	}
+	if d.Leaving && d.Sender.Name == p.leader {
+		p.loadSeen = time.Time{}
+	}
+}
+
+// leaderSeen returns when another instance last gave orders; zero if it has
+// stopped since.
+func (p *peers) leaderSeen() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.loadSeen
@@ -341,11 +356,7 @@
 	if d.Leaving {
 		other.digest.Work = nil
 	}
-	for _, l := range d.Loads {
-		if l.Ms > 0 {
-			p.loadSeen = now
-		}
-	}
+	p.followLeader(d, now)
 	p.mu.Unlock()
 	if fresh {
 		p.hurry() // the sender may not know this instance yet
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -72,12 +72,11 @@
 	p.book.SawWeights(id, model, version)
 }
 
-// WeightsDiffer implements dispatch.Placer: an upstream refused the version
-// that it was expected to have, so it has been brought to the wanted one.
-func (p *placer) WeightsDiffer(id, model string) {
+// WeightsDiffer implements dispatch.Placer.
+func (p *placer) WeightsDiffer(id, model string, refused int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SawWeights(id, model, p.book.Wanted(model))
+	p.book.WeightsDiffer(id, model, refused)
 }
 
 // SetBusy implements dispatch.Placer.
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -162,7 +162,7 @@
 		return false
 	}
 	from := r.needFrom
-	if seen := r.peers.lastLoads(); seen.After(from) {
+	if seen := r.peers.leaderSeen(); seen.After(from) {
 		from = seen.Add(candidateStep)
 	}
 	members := []config.Member{{ID: r.self}}
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -168,7 +168,7 @@
 	x.learn(t, a)
 	if a.Refused {
 		x.refused(t, a)
-		return placement.Refused, errors.Wrapf(errRefused, "status %d", a.Status)
+		return placement.Refused, errors.Wrapf(errRefused, "status %d, weights %d", a.Status, a.Weights)
 	}
 	x.r.Outcome.Status = a.Status
 	success := a.Status >= 200 && a.Status < 300
@@ -223,8 +223,10 @@
 	switch {
 	case a.Status == http.StatusMisdirectedRequest && a.ServerID != "" && a.ServerID != t.Upstream.ID:
 		x.h.placer.SetBusy(t.Upstream.ID, replacedPause)
+	case a.Status == http.StatusMisdirectedRequest && a.Weights > 0:
+		x.h.placer.SawWeights(t.Upstream.ID, x.edge.Call.Model, a.Weights)
 	case a.Status == http.StatusMisdirectedRequest && t.Weights > 0:
-		x.h.placer.WeightsDiffer(t.Upstream.ID, x.edge.Call.Model)
+		x.h.placer.WeightsDiffer(t.Upstream.ID, x.edge.Call.Model, t.Weights)
 	default:
 		x.h.placer.SetBusy(t.Upstream.ID, refusedPause)
 	}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -42,7 +42,7 @@
 	Done(t *placement.Ticket, r placement.Result)
 	SawLoad(id string, load call.Load)
 	SawWeights(id, model string, version int)
-	WeightsDiffer(id, model string)
+	WeightsDiffer(id, model string, refused int)
 	SetBusy(id string, d time.Duration)
 }
 
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -51,7 +51,7 @@
 type state struct {
 	own        Work
 	peers      Work
-	weights    map[string]int // version by model, as seen in answers
+	weights    map[string]seenWeights // by model
 	report     call.Load
 	reportedAt time.Time
 	health     retry.Outlier
@@ -59,6 +59,12 @@
 	born       int64
 }
 
+// seenWeights is a version that is known beyond the listing.
+type seenWeights struct {
+	version int
+	sure    bool // stated by the upstream or by the instance that had it loaded
+}
+
 // Book keeps the state of all upstreams.
 type Book struct {
 	cfg     Config
@@ -66,15 +72,20 @@
 	view    *fleet.View
 	states  map[string]*state
 	holders *holders
-	wanted  map[string]wanted // by model
+	wanted  map[string][]wanted // by model, in the order of versions
 	outlier retry.OutlierConfig
 }
 
+// wanted is a version that was named for a model.
 type wanted struct {
 	version int
 	since   time.Time
 }
 
+// maxWanted bounds the named versions that are remembered per model. Older ones
+// than these must have been left long ago.
+const maxWanted = 16
+
 // Config holds the figures of placement.
 type Config struct {
 	Domain string // failure domain of this instance
@@ -96,7 +107,7 @@
 		view:    fleet.NewView(nil),
 		states:  map[string]*state{},
 		holders: newHolders(),
-		wanted:  map[string]wanted{},
+		wanted:  map[string][]wanted{},
 		outlier: retry.OutlierConfig{Consecutive: 3, Base: time.Second, Max: 4 * time.Second, SlowStart: 0},
 	}
 }
@@ -104,7 +115,7 @@
 // SetView replaces the listed upstreams. The state of one that is no longer
 // listed is forgotten, as is that of one that restarted under its ID.
 func (b *Book) SetView(v *fleet.View) {
-	b.view = v
+	defer func() { b.view = v }()
 	for id, s := range b.states {
 		u := v.ByID(id)
 		if u == nil {
@@ -112,6 +123,9 @@
 			b.holders.forget(id)
 			continue
 		}
+		if listed := b.view.ByID(id); listed != nil && listed != u {
+			s.dropGuesses()
+		}
 		if s.born != u.Born {
 			// Requests under way keep their counts until they end.
 			own, peers := s.own, s.peers
@@ -121,18 +135,49 @@
 	}
 }
 
-// SetWanted records the version that a model's weights must reach. Lower
-// versions than the one known are ignored.
+// dropGuesses forgets versions that the upstream did not state, after a newer
+// listing.
+func (s *state) dropGuesses() {
+	for model, seen := range s.weights {
+		if !seen.sure {
+			delete(s.weights, model)
+		}
+	}
+}
+
+// SetWanted records a version that a model's weights must reach. Versions below
+// the highest known one are ignored.
 func (b *Book) SetWanted(model string, version int, now time.Time) bool {
-	if version <= b.wanted[model].version {
+	list := b.wanted[model]
+	if len(list) > 0 && version <= list[len(list)-1].version {
 		return false
 	}
-	b.wanted[model] = wanted{version: version, since: now}
+	list = append(list, wanted{version: version, since: now})
+	if len(list) > maxWanted {
+		list = list[1:]
+	}
+	b.wanted[model] = list
 	return true
 }
 
 // Wanted returns the version that a model's weights must reach; 0: none named.
-func (b *Book) Wanted(model string) int { return b.wanted[model].version }
+func (b *Book) Wanted(model string) int {
+	list := b.wanted[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
+// nextWanted returns the first named version above the given one.
+func (b *Book) nextWanted(model string, version int) (wanted, bool) {
+	for _, w := range b.wanted[model] {
+		if w.version > version {
+			return w, true
+		}
+	}
+	return wanted{}, false
+}
 
 func (b *Book) state(u *fleet.Upstream) *state {
 	s := b.states[u.ID]
@@ -148,23 +193,46 @@
 func (b *Book) Weights(u *fleet.Upstream, model string) int {
 	version := u.Weights[model]
 	if s := b.states[u.ID]; s != nil {
-		version = max(version, s.weights[model])
+		version = max(version, s.weights[model].version)
 	}
 	return version
 }
 
-// SawWeights records the version that an answer or a peer stated.
+// SawWeights records the version that an upstream or the instance that had it
+// loaded stated.
 func (b *Book) SawWeights(id, model string, version int) {
 	u := b.view.ByID(id)
-	if u == nil || version <= b.Weights(u, model) {
+	if u == nil {
 		return
 	}
+	s := b.state(u)
+	seen := s.weights[model]
+	if version < u.Weights[model] || (seen.sure && version <= seen.version) {
+		return
+	}
+	b.setWeights(u, model, seenWeights{version, true})
+}
+
+// WeightsDiffer records that an upstream refused a version: it has been brought
+// to a later one, most likely to the next that was named.
+func (b *Book) WeightsDiffer(id, model string, refused int) {
+	u := b.view.ByID(id)
+	if u == nil || b.Weights(u, model) != refused {
+		return
+	}
+	if next, ok := b.nextWanted(model, refused); ok {
+		b.setWeights(u, model, seenWeights{next.version, false})
+	}
+}
+
+// setWeights replaces what is known; the engine's load dropped what it kept.
+func (b *Book) setWeights(u *fleet.Upstream, model string, seen seenWeights) {
 	s := b.state(u)
 	if s.weights == nil {
-		s.weights = map[string]int{}
+		s.weights = map[string]seenWeights{}
 	}
-	s.weights[model] = version
-	b.holders.forget(id) // a load drops what the engine kept
+	s.weights[model] = seen
+	b.holders.forget(u.ID)
 }
 
 // SetBusy keeps work away from an upstream until a time.
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -270,20 +270,17 @@
 
 // weightsAllowed reports whether a request may begin on the engine's weights at
 // the time at which it is expected to.
-func (b *Book) weightsAllowed(now time.Time, u *fleet.Upstream, model string) bool {
-	w, ok := b.wanted[model]
-	if !ok || b.Weights(u, model) >= w.version {
-		return true
-	}
-	return now.Sub(w.since) < b.cfg.WeightsApply-weightsMargin
+func (b *Book) weightsAllowed(begin time.Time, u *fleet.Upstream, model string) bool {
+	next, ok := b.nextWanted(model, b.Weights(u, model))
+	return !ok || begin.Sub(next.since) < b.cfg.WeightsApply-weightsMargin
 }
 
 func (b *Book) weightsCost(now time.Time, u *fleet.Upstream, model string) time.Duration {
-	w, ok := b.wanted[model]
+	next, ok := b.nextWanted(model, b.Weights(u, model))
 	switch {
-	case !ok || b.Weights(u, model) >= w.version:
+	case !ok:
 		return 0
-	case now.Sub(w.since) < oldWeightsGrace:
+	case now.Sub(next.since) < oldWeightsGrace:
 		return oldWeightsSoon
 	}
 	return oldWeightsLate
