Abandon a waiting attempt only with a retry in hand

Cause: the guard of the first bytes closed attempts although the budget allowed no retry, so that callers got 502 for requests that would have been answered. Not decided: whether half or twice the target serves better under load.

--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -41,7 +41,7 @@
 		conn.Close()
 		return x.resultOf(ctx, placement.Failed), err
 	}
-	g := newGuard(x.patience(), conn)
+	g := newGuard(x.patience(), conn, x.payRetry)
 	defer g.stop()
 	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.belongs)
 	if err != nil {
@@ -155,9 +155,13 @@
 	if !route.Idempotent() || x.edge.Attempts >= route.MaxAttempts || route.TargetLatency <= 0 {
 		return 0
 	}
-	return route.TargetLatency
+	return route.TargetLatency / patienceShare
 }
 
+// patienceShare of the target latency is waited for the first bytes, so that
+// another upstream can still meet it.
+const patienceShare = 2
+
 func (x *exchange) belongs(resp *http.Response) bool {
 	a := x.h.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
 	return a.RequestID == x.edge.Call.ID
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -108,6 +108,7 @@
 	mayRun    bool   // an upstream may have run the request
 	ranBefore bool   // mayRun before the current attempt
 	failure   *answer
+	paid      atomic.Bool // the next retry was taken from the budget
 }
 
 // answer is a server's own failure, kept in case no other upstream does better.
@@ -203,7 +204,16 @@
 	if x.r.Deadline.Sub(x.h.now()) < leastLeft {
 		return false
 	}
-	return x.h.retries.Spend(x.service.Name)
+	return x.paid.Swap(false) || x.h.retries.Spend(x.service.Name)
+}
+
+// payRetry takes a retry from the budget before an attempt is abandoned for it.
+func (x *exchange) payRetry() bool {
+	if !x.h.retries.Spend(x.service.Name) {
+		return false
+	}
+	x.paid.Store(true)
+	return true
 }
 
 // giveUp returns the final answer when no further attempt is made.
@@ -258,14 +268,20 @@
 	fired atomic.Bool
 }
 
-func newGuard(d time.Duration, c *httpconn.Conn) *guard {
+// newGuard returns a guard that acts after d if allowed agrees then; it never
+// acts if d is 0.
+func newGuard(d time.Duration, c *httpconn.Conn, allowed func() bool) *guard {
 	g := &guard{}
-	if d > 0 {
-		g.timer = time.AfterFunc(d, func() {
-			g.fired.Store(true)
-			c.Close()
-		})
+	if d <= 0 {
+		return g
 	}
+	g.timer = time.AfterFunc(d, func() {
+		if !allowed() {
+			return
+		}
+		g.fired.Store(true)
+		c.Close()
+	})
 	return g
 }
 
