Clear engines before they load, learn the speed of prefill, share placements

Causes: requests that waited at an engine were refused when its order came; the assumed 60 tokens/ms was a third above what engines show; each instance knew only its own placements, so that shared parts were computed again.

--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -161,7 +161,7 @@
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.parts.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
-	i.placer.onLong = i.peers.hurry
+	i.placer.onLong = i.peers.tellPlaced
 	return nil
 }
 
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,11 @@
 	stateTimeout = 700 * time.Millisecond
 	// stateInterval is between such requests while the store is away.
 	stateInterval = 300 * time.Millisecond
+	// placedToldFor is how long placements are repeated, so that a lost datagram
+	// does no harm.
+	placedToldFor = 500 * time.Millisecond
+	// maxPlaced bounds the placements in one digest; each takes about 30 bytes.
+	maxPlaced = 16
 	// weightsToldFor is how long learned versions are repeated in digests.
 	weightsToldFor = 3 * time.Second
 )
@@ -60,6 +66,12 @@
 	until           time.Time
 }
 
+// toldPlaced is a placement to be repeated in digests.
+type toldPlaced struct {
+	placed *rpc.Placed
+	until  time.Time
+}
+
 // peers exchanges digests with the other instances.
 type peers struct {
 	self        *rpc.Address
@@ -82,6 +94,7 @@
 	leader   string               // the instance that last gave orders
 	loadSeen time.Time            // when it last said that engines load
 	weights  []toldWeights
+	placed   []toldPlaced
 }
 
 func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
@@ -221,9 +234,12 @@
 // tellLoading says that an engine takes no work for a while, or does again.
 func (p *peers) tellLoading(id string, until time.Time) {
 	p.mu.Lock()
+	news := !p.now().Before(p.loads[id])
 	p.loads[id] = until
 	p.mu.Unlock()
-	p.hurry()
+	if news {
+		p.hurry()
+	}
 }
 
 // tellWeights says which version an engine has.
@@ -235,6 +251,20 @@
 	p.hurry()
 }
 
+// tellPlaced says where the shared parts of a long prompt are kept.
+func (p *peers) tellPlaced(t *placement.Ticket, saved bool) {
+	p.mu.Lock()
+	p.placed = append(p.placed, toldPlaced{
+		placed: &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved},
+		until:  p.now().Add(placedToldFor),
+	})
+	if len(p.placed) > maxPlaced {
+		p.placed = p.placed[len(p.placed)-maxPlaced:]
+	}
+	p.mu.Unlock()
+	p.hurry()
+}
+
 // send sends one digest to every instance.
 func (p *peers) send() {
 	raw, targets := p.digest()
@@ -273,6 +303,10 @@
 		}
 	}
 	p.weights = kept
+	p.placed = slices.DeleteFunc(p.placed, func(t toldPlaced) bool { return now.After(t.until) })
+	for _, t := range p.placed {
+		d.Placed = append(d.Placed, t.placed)
+	}
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.Prefill)), Memory: uint32(max(0, w.Memory)),
@@ -372,6 +406,9 @@
 	for _, w := range d.Weights {
 		p.placer.SawWeights(w.Upstream, w.Model, int(w.Version))
 	}
+	for _, placed := range d.Placed {
+		p.placer.sawPlaced(placed.Upstream, placed.Keys, placed.Saved)
+	}
 }
 
 // mergeWork sums the work of the instances that were heard lately.
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -16,7 +16,7 @@
 // placer makes a placement.Book safe for concurrent use.
 type placer struct {
 	now    func() time.Time
-	onLong func() // called when a prompt that keeps an engine busy was sent; may be nil
+	onLong func(t *placement.Ticket, saved bool) // called when a prompt that keeps an engine busy was sent, or saved to the store
 
 	mu   sync.Mutex
 	book *placement.Book
@@ -24,7 +24,7 @@
 }
 
 func newPlacer(book *placement.Book, now func() time.Time) *placer {
-	return &placer{now: now, book: book, view: fleet.NewView(nil)}
+	return &placer{now: now, book: book, view: fleet.NewView(nil), onLong: func(*placement.Ticket, bool) {}}
 }
 
 // Pick implements dispatch.Placer.
@@ -39,16 +39,19 @@
 	p.mu.Lock()
 	p.book.Begin(t, p.now())
 	p.mu.Unlock()
-	if t.Prefill() >= longPrefill && p.onLong != nil {
-		p.onLong()
+	if t.Prefill() >= longPrefill {
+		p.onLong(t, false)
 	}
 }
 
 // FirstToken implements dispatch.Placer.
 func (p *placer) FirstToken(t *placement.Ticket, saved bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.book.FirstToken(t, saved, p.now())
+	p.mu.Unlock()
+	if saved && t.Prefill() >= longPrefill {
+		p.onLong(t, true)
+	}
 }
 
 // Done implements dispatch.Placer.
@@ -99,6 +102,12 @@
 	p.book.SetWanted(model, version, p.now())
 }
 
+func (p *placer) sawPlaced(id string, keys []uint64, saved bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SawPlaced(id, keys, saved, p.now())
+}
+
 func (p *placer) setPeers(total map[string]placement.Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -133,6 +133,7 @@
 	for _, step := range r.plan.Next(now, r.lease.MaySend(r.since(now), r.checksFencing)) {
 		r.call(ctx, step, token)
 	}
+	r.tellLoading(now)
 	if !need && r.plan.Done() && now.Sub(r.plan.LastOrder()) > r.holdOff {
 		r.release(ctx, now)
 	}
@@ -220,10 +221,6 @@
 
 // call performs a step of the plan. The caller holds mu.
 func (r *rollouts) call(ctx context.Context, step rollout.Step, token uint64) {
-	if step.Order {
-		r.placer.SetBusy(step.Engine.ID, loadingSpan)
-		r.peers.tellLoading(step.Engine.ID, r.now().Add(loadingSpan))
-	}
 	plan := r.plan
 	r.calls++
 	go func() {
@@ -250,6 +247,15 @@
 	}()
 }
 
+// tellLoading keeps work away from engines that load or soon will, here and at
+// the other instances. The caller holds mu.
+func (r *rollouts) tellLoading(now time.Time) {
+	for _, id := range r.plan.Loading() {
+		r.placer.SetBusy(id, loadingSpan)
+		r.peers.tellLoading(id, now.Add(loadingSpan))
+	}
+}
+
 // tellWeights tells the others of engines that have loaded. The caller holds
 // mu.
 func (r *rollouts) tellWeights(list []rollout.Engine) {
@@ -281,8 +287,9 @@
 				continue
 			}
 			out = append(out, rollout.Engine{
-				ID: u.ID, Addr: u.Addr, Model: model, Domain: u.Domain,
-				Has: p.book.Weights(u, model), Wants: wants, Load: p.book.Load(u.ID).Requests,
+				ID: u.ID, Addr: u.Addr, Model: model,
+				Has: p.book.Weights(u, model), Wants: wants,
+				Load: p.book.Load(u.ID).Requests, Queued: p.book.Load(u.ID).Prefill,
 			})
 		}
 	}
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -46,14 +46,14 @@
 	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.belongs)
 	if err != nil {
 		conn.Close()
-		if g.fired.Load() {
+		if !g.stop() {
 			err = errNoAnswer
 		}
 		return x.resultOf(ctx, placement.Failed), err
 	}
 	a := x.h.dialect.DecodeAnswer(resp.StatusCode, resp.Header)
 	result, err := x.relay(ctx, t, g, resp, a)
-	if g.fired.Load() && err != nil {
+	if err != nil && !g.stop() {
 		err = errNoAnswer
 	}
 	x.release(t, conn, resp, a, stop(), err)
@@ -191,7 +191,7 @@
 	if err != nil {
 		return placement.Failed, err
 	}
-	g.stop()
+	g.stop() // the answer is whole, whether the connection was closed or not
 	whole := &answer{status: a.Status, header: resp.Header, body: body}
 	if a.Status >= http.StatusInternalServerError && x.edge.Route.Idempotent() {
 		x.failure = whole
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -262,10 +263,13 @@
 		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayRun, "error", err)
 }
 
-// guard closes a connection unless it is stopped in time, and tells so.
+// guard closes a connection unless it is stopped in time.
 type guard struct {
 	timer *time.Timer
-	fired atomic.Bool
+
+	mu      sync.Mutex
+	stopped bool
+	fired   bool
 }
 
 // newGuard returns a guard that acts after d if allowed agrees then; it never
@@ -276,17 +280,24 @@
 		return g
 	}
 	g.timer = time.AfterFunc(d, func() {
-		if !allowed() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.stopped || !allowed() {
 			return
 		}
-		g.fired.Store(true)
+		g.fired = true
 		c.Close()
 	})
 	return g
 }
 
-func (g *guard) stop() {
+// stop reports whether the guard has not acted and never will.
+func (g *guard) stop() bool {
 	if g.timer != nil {
 		g.timer.Stop()
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	return !g.fired
 }
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -44,7 +44,9 @@
 			return placement.Failed, err
 		}
 		if first {
-			g.stop()
+			if !g.stop() {
+				return placement.Failed, errNoAnswer // the rest will not come
+			}
 			first = false
 			x.firstEvent(t, resp)
 		}
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -74,6 +74,7 @@
 	holders *holders
 	wanted  map[string][]wanted // by model, in the order of versions
 	outlier retry.OutlierConfig
+	rate    float64 // prompt tokens that an engine computes in a millisecond
 }
 
 // wanted is a version that was named for a model.
@@ -89,8 +90,8 @@
 // Config holds the figures of placement.
 type Config struct {
 	Domain string // failure domain of this instance
-	// PrefillPerMS is the number of prompt tokens that an engine computes in a
-	// millisecond.
+	// PrefillPerMS is the number of prompt tokens that an engine is assumed to
+	// compute in a millisecond before any was seen to.
 	PrefillPerMS float64
 	// WeightsApply is how long after a version was named requests may still
 	// begin on an older one.
@@ -103,7 +104,7 @@
 // NewBook returns a book without upstreams.
 func NewBook(cfg Config, rng *rand.Rand) *Book {
 	return &Book{
-		cfg: cfg, rng: rng,
+		cfg: cfg, rng: rng, rate: cfg.PrefillPerMS,
 		view:    fleet.NewView(nil),
 		states:  map[string]*state{},
 		holders: newHolders(),
@@ -296,18 +297,30 @@
 	Stored int    // tokens that the store is expected to hold
 	Prefix uint64 // identifies the shared parts, the same for all versions of weights
 
+	alone   bool // nothing else was to be computed when it was sent
+	sent    time.Time
 	work    Work
 	prefill int // still counted
 	keys    []uint64
 	done    bool
 }
 
+// SharedKeys identify the prompt's shared parts as cached with the upstream's
+// weights.
+func (t *Ticket) SharedKeys() []uint64 {
+	if len(t.keys) == 0 {
+		return nil
+	}
+	return t.keys[:len(t.keys)-1]
+}
+
 // Prefill returns the prompt tokens that the upstream is expected to compute.
 func (t *Ticket) Prefill() int { return t.work.Prefill }
 
 // Begin counts an attempt before it is sent.
 func (b *Book) Begin(t *Ticket, now time.Time) {
 	s := b.state(t.Upstream)
+	t.sent, t.alone = now, s.own.Prefill+s.peers.Prefill == 0
 	s.own.add(t.work)
 	t.prefill = t.work.Prefill
 	b.holders.add(t.keys, t.Upstream.ID, now)
@@ -315,6 +328,7 @@
 
 // FirstToken records that the prompt was computed.
 func (b *Book) FirstToken(t *Ticket, saved bool, now time.Time) {
+	b.learnRate(t, now)
 	if s := b.states[t.Upstream.ID]; s != nil {
 		s.own.Prefill -= t.prefill
 	}
@@ -324,6 +338,38 @@
 	}
 }
 
+const (
+	// rateSample is the least number of computed tokens from which the rate is
+	// learned, so that other times hardly count.
+	rateSample = 4096
+	// rateWeight is the weight of a new observation.
+	rateWeight = 0.1
+	// leastRate and mostRate bound it, in tokens per millisecond.
+	leastRate, mostRate = 2, 2000
+)
+
+// learnRate observes how fast an engine computed a prompt that did not wait.
+func (b *Book) learnRate(t *Ticket, now time.Time) {
+	took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
+	if !t.alone || t.work.Prefill < rateSample || took <= 0 {
+		return
+	}
+	sample := min(max(float64(t.work.Prefill)/took, leastRate), mostRate)
+	b.rate += rateWeight * (sample - b.rate)
+}
+
+// SawPlaced records that another instance sent a prompt with these shared parts
+// to an upstream, and whether the store holds them.
+func (b *Book) SawPlaced(id string, keys []uint64, saved bool, now time.Time) {
+	if b.view.ByID(id) == nil {
+		return
+	}
+	b.holders.add(keys, id, now)
+	if saved {
+		b.holders.saved(keys, now)
+	}
+}
+
 // Done ends an attempt.
 func (b *Book) Done(t *Ticket, r Result, now time.Time) {
 	if t.done {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -32,7 +32,7 @@
 	// oldWeightsSoon and oldWeightsLate are costs of engines on older weights
 	// than wanted, before and after callers lose by it.
 	oldWeightsSoon  = 10 * time.Millisecond
-	oldWeightsLate  = 250 * time.Millisecond
+	oldWeightsLate  = 100 * time.Millisecond
 	oldWeightsGrace = 1200 * time.Millisecond
 	// weightsMargin is left between the expected begin of a request and the time
 	// from which none may begin on older weights.
@@ -251,7 +251,7 @@
 }
 
 func (b *Book) prefill(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / b.cfg.PrefillPerMS * float64(time.Millisecond))
+	return time.Duration(float64(tokens) / b.rate * float64(time.Millisecond))
 }
 
 // memoryCost grows once an engine's memory is nearly full, when requests are
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -21,7 +21,7 @@
 	Has    int // version of the weights
 	Wants  int // version named by the operator
 	Load   int // running requests; engines with few are loaded first
-	Domain string
+	Queued int // prompt tokens of requests that have not begun; an order would have them refused
 }
 
 // Report is an engine's own account of its state.
@@ -56,6 +56,11 @@
 	firstPoll = 300 * time.Millisecond
 	// lateAfter is how long an order without answer and effect is waited for.
 	lateAfter = 500 * time.Millisecond
+	// clearSpan is how long an engine that gets no new work is given until the
+	// requests that wait there have begun.
+	clearSpan = 500 * time.Millisecond
+	// clearLeast covers requests that were sent before the others knew.
+	clearLeast = 40 * time.Millisecond
 	// retryAfter is between attempts at an engine that fails or rejects.
 	retryAfter = 700 * time.Millisecond
 	// loadTimeout ends the wait for an accepted order.
@@ -75,6 +80,7 @@
 	busy      bool // a call is under way
 	known     bool // orders is known
 	orders    int
+	reserved  time.Time // when work was first kept away for the next order; zero: not
 	ordered   int       // version of the order whose effect is awaited, 0: none
 	orderedAt time.Time // when it was given
 	accepted  bool      // the engine answered that it carries the order out
@@ -113,24 +119,43 @@
 	var steps []Step
 	loads := 0
 	for _, e := range p.engines {
-		if e.ordered > 0 {
+		if e.ordered > 0 || !e.reserved.IsZero() {
 			loads++
 		}
 	}
 	free := MaxLoads(len(p.engines)) - loads
 	for _, e := range p.sorted() {
-		step, ok := p.step(now, e, mayOrder, free > 0)
+		step, ok := p.step(now, e, mayOrder)
 		if !ok {
 			continue
 		}
-		if step.Order {
+		steps = append(steps, step)
+	}
+	for _, e := range p.sorted() {
+		if free <= 0 || !mayOrder {
+			break
+		}
+		if p.reservable(now, e) {
+			e.reserved = now
 			free--
 		}
-		steps = append(steps, step)
 	}
 	return steps
 }
 
+// reservable reports whether an engine may be kept free of new work for its
+// order.
+func (p *Plan) reservable(now time.Time, e *engine) bool {
+	return e.known && !e.busy && e.ordered == 0 && e.reserved.IsZero() && e.Has < e.Wants && !now.Before(e.retryAt)
+}
+
+// clear reports whether the requests that wait at a reserved engine have begun
+// or had the time to.
+func (e *engine) clear(now time.Time) bool {
+	waited := now.Sub(e.reserved)
+	return !e.reserved.IsZero() && waited >= clearLeast && (e.Queued == 0 || waited >= clearSpan)
+}
+
 // sorted lists engines with the oldest weights and the least work first.
 func (p *Plan) sorted() []*engine {
 	out := make([]*engine, 0, len(p.engines))
@@ -150,7 +175,7 @@
 	return out
 }
 
-func (p *Plan) step(now time.Time, e *engine, mayOrder, mayLoad bool) (Step, bool) {
+func (p *Plan) step(now time.Time, e *engine, mayOrder bool) (Step, bool) {
 	switch {
 	case e.busy || now.Before(e.retryAt):
 		return Step{}, false
@@ -160,13 +185,17 @@
 		}
 		e.busy = true
 		return Step{Engine: e.Engine}, true
-	case e.Has >= e.Wants || !mayOrder || !mayLoad:
+	case e.Has >= e.Wants || !mayOrder:
+		e.reserved = time.Time{}
 		return Step{}, false
 	case !e.known:
 		e.busy = true
 		return Step{Engine: e.Engine}, true
+	case !e.clear(now):
+		return Step{}, false
 	}
 	e.busy = true
+	e.reserved = time.Time{}
 	e.ordered, e.orderedAt, e.accepted = e.Wants, now, false
 	e.readAt = now.Add(firstPoll)
 	p.last = now
@@ -183,7 +212,7 @@
 	if err != nil {
 		// It may have crashed: an order is no longer awaited, so that others
 		// can load, and the state is read again before the next one.
-		e.ordered, e.known = 0, false
+		e.ordered, e.known, e.reserved = 0, false, time.Time{}
 		e.retryAt = now.Add(retryAfter)
 		return
 	}
@@ -237,11 +266,12 @@
 	return true
 }
 
-// Loading returns the engines that load or were ordered to.
+// Loading returns the engines that load, were ordered to or soon will be. They
+// get no new work.
 func (p *Plan) Loading() []string {
 	var out []string
 	for id, e := range p.engines {
-		if e.ordered > 0 {
+		if e.ordered > 0 || !e.reserved.IsZero() {
 			out = append(out, id)
 		}
 	}
