Relay state within failure domains and bound the traffic of digests

Change: two relays per failure domain follow the store; the others take changes from them and follow by themselves when no relay is heard. News between regular digests leave out what has not changed and are spaced by the size of the fleet.

--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return errors.Wrap(err, "cannot listen for other instances")
 	}
-	self := &rpc.Address{Name: i.options.Name, Digests: i.options.PeerAddr.String()}
+	self := &rpc.Address{Name: i.options.Name, Domain: i.options.Domain, Digests: i.options.PeerAddr.String()}
 	if i.options.Control.IsValid() {
 		self.Control = i.options.Control.String()
 	}
@@ -182,6 +182,7 @@
 
 // ConfigChanged implements state.Sink.
 func (i *Instance) ConfigChanged(s *routing.Snapshot) {
+	defer i.peers.tellState()
 	i.limiter.configure(s)
 	for _, c := range s.Customers() {
 		i.parts.Log.Debug("customer limit", "config", s.Version, "customer", c.Name, "rate", c.Rate, "burst", c.Burst)
@@ -191,11 +192,15 @@
 }
 
 // WeightsNamed implements state.Sink.
-func (i *Instance) WeightsNamed(w state.Weights) { i.placer.setWanted(w.Model, w.Version) }
+func (i *Instance) WeightsNamed(w state.Weights) {
+	i.placer.setWanted(w.Model, w.Version)
+	i.peers.tellState()
+}
 
 // UpstreamsChanged implements state.Sink.
 func (i *Instance) UpstreamsChanged(v *fleet.View) {
 	i.placer.setView(v)
+	i.peers.tellState()
 	i.parts.Log.Info("upstreams changed", "count", v.Len())
 }
 
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -8,12 +8,15 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
@@ -25,8 +28,11 @@
 	// datagrams a second stays bounded.
 	digestInterval = 200 * time.Millisecond
 	digestPerPeer  = 10 * time.Millisecond
-	// hurryPause collects what happens at the same time into one digest.
-	hurryPause = 4 * time.Millisecond
+	// newsPause and newsPerPeer are the least time between two digests that are
+	// sent between the regular ones: they collect what happens at the same time,
+	// and keep the traffic of large fleets within small links.
+	newsPause   = 4 * time.Millisecond
+	newsPerPeer = time.Millisecond
 	// workMaxAge is how long the work in a digest counts, in digest intervals.
 	workMaxAge = 5
 	// maxDigest bounds a datagram; larger ones would be split on the way.
@@ -38,8 +44,11 @@
 	stoppedAfter = time.Second
 	// stateTimeout bounds a request for the state of another instance.
 	stateTimeout = 700 * time.Millisecond
-	// stateInterval is between such requests while the store is away.
+	// stateInterval is between looks at who follows the store.
 	stateInterval = 300 * time.Millisecond
+	// relaySilence is how long a relay may be unheard before others follow the
+	// store in its place; a configuration must be in force within seconds.
+	relaySilence = 1800 * time.Millisecond
 	// placedToldFor is how long placements are repeated, so that a lost datagram
 	// does no harm.
 	placedToldFor = 500 * time.Millisecond
@@ -84,6 +93,8 @@
 	log         hclog.Logger
 	now         func() time.Time
 	wake        chan struct{} // sends a digest at once
+	news        chan struct{} // another instance knows more
+	relay       atomic.Bool   // this instance follows the store, for others too
 
 	mu       sync.Mutex
 	known    map[string]*peer
@@ -95,13 +106,15 @@
 	loadSeen time.Time            // when it last said that engines load
 	weights  []toldWeights
 	placed   []toldPlaced
+
+	sentWork map[string]placement.Work // as last told; only used by the goroutine that sends
 }
 
 func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
 		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f,
-		log: log, now: now, wake: make(chan struct{}, 1),
-		known: map[string]*peer{}, loads: map[string]time.Time{},
+		log: log, now: now, wake: make(chan struct{}, 1), news: make(chan struct{}, 1),
+		known: map[string]*peer{}, loads: map[string]time.Time{}, sentWork: map[string]placement.Work{},
 	}
 }
 
@@ -109,7 +122,7 @@
 func (p *peers) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { p.receive(ctx) })
-	wg.Go(func() { p.fallback(ctx) })
+	wg.Go(func() { p.followState(ctx) })
 	timer := time.NewTimer(p.interval())
 	defer timer.Stop()
 	for {
@@ -119,12 +132,13 @@
 			wg.Wait()
 			return
 		case <-timer.C:
+			p.send(false)
+			timer.Reset(p.interval())
 		case <-p.wake:
-			sleep(ctx, hurryPause)
+			sleep(ctx, max(newsPause, newsPerPeer*time.Duration(p.count())))
+			p.send(true)
 		}
-		p.send()
 		p.mergeWork()
-		timer.Reset(p.interval())
 	}
 }
 
@@ -223,7 +237,7 @@
 	return p.loadSeen
 }
 
-// hurry sends a digest at once.
+// hurry sends what is new without waiting for the next regular digest.
 func (p *peers) hurry() {
 	select {
 	case p.wake <- struct{}{}:
@@ -231,6 +245,13 @@
 	}
 }
 
+// tellState says that this instance knows more, if others rely on it.
+func (p *peers) tellState() {
+	if p.relay.Load() {
+		p.hurry()
+	}
+}
+
 // tellLoading says that an engine takes no work for a while, or does again.
 func (p *peers) tellLoading(id string, until time.Time) {
 	p.mu.Lock()
@@ -266,24 +287,34 @@
 }
 
 // send sends one digest to every instance.
-func (p *peers) send() {
-	raw, targets := p.digest()
+func (p *peers) send(partial bool) {
+	raw, targets := p.digest(partial)
 	for _, target := range targets {
 		// A lost digest is made up for by the next one.
 		_, _ = p.conn.WriteToUDPAddrPort(raw, target)
 	}
 }
 
-func (p *peers) digest() ([]byte, []netip.AddrPort) {
+func (p *peers) digest(partial bool) ([]byte, []netip.AddrPort) {
 	work := p.placer.own()
-	spent := p.limiter.spent()
-	version := p.follower.Version()
+	var spent map[string]float64
+	if partial {
+		work = p.changedWork(work)
+	} else {
+		spent = p.limiter.spent()
+		p.sentWork = work
+	}
+	versions := p.follower.Versions()
+	follows := p.follower.Follows()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
 	now := p.now()
 	d := &rpc.Digest{
-		Sender: p.self, Incarnation: p.incarnation, Sequence: p.sequence, Leaving: p.leaving, StoreVersion: version,
+		Sender: p.self, Incarnation: p.incarnation, Sequence: p.sequence, Leaving: p.leaving, Follows: follows, Partial: partial,
+	}
+	for name, version := range versions {
+		d.Tables = append(d.Tables, &rpc.Table{Name: name, Version: version})
 	}
 	for customer, tokens := range spent {
 		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens})
@@ -315,6 +346,19 @@
 	return p.encode(d), p.targets(now)
 }
 
+// changedWork returns the work that differs from what the last digest said, and
+// remembers it as said.
+func (p *peers) changedWork(work map[string]placement.Work) map[string]placement.Work {
+	changed := map[string]placement.Work{}
+	for id, w := range work {
+		if p.sentWork[id] != w {
+			changed[id] = w
+			p.sentWork[id] = w
+		}
+	}
+	return changed
+}
+
 // encode drops work entries until the digest fits into a datagram.
 func (p *peers) encode(d *rpc.Digest) []byte {
 	for {
@@ -385,6 +429,9 @@
 	}
 	now := p.now()
 	fresh := other.heard.IsZero()
+	if d.Partial && last != nil && last.Incarnation == d.Incarnation {
+		d.Work = mergedWork(last.Work, d.Work)
+	}
 	other.heard, other.digest = now, d
 	name := d.Sender.Name
 	if d.Leaving {
@@ -395,11 +442,9 @@
 	if fresh {
 		p.hurry() // the sender may not know this instance yet
 	}
-	totals := make(map[string]float64, len(d.Spent))
-	for _, s := range d.Spent {
-		totals[s.Customer] = s.Tokens
+	if !d.Partial {
+		p.limiter.heard(name, d.Incarnation, spentTotals(d))
 	}
-	p.limiter.heard(name, d.Incarnation, totals)
 	for _, l := range d.Loads {
 		p.placer.SetBusy(l.Upstream, time.Duration(l.Ms)*time.Millisecond)
 	}
@@ -409,6 +454,31 @@
 	for _, placed := range d.Placed {
 		p.placer.sawPlaced(placed.Upstream, placed.Keys, placed.Saved)
 	}
+	if !p.follower.Follows() && knowsMore(d, p.follower.Versions()) {
+		select {
+		case p.news <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func spentTotals(d *rpc.Digest) map[string]float64 {
+	totals := make(map[string]float64, len(d.Spent))
+	for _, s := range d.Spent {
+		totals[s.Customer] = s.Tokens
+	}
+	return totals
+}
+
+// mergedWork returns work with changes applied.
+func mergedWork(work, changes []*rpc.Work) []*rpc.Work {
+	out := changes
+	for _, w := range work {
+		if !slices.ContainsFunc(changes, func(c *rpc.Work) bool { return c.Upstream == w.Upstream }) {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // mergeWork sums the work of the instances that were heard lately.
@@ -433,9 +503,9 @@
 	p.placer.setPeers(total)
 }
 
-// fallback takes state from other instances while the store cannot be
-// followed.
-func (p *peers) fallback(ctx context.Context) {
+// followState decides whether this instance follows the store itself, and takes
+// what it lacks from instances that do.
+func (p *peers) followState(ctx context.Context) {
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
@@ -443,8 +513,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-p.news:
 		}
-		if p.follower.Healthy() {
+		relayed := p.relayed()
+		p.relay.Store(!relayed)
+		p.follower.SetIdle(relayed)
+		if p.follower.Follows() {
 			continue
 		}
 		if addr := p.source(turn); addr != "" {
@@ -453,19 +527,52 @@
 	}
 }
 
+// relayed reports whether relays follow the store for this instance: it is not
+// one of the relays of its failure domain, and one of them was heard lately.
+func (p *peers) relayed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	members := config.Membership{Members: []config.Member{{ID: p.self.Name, Domain: p.self.Domain}}}
+	for name, other := range p.known {
+		if now.Sub(other.heard) < relaySilence {
+			members.Members = append(members.Members, config.Member{ID: name, Domain: other.addr.Domain, Leaving: other.digest.GetLeaving()})
+		}
+	}
+	heard := false
+	for _, relay := range member.Relays(members, p.self.Domain) {
+		if relay.ID == p.self.Name {
+			return false
+		}
+		heard = heard || p.known[relay.ID].digest.GetFollows()
+	}
+	return heard
+}
+
 // source returns the address of an instance that knows more, or of a seed if
-// this instance knows nothing and nobody.
+// this instance knows nothing and nobody. Instances that follow the store and
+// those of the same failure domain come first.
 func (p *peers) source(turn int) string {
-	version := p.follower.Version()
+	versions := p.follower.Versions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, most := "", version
+	best, rank := "", 0
 	for _, other := range p.known {
-		if other.digest != nil && other.control != "" && other.digest.StoreVersion > most {
-			best, most = other.control, other.digest.StoreVersion
+		if other.control == "" || !knowsMore(other.digest, versions) || p.now().Sub(other.heard) > relaySilence {
+			continue
+		}
+		r := 1
+		if other.digest.Follows {
+			r += 2
+		}
+		if other.addr.Domain == p.self.Domain {
+			r++
+		}
+		if r > rank {
+			best, rank = other.control, r
 		}
 	}
-	if best != "" || version > 0 || len(p.seeds) == 0 {
+	if best != "" || knowsAny(versions) || len(p.seeds) == 0 {
 		return best
 	}
 	seed := p.seeds[turn%len(p.seeds)]
@@ -475,36 +582,71 @@
 	return seed
 }
 
+func knowsMore(d *rpc.Digest, versions map[string]uint64) bool {
+	for _, t := range d.GetTables() {
+		if t.Version > versions[t.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+func knowsAny(versions map[string]uint64) bool {
+	for _, version := range versions {
+		if version > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *peers) fetchState(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{})
+	req := &rpc.StateRequest{}
+	for name, version := range p.follower.Versions() {
+		req.Held = append(req.Held, &rpc.Table{Name: name, Version: version})
+	}
+	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, req)
 	if err != nil {
 		p.log.Info("instance gives no state", "addr", addr, "error", err)
 		return
 	}
-	rows := make([]state.Row, 0, len(resp.Rows))
-	for _, r := range resp.Rows {
-		rows = append(rows, state.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version})
+	changes := make([]state.Table, 0, len(resp.Tables))
+	for _, t := range resp.Tables {
+		change := state.Table{Name: t.Name, Version: t.Version, Whole: t.Whole}
+		for _, r := range t.Rows {
+			change.Rows = append(change.Rows, state.Row{Table: t.Name, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+		changes = append(changes, change)
+		p.log.Info("state taken from an instance", "addr", addr, "table", t.Name, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
 	}
-	p.log.Info("state taken from an instance", "addr", addr, "version", resp.StoreVersion, "held", p.follower.Version(), "rows", len(rows))
-	p.follower.Adopt(resp.StoreVersion, rows)
+	p.follower.Adopt(changes)
 	for _, instance := range resp.Instances {
 		p.addListed(instance)
 	}
 }
 
 // State implements rpc.Edge.
-func (p *peers) State(context.Context, *rpc.StateRequest) (*rpc.StateResponse, error) {
-	version, rows := p.follower.Rows()
-	out := &rpc.StateResponse{StoreVersion: version, Instances: []*rpc.Address{p.self}}
-	for _, r := range rows {
-		out.Rows = append(out.Rows, &rpc.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version})
+func (p *peers) State(_ context.Context, req *rpc.StateRequest) (*rpc.StateResponse, error) {
+	held := map[string]uint64{}
+	for _, t := range req.Held {
+		held[t.Name] = t.Version
+	}
+	out := &rpc.StateResponse{Instances: []*rpc.Address{p.self}}
+	for _, change := range p.follower.Changes(held) {
+		t := &rpc.Table{Name: change.Name, Version: change.Version, Whole: change.Whole}
+		for _, r := range change.Rows {
+			t.Rows = append(t.Rows, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		}
+		out.Tables = append(out.Tables, t)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, other := range p.known {
-		out.Instances = append(out.Instances, other.addr)
+	if !knowsAny(held) {
+		for _, other := range p.known {
+			out.Instances = append(out.Instances, other.addr)
+		}
 	}
 	return out, nil
 }
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -41,7 +41,7 @@
 		conn.Close()
 		return x.resultOf(ctx, placement.Failed), err
 	}
-	g := newGuard(x.patience(), conn, x.payRetry)
+	g := x.guard(t, conn)
 	defer g.stop()
 	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.belongs)
 	if err != nil {
@@ -148,6 +148,21 @@
 	return customer.Priority*routeRanks + rank
 }
 
+// guard watches the first bytes of the answer: they come within the patience if
+// another upstream can be tried, and before the engine's weights may no longer
+// be used.
+func (x *exchange) guard(t *placement.Ticket, conn *httpconn.Conn) *guard {
+	patience := x.patience()
+	if t.BeginBy.IsZero() {
+		return newGuard(patience, conn, x.payRetry)
+	}
+	left := max(t.BeginBy.Sub(x.h.now()), time.Nanosecond)
+	if patience > 0 && patience < left {
+		return newGuard(patience, conn, x.payRetry)
+	}
+	return newGuard(left, conn, func() bool { return true })
+}
+
 // patience is how long the first bytes of the answer are waited for before
 // another upstream is tried; 0 if there is no other try.
 func (x *exchange) patience() time.Duration {
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -288,10 +288,11 @@
 // Ticket is one attempt at an upstream, from Pick to Done.
 type Ticket struct {
 	Upstream  *fleet.Upstream
-	Weights   int    // version that the upstream must have; 0: any
-	Scope     string // of KV cache
-	FetchFrom string // IP:port of a store or engine that may hold more of the prompt
-	Save      bool   // the store does not hold the prompt's parts yet
+	Weights   int       // version that the upstream must have; 0: any
+	Scope     string    // of KV cache
+	FetchFrom string    // IP:port of a store or engine that may hold more of the prompt
+	Save      bool      // the store does not hold the prompt's parts yet
+	BeginBy   time.Time // when the request must have begun, for its weights are replaced; zero: no bound
 
 	Held   int    // tokens of the prompt that the upstream is expected to keep
 	Stored int    // tokens that the store is expected to hold
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -36,7 +36,10 @@
 	oldWeightsGrace = 1200 * time.Millisecond
 	// weightsMargin is left between the expected begin of a request and the time
 	// from which none may begin on older weights.
-	weightsMargin = 600 * time.Millisecond
+	weightsMargin = 800 * time.Millisecond
+	// beginMargin covers the time from the naming of weights to this instance's
+	// knowledge of it, and the way to the upstream.
+	beginMargin = 200 * time.Millisecond
 	// waitSpread times the expected wait covers most of the actual ones.
 	waitSpread = 2
 	// sharedMinimum is the number of shared tokens from which a prompt has an
@@ -178,6 +181,9 @@
 		return nil, 0, b.none(now, q)
 	}
 	best.Scope = cacheScope(q.Isolated, best.Weights)
+	if next, ok := b.nextWanted(q.Model, best.Weights); ok {
+		best.BeginBy = next.since.Add(b.cfg.WeightsApply - beginMargin)
+	}
 	if p.sharedParts > 0 {
 		best.Prefix = p.keysFor(0)[p.sharedParts-1]
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -80,29 +81,50 @@
 	now     func() time.Time
 
 	mu      sync.Mutex
-	rows    map[string]map[string]Row // by table and key, deleted ones included
-	version uint64                    // highest row version seen
+	tables  map[string]*table
+	idle    bool          // other instances follow the store for this one
+	resumed chan struct{} // closed when idle changes
 	config  *routing.Snapshot
 	list    *fleet.List
 	refused map[string]uint64 // version of rows that could not be decoded, by table and key
-	health  map[string]bool   // by table: the store answers
 	lost    time.Time         // since when a table cannot be followed
 }
 
+// table is what is held of one table.
+type table struct {
+	rows    map[string]Row // by key, deleted ones included
+	version uint64         // of the store, up to which the rows are known
+	whole   uint64         // version of the last whole read: earlier deletions are not known
+	healthy bool           // the store answers
+}
+
+// Table is a table, or what has changed in it, as instances tell each other.
+type Table struct {
+	Name    string
+	Version uint64 // of the store, up to which the rows are known
+	Whole   bool   // rows that are not listed do not exist
+	Rows    []Row  // ordered by version
+}
+
 // New returns a follower; Run starts it.
 func New(store Store, decoder Decoder, sink Sink, log hclog.Logger, now func() time.Time) *Follower {
 	operator, upstreams := decoder.Tables()
 	return &Follower{
 		store: store, decoder: decoder, sink: sink, log: log, now: now,
-		rows:    map[string]map[string]Row{operator: {}, upstreams: {}},
+		tables:  map[string]*table{operator: newTable(), upstreams: newTable()},
+		resumed: make(chan struct{}),
 		list:    fleet.NewList(),
 		refused: map[string]uint64{},
-		health:  map[string]bool{operator: false, upstreams: false},
 		lost:    now(),
 	}
 }
 
+func newTable() *table { return &table{rows: map[string]Row{}} }
+
 const (
+	// feedPause collects changes of a table that come shortly after each other
+	// into one call.
+	feedPause = 120 * time.Millisecond
 	// feedWait is how long the store holds a call without changes. A silent
 	// connection shows after it.
 	feedWait = 2500 * time.Millisecond
@@ -117,50 +139,98 @@
 func (f *Follower) Run(ctx context.Context) {
 	operator, upstreams := f.decoder.Tables()
 	var wg sync.WaitGroup
-	for _, table := range []string{operator, upstreams} {
-		wg.Go(func() { f.follow(ctx, table) })
+	for _, name := range []string{operator, upstreams} {
+		wg.Go(func() { f.follow(ctx, name) })
 	}
 	wg.Go(func() { f.expire(ctx) })
 	wg.Wait()
 }
 
-func (f *Follower) follow(ctx context.Context, table string) {
+func (f *Follower) follow(ctx context.Context, name string) {
 	wait := retryFirst
 	known := false
-	var version uint64
 	for ctx.Err() == nil {
-		page, err := f.next(ctx, table, known, version)
-		if ctx.Err() != nil {
+		turn, done := f.turn(ctx)
+		if turn == nil {
 			return
 		}
-		if errors.Is(err, ErrHistoryLost) {
-			f.log.Warn("history of the store is lost, reading the table anew", "table", table, "after", version)
+		page, err := f.next(turn, name, known)
+		idled := turn.Err() != nil
+		done()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case idled:
+			continue // another instance follows from now on
+		case errors.Is(err, ErrHistoryLost):
+			f.log.Warn("history of the store is lost, reading the table anew", "table", name)
 			known = false
 			continue
-		}
-		if err != nil {
-			f.failed(table, err)
+		case err != nil:
+			f.failed(name, err)
 			sleep(ctx, wait)
 			wait = min(2*wait, retryMost)
 			continue
 		}
 		wait = retryFirst
-		f.answered(table)
-		if known {
-			f.apply(page.Rows)
-		} else {
-			f.replace(table, page.Rows, page.Version)
+		f.answered(name)
+		f.take(Table{Name: name, Version: page.Version, Whole: !known, Rows: page.Rows})
+		if known && len(page.Rows) > 0 {
+			sleep(ctx, feedPause)
 		}
 		known = true
-		version = max(version, page.Version)
 	}
 }
 
-func (f *Follower) next(ctx context.Context, table string, known bool, version uint64) (Page, error) {
+// turn waits until this instance is to follow the store. The returned context
+// ends when it no longer is.
+func (f *Follower) turn(ctx context.Context) (context.Context, context.CancelFunc) {
+	for {
+		f.mu.Lock()
+		idle, changed := f.idle, f.resumed
+		f.mu.Unlock()
+		if !idle {
+			turn, cancel := context.WithCancel(ctx)
+			go func() {
+				select {
+				case <-changed:
+					cancel()
+				case <-turn.Done():
+				}
+			}()
+			return turn, cancel
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil
+		case <-changed:
+		}
+	}
+}
+
+// SetIdle says whether other instances follow the store for this one. An
+// instance that holds nothing yet reads the store in any case.
+func (f *Follower) SetIdle(idle bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	idle = idle && f.config != nil
+	if idle == f.idle {
+		return
+	}
+	f.idle = idle
+	close(f.resumed)
+	f.resumed = make(chan struct{})
+	f.log.Info("following the store", "self", !idle)
+}
+
+func (f *Follower) next(ctx context.Context, name string, known bool) (Page, error) {
 	if !known {
-		return f.store.Rows(ctx, table)
+		return f.store.Rows(ctx, name)
 	}
-	return f.store.Feed(ctx, table, version, feedWait)
+	f.mu.Lock()
+	version := f.tables[name].version
+	f.mu.Unlock()
+	return f.store.Feed(ctx, name, version, feedWait)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -189,130 +259,107 @@
 	}
 }
 
-func (f *Follower) failed(table string, err error) {
+func (f *Follower) failed(name string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.health[table] {
-		f.log.Warn("store lost", "table", table, "error", err)
+	t := f.tables[name]
+	if t.healthy {
+		f.log.Warn("store lost", "table", name, "error", err)
 		f.lost = f.now()
 	}
-	f.health[table] = false
+	t.healthy = false
 	f.list.StoreAway()
 }
 
-func (f *Follower) answered(table string) {
+func (f *Follower) answered(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.health[table] {
-		f.log.Info("store reached", "table", table, "after", f.now().Sub(f.lost).String())
+	t := f.tables[name]
+	if !t.healthy {
+		f.log.Info("store reached", "table", name, "after", f.now().Sub(f.lost).String())
 	}
-	f.health[table] = true
-	if _, upstreams := f.decoder.Tables(); table == upstreams {
+	t.healthy = true
+	if _, upstreams := f.decoder.Tables(); name == upstreams {
 		f.list.StoreBack(f.now())
 	}
 }
 
-// Healthy reports whether all tables are followed.
-func (f *Follower) Healthy() bool {
+// Follows reports whether this instance follows the store and reaches it.
+func (f *Follower) Follows() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, healthy := range f.health {
-		if !healthy {
-			return false
-		}
+	healthy := !f.idle
+	for _, t := range f.tables {
+		healthy = healthy && t.healthy
 	}
-	return true
+	return healthy
 }
 
-// Version returns the highest row version seen.
-func (f *Follower) Version() uint64 {
+// Versions returns up to which version of the store each table is known.
+func (f *Follower) Versions() map[string]uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.version
+	out := make(map[string]uint64, len(f.tables))
+	for name, t := range f.tables {
+		out[name] = t.version
+	}
+	return out
 }
 
-// Rows returns all rows that exist, for another instance.
-func (f *Follower) Rows() (version uint64, rows []Row) {
+// Changes returns what another instance lacks that knows the tables up to the
+// given versions.
+func (f *Follower) Changes(held map[string]uint64) []Table {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, table := range f.rows {
-		for _, row := range table {
-			if !row.Deleted {
-				rows = append(rows, row)
+	var out []Table
+	for name, t := range f.tables {
+		after := held[name]
+		if t.version <= after {
+			continue
+		}
+		change := Table{Name: name, Version: t.version, Whole: after < t.whole}
+		for _, row := range t.rows {
+			if row.Version > after || (change.Whole && !row.Deleted) {
+				change.Rows = append(change.Rows, row)
 			}
 		}
+		sort.Slice(change.Rows, func(i, j int) bool { return change.Rows[i].Version < change.Rows[j].Version })
+		out = append(out, change)
 	}
-	return f.version, rows
+	return out
 }
 
-// Adopt takes the rows of another instance that has seen the given version.
-// Rows that it lacks and that are older than the version were deleted.
-func (f *Follower) Adopt(version uint64, rows []Row) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if version <= f.version {
-		return
+// Adopt takes the changes that another instance told.
+func (f *Follower) Adopt(changes []Table) {
+	for _, change := range changes {
+		f.take(change)
 	}
-	listed := map[[2]string]bool{}
-	for _, row := range rows {
-		listed[[2]string{row.Table, row.Key}] = true
-	}
-	f.applyLocked(rows)
-	f.applyLocked(f.deletions("", listed, version))
-	f.version = max(f.version, version)
 }
 
-// apply takes changes in the order of the feed.
-func (f *Follower) apply(rows []Row) {
+// take applies a table or its changes. Rows older than those held are ignored.
+func (f *Follower) take(change Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyLocked(rows)
-}
-
-// replace takes a whole table as read at a version.
-func (f *Follower) replace(table string, rows []Row, version uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	listed := map[[2]string]bool{}
-	for i := range rows {
-		rows[i].Table = table
-		listed[[2]string{table, rows[i].Key}] = true
+	t := f.tables[change.Name]
+	if t == nil {
+		return
 	}
-	f.applyLocked(rows)
-	f.applyLocked(f.deletions(table, listed, version))
-}
-
-// deletions returns deletions of rows of a table, or of all, that are held and
-// not listed. The caller holds mu.
-func (f *Follower) deletions(table string, listed map[[2]string]bool, version uint64) []Row {
-	var out []Row
-	for name, held := range f.rows {
-		if table != "" && name != table {
-			continue
-		}
-		for key, row := range held {
-			if !row.Deleted && !listed[[2]string{name, key}] && row.Version <= version {
-				out = append(out, Row{Table: name, Key: key, Version: max(version, row.Version), Deleted: true})
-			}
+	rows := change.Rows
+	if change.Whole {
+		rows = append(rows, t.missing(change)...)
+		if change.Version >= t.version {
+			t.whole = change.Version
 		}
 	}
-	return out
-}
-
-// applyLocked takes rows that are newer than those held.
-func (f *Follower) applyLocked(rows []Row) {
 	_, upstreams := f.decoder.Tables()
 	changed := false
 	for _, row := range rows {
-		table := f.rows[row.Table]
-		if table == nil {
-			continue
-		}
-		held, ok := table[row.Key]
+		row.Table = change.Name
+		held, ok := t.rows[row.Key]
 		if ok && (row.Version < held.Version || (row.Version == held.Version && row.Deleted == held.Deleted)) {
 			continue
 		}
-		if row.Table == upstreams {
+		if change.Name == upstreams {
 			changed = f.upstream(row) || changed
 		} else {
 			f.operator(row)
@@ -320,14 +367,30 @@
 		if row.Deleted {
 			row.Value = nil
 		}
-		table[row.Key] = row
-		f.version = max(f.version, row.Version)
+		t.rows[row.Key] = row
+		t.version = max(t.version, row.Version)
 	}
+	t.version = max(t.version, change.Version)
 	if changed {
 		f.sink.UpstreamsChanged(f.list.View())
 	}
 }
 
+// missing returns deletions of the held rows that a whole table does not list.
+func (t *table) missing(whole Table) []Row {
+	listed := make(map[string]bool, len(whole.Rows))
+	for _, row := range whole.Rows {
+		listed[row.Key] = true
+	}
+	var out []Row
+	for key, row := range t.rows {
+		if !row.Deleted && !listed[key] && row.Version <= whole.Version {
+			out = append(out, Row{Key: key, Version: whole.Version, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (f *Follower) upstream(row Row) (changed bool) {
 	if row.Deleted {
 		return f.list.Remove(row.Key, f.now())
