--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -49,13 +49,13 @@
 	// relaySilence is how long a relay may be unheard before others follow the
 	// store in its place; a configuration must be in force within seconds.
 	relaySilence = 1800 * time.Millisecond
-	// placedToldFor is how long placements are repeated, so that a lost datagram
-	// does no harm.
-	placedToldFor = 500 * time.Millisecond
-	// maxPlaced bounds the placements in one digest; each takes about 30 bytes.
-	maxPlaced = 16
-	// weightsToldFor is how long learned versions are repeated in digests.
-	weightsToldFor = 3 * time.Second
+	// maxNews bounds the pieces of news of one kind in a digest; each takes up to
+	// 35 bytes.
+	maxNews = 12
+	// loadingTold is for how long others are told to keep work from an engine
+	// that loads, and loadingRenew is left of it when they are told again.
+	loadingTold  = 1500 * time.Millisecond
+	loadingRenew = 300 * time.Millisecond
 )
 
 // peer is another instance.
@@ -68,17 +68,39 @@
 	digest  *rpc.Digest // last one
 }
 
-// toldWeights is a version of weights to be repeated in digests.
-type toldWeights struct {
-	upstream, model string
-	version         int
-	until           time.Time
+// repeats is the number of digests that a piece of news is in, so that one lost
+// datagram does no harm. Later, the platform's list says the same.
+const repeats = 2
+
+// news is what the next digests say besides totals and states.
+type news struct {
+	loads   []told[*rpc.Load]
+	weights []told[*rpc.Weights]
+	placed  []told[*rpc.Placed]
 }
 
-// toldPlaced is a placement to be repeated in digests.
-type toldPlaced struct {
-	placed *rpc.Placed
-	until  time.Time
+// told is a piece of news and the number of digests that it still goes into.
+type told[T any] struct {
+	what T
+	left int
+}
+
+// next returns the pieces for one digest and drops those that were told often
+// enough.
+func next[T any](list *[]told[T]) []T {
+	out := make([]T, 0, min(len(*list), maxNews))
+	kept := (*list)[:0]
+	for _, t := range *list {
+		if len(out) < maxNews {
+			out = append(out, t.what)
+			t.left--
+		}
+		if t.left > 0 {
+			kept = append(kept, t)
+		}
+	}
+	*list = kept
+	return out
 }
 
 // peers exchanges digests with the other instances.
@@ -93,7 +115,7 @@
 	log         hclog.Logger
 	now         func() time.Time
 	wake        chan struct{} // sends a digest at once
-	news        chan struct{} // another instance knows more
+	more        chan struct{} // another instance knows more
 	relay       atomic.Bool   // this instance follows the store, for others too
 
 	mu       sync.Mutex
@@ -101,11 +123,10 @@
 	seeds    []string
 	sequence uint64
 	leaving  bool
-	loads    map[string]time.Time // engines that load, until when they are expected to
-	leader   string               // the instance that last gave orders
-	loadSeen time.Time            // when it last said that engines load
-	weights  []toldWeights
-	placed   []toldPlaced
+	loads    map[string]time.Time // engines that load, until when that was told
+	news     news
+	leader   string    // the instance that last gave orders
+	loadSeen time.Time // when it last said that engines load
 
 	sentWork map[string]placement.Work // as last told; only used by the goroutine that sends
 }
@@ -113,7 +134,7 @@
 func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
 		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f,
-		log: log, now: now, wake: make(chan struct{}, 1), news: make(chan struct{}, 1),
+		log: log, now: now, wake: make(chan struct{}, 1), more: make(chan struct{}, 1),
 		known: map[string]*peer{}, loads: map[string]time.Time{}, sentWork: map[string]placement.Work{},
 	}
 }
@@ -252,37 +273,38 @@
 	}
 }
 
-// tellLoading says that an engine takes no work for a while, or does again.
-func (p *peers) tellLoading(id string, until time.Time) {
+// tellLoading says that an engine takes no work for now.
+func (p *peers) tellLoading(id string) {
 	p.mu.Lock()
-	news := !p.now().Before(p.loads[id])
-	p.loads[id] = until
-	p.mu.Unlock()
-	if news {
-		p.hurry()
+	defer p.mu.Unlock()
+	now := p.now()
+	if now.Add(loadingRenew).Before(p.loads[id]) {
+		return // told already
 	}
+	p.loads[id] = now.Add(loadingTold)
+	load := &rpc.Load{Upstream: id, Ms: uint32(loadingTold.Milliseconds())}
+	p.news.loads = append(p.news.loads, told[*rpc.Load]{load, repeats})
+	p.hurry()
 }
 
-// tellWeights says which version an engine has.
+// tellWeights says which version an engine has, and that it takes work again.
 func (p *peers) tellWeights(id, model string, version int) {
 	p.mu.Lock()
-	p.loads[id] = p.now()
-	p.weights = append(p.weights, toldWeights{id, model, version, p.now().Add(weightsToldFor)})
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	delete(p.loads, id)
+	p.news.loads = slices.DeleteFunc(p.news.loads, func(t told[*rpc.Load]) bool { return t.what.Upstream == id })
+	p.news.loads = append(p.news.loads, told[*rpc.Load]{&rpc.Load{Upstream: id}, repeats})
+	weights := &rpc.Weights{Upstream: id, Model: model, Version: uint32(version)}
+	p.news.weights = append(p.news.weights, told[*rpc.Weights]{weights, repeats})
 	p.hurry()
 }
 
 // tellPlaced says where the shared parts of a long prompt are kept.
 func (p *peers) tellPlaced(t *placement.Ticket, saved bool) {
 	p.mu.Lock()
-	p.placed = append(p.placed, toldPlaced{
-		placed: &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved},
-		until:  p.now().Add(placedToldFor),
-	})
-	if len(p.placed) > maxPlaced {
-		p.placed = p.placed[len(p.placed)-maxPlaced:]
-	}
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	placed := &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved}
+	p.news.placed = append(p.news.placed, told[*rpc.Placed]{placed, repeats})
 	p.hurry()
 }
 
@@ -319,25 +341,9 @@
 	for customer, tokens := range spent {
 		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens})
 	}
-	for id, until := range p.loads {
-		left := until.Sub(now)
-		d.Loads = append(d.Loads, &rpc.Load{Upstream: id, Ms: uint32(max(0, left.Milliseconds()))})
-		if left < -weightsToldFor {
-			delete(p.loads, id)
-		}
-	}
-	kept := p.weights[:0]
-	for _, w := range p.weights {
-		if now.Before(w.until) {
-			kept = append(kept, w)
-			d.Weights = append(d.Weights, &rpc.Weights{Upstream: w.upstream, Model: w.model, Version: uint32(w.version)})
-		}
-	}
-	p.weights = kept
-	p.placed = slices.DeleteFunc(p.placed, func(t toldPlaced) bool { return now.After(t.until) })
-	for _, t := range p.placed {
-		d.Placed = append(d.Placed, t.placed)
-	}
+	d.Loads = next(&p.news.loads)
+	d.Weights = next(&p.news.weights)
+	d.Placed = next(&p.news.placed)
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.Prefill)), Memory: uint32(max(0, w.Memory)),
@@ -456,7 +462,7 @@
 	}
 	if !p.follower.Follows() && knowsMore(d, p.follower.Versions()) {
 		select {
-		case p.news <- struct{}{}:
+		case p.more <- struct{}{}:
 		default:
 		}
 	}
@@ -513,7 +519,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-p.news:
+		case <-p.more:
 		}
 		relayed := p.relayed()
 		p.relay.Store(!relayed)
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -133,7 +133,7 @@
 	for _, step := range r.plan.Next(now, r.lease.MaySend(r.since(now), r.checksFencing)) {
 		r.call(ctx, step, token)
 	}
-	r.tellLoading(now)
+	r.tellLoading()
 	if !need && r.plan.Done() && now.Sub(r.plan.LastOrder()) > r.holdOff {
 		r.release(ctx, now)
 	}
@@ -249,10 +249,10 @@
 
 // tellLoading keeps work away from engines that load or soon will, here and at
 // the other instances. The caller holds mu.
-func (r *rollouts) tellLoading(now time.Time) {
+func (r *rollouts) tellLoading() {
 	for _, id := range r.plan.Loading() {
 		r.placer.SetBusy(id, loadingSpan)
-		r.peers.tellLoading(id, now.Add(loadingSpan))
+		r.peers.tellLoading(id)
 	}
 }
 
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -67,7 +67,7 @@
 	loadTimeout = 5 * time.Second
 	// engineShare is the part of the engines that may load at once: each takes
 	// no work meanwhile, and many loads at once slow each other down.
-	engineShare = 4
+	engineShare = 5
 	// leastLoads may run at once in a small fleet.
 	leastLoads = 2
 )
