--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,535 @@
+package edge_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/edge"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
+	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+	"github.com/fescuestep/fescuestep/platform"
+	"github.com/fescuestep/fescuestep/platform/standin"
+)
+
+// rig is a stand-in platform with instances in one process.
+type rig struct {
+	t       *testing.T
+	store   *standin.Store
+	storeAt string
+	engines []*standin.Server
+	orders  *standin.Server
+	config  routing.Config
+}
+
+const (
+	keyBig   = "key-of-big"
+	keySmall = "key-of-small"
+)
+
+func newRig(t *testing.T, engines int) *rig {
+	r := &rig{t: t, store: standin.NewStore()}
+	server := &http.Server{Handler: r.store}
+	ln := listen(t)
+	r.storeAt = ln.Addr().String()
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for i := range engines {
+		r.engines = append(r.engines, r.start(standin.Options{
+			ID: fmt.Sprintf("e%d", i), Service: "llm", Zone: "z1", Model: "m", Events: 5, Load: 50 * time.Millisecond,
+		}))
+	}
+	r.orders = r.start(standin.Options{ID: "o0", Service: "orders", Zone: "z1"})
+	r.config = routing.Config{
+		Version: 1,
+		Routes: []routing.Route{
+			{
+				Name: "long", Host: "a.example", Prefix: "/long/", Kind: routing.Stream, Prompted: true, MaxAttempts: 1,
+				Split: []routing.Share{{Service: "llm", Weight: 1}}, Timeout: 5 * time.Second, TargetLatency: 2 * time.Second,
+			},
+			{
+				Name: "short", Host: "a.example", Prefix: "/short/", Kind: routing.Stream, Prompted: true, MaxAttempts: 2, Resumable: true,
+				Split: []routing.Share{{Service: "llm", Weight: 1}}, Timeout: 5 * time.Second, TargetLatency: 2 * time.Second,
+			},
+			{
+				Name: "order", Host: "a.example", Prefix: "/orders/", Kind: routing.Unsafe, MaxAttempts: 1,
+				Split: []routing.Share{{Service: "orders", Weight: 1}}, Timeout: 5 * time.Second,
+			},
+			{
+				Name: "read", Host: "a.example", Prefix: "/read/", Kind: routing.Safe, MaxAttempts: 2, Public: true,
+				Split: []routing.Share{{Service: "orders", Weight: 1}}, Timeout: 5 * time.Second, TargetLatency: 2 * time.Second,
+			},
+		},
+		Services: []routing.Service{
+			{Name: "llm", ConnLimit: 100, Engine: &routing.Engine{Slots: 64, KVTokens: 100000, Models: []string{"m"}}},
+			{Name: "orders", ConnLimit: 100},
+		},
+		Customers: []routing.Customer{{Name: "big", Isolated: true}, {Name: "small", Rate: 1000, Burst: 1000}},
+		Keys:      map[string]string{keyBig: "big", keySmall: "small"},
+		Limits:    routing.DefaultLimits(),
+	}
+	r.apply()
+	return r
+}
+
+func (r *rig) start(o standin.Options) *standin.Server {
+	s, err := standin.StartServer(r.store, "127.0.0.1:0", o)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(s.Stop)
+	return s
+}
+
+// apply writes the configuration under the next version.
+func (r *rig) apply() {
+	r.config.Version++
+	raw, err := platform.EncodeConfig(r.config)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.store.Put("op", "config", raw)
+}
+
+func listen(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+func freeAddr(t *testing.T) netip.AddrPort {
+	ln := listen(t)
+	defer func() { _ = ln.Close() }()
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// node is one running instance.
+type node struct {
+	options edge.Options
+	stop    context.CancelFunc
+	done    chan error
+	log     *syncBuffer
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func (r *rig) node(name string, seeds ...string) *node {
+	o := edge.Options{
+		Name: name, Domain: "z1", Callers: freeAddr(r.t), Ready: freeAddr(r.t), ReadyPath: platform.ReadinessPath,
+		Control: freeAddr(r.t), PeerAddr: freeAddr(r.t), Seeds: seeds, MemoryBytes: 128 << 20,
+		Grace: 3 * time.Second, WeightsApply: 6 * time.Second, OrderGap: 3 * time.Second, ChecksFencing: true,
+		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
+		InstanceTable: platform.TableInstances,
+	}
+	dial := netopt.Dialer(time.Second).DialContext
+	m := metrics.New()
+	out := &syncBuffer{}
+	i, err := edge.New(o, edge.Parts{
+		Dialect: platform.Dialect{}, Store: platform.NewStore(r.storeAt, dial), Decoder: platform.Decoder{},
+		Engines: platform.NewEngines(name, dial), Metrics: collect.Requests(m), Scrape: m.Handler(),
+		Log: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{options: o, stop: cancel, done: make(chan error, 1), log: out}
+	go func() { n.done <- i.Run(ctx) }()
+	r.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-n.done:
+		default:
+			<-n.done
+		}
+		_ = m.Close()
+	})
+	r.await("the instance is ready", n.ready)
+	return n
+}
+
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + n.options.Ready.String() + platform.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// await waits for a condition; the limit only ends a test that has failed.
+func (r *rig) await(what string, ok func() bool) {
+	r.t.Helper()
+	for range 1500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatalf("gave up waiting: %s", what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the answer
+}
+
+var ids int
+var idsMu sync.Mutex
+
+func nextID() string {
+	idsMu.Lock()
+	defer idsMu.Unlock()
+	ids++
+	return fmt.Sprintf("r%d", ids)
+}
+
+func (n *node) call(method, path, key, body string, header ...string) (string, reply) {
+	id := nextID()
+	req, err := http.NewRequest(method, "http://"+n.options.Callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		return id, reply{err: err}
+	}
+	req.Host = "a.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "5000")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return id, reply{resp.StatusCode, resp.Header, string(raw), err}
+}
+
+func (n *node) prompt(path, key string) (string, reply) {
+	return n.call(http.MethodPost, path, key, "prompt", "Model-Name", "m", "Token-Count", "300,20", "Prompt-Prefix", "aa:200,bb:100")
+}
+
+func stream(id string, events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		b.WriteString(standin.Event(id, i))
+	}
+	return b.String()
+}
+
+func runs(servers []*standin.Server, id string) int {
+	n := 0
+	for _, s := range servers {
+		for _, a := range s.Arrivals() {
+			if a.ID == id && a.Ran {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestServesWholePath guards against answers that are not the server's, keys
+// that reach a server, and customers that a caller chooses itself.
+func TestServesWholePath(t *testing.T) {
+	r := newRig(t, 2)
+	n := r.node("n1")
+	id, got := n.call(http.MethodPost, "/long/x?q=1", keyBig, "prompt", "Model-Name", "m", "Token-Count", "300,20",
+		"Prompt-Prefix", "aa:200,bb:100", "Tenant-Name", "small", "Hold", "h1", "X-Key", keyBig)
+	if got.status != http.StatusOK || got.body != stream(id, 5) || got.header.Get("Server-Seal") == "" || got.err != nil {
+		t.Fatalf("got %+v", got)
+	}
+	var a standin.Arrival
+	for _, e := range r.engines {
+		for _, arrival := range e.Arrivals() {
+			a = arrival
+		}
+	}
+	if a.Path != "/long/x?q=1" || string(a.Body) != "prompt" || a.Header.Get("Tenant-Name") != "big" ||
+		a.Header.Get("Hold") != "" || a.Header.Get("Authorization") != "" || a.Header.Get("X-Key") != "" ||
+		a.Header.Get("Expect-Version") != "1" || !strings.HasPrefix(a.Header.Get("Cache-Salt"), "customer/big/1") {
+		t.Errorf("the engine got %+v", a)
+	}
+	for path, want := range map[string]int{"/nowhere/": 404, "/long/": 401} {
+		if _, got := n.call(http.MethodPost, path, "wrong", ""); got.status != want {
+			t.Errorf("%s: status %d, want %d", path, got.status, want)
+		}
+	}
+	if id, got := n.call(http.MethodGet, "/read/1", "", ""); got.body != standin.PlainBody(id) {
+		t.Errorf("public route: %+v", got)
+	}
+}
+
+// TestNewConfigurationApplies guards against routes, keys and limits of an older
+// configuration.
+func TestNewConfigurationApplies(t *testing.T) {
+	r := newRig(t, 1)
+	n := r.node("n1")
+	delete(r.config.Keys, keyBig)
+	r.config.Routes[3].Prefix = "/look/"
+	r.apply()
+	r.await("the key is withdrawn", func() bool { _, got := n.prompt("/long/", keyBig); return got.status == 401 })
+	if _, got := n.call(http.MethodGet, "/read/1", "", ""); got.status != 404 {
+		t.Errorf("removed route: status %d", got.status)
+	}
+	if _, got := n.call(http.MethodGet, "/look/1", "", ""); got.status != 200 {
+		t.Errorf("added route: status %d", got.status)
+	}
+	r.store.Put("op", "config", []byte(`{"version":99,"routes":[{}]}`))
+	r.config.Routes[3].Prefix = "/late/"
+	r.apply()
+	r.await("a later configuration applies after one that is not valid", func() bool {
+		_, got := n.call(http.MethodGet, "/late/1", "", "")
+		return got.status == 200
+	})
+}
+
+// TestLeavingUpstreamGetsNothing guards against new work for a server that is
+// draining or gone.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	r := newRig(t, 2)
+	n := r.node("n1")
+	r.engines[0].Drain()
+	time.Sleep(400 * time.Millisecond)
+	before := len(r.engines[0].Arrivals())
+	for range 20 {
+		if _, got := n.prompt("/short/", keyBig); got.status != 200 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	if after := len(r.engines[0].Arrivals()); after != before {
+		t.Errorf("a draining server got %d requests", after-before)
+	}
+}
+
+// TestWeightsReachAllEngines guards against engines left on old weights, against
+// two orders for one load, and against requests on weights that an engine does
+// not have.
+func TestWeightsReachAllEngines(t *testing.T) {
+	r := newRig(t, 5)
+	nodes := []*node{r.node("n1"), r.node("n2"), r.node("n3")}
+	for version := 2; version <= 3; version++ {
+		for _, e := range r.engines {
+			e.Name(version)
+		}
+		r.store.Put("op", "version/m", []byte(fmt.Sprintf(`{"model":"m","version":%d}`, version)))
+		r.await("all engines have the version", func() bool {
+			for _, n := range nodes {
+				if _, got := n.prompt("/short/", keyBig); got.status != 200 && got.status != 503 {
+					t.Fatalf("got %+v", got)
+				}
+			}
+			for _, e := range r.engines {
+				if e.Version() != version {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for _, e := range r.engines {
+		if e.Orders() != 2 {
+			t.Errorf("%s accepted %d orders for 2 versions", e.ID, e.Orders())
+		}
+	}
+}
+
+// TestInstanceStartsFromOthers guards against an instance that cannot serve
+// while the store turns it away though others could tell it all.
+func TestInstanceStartsFromOthers(t *testing.T) {
+	r := newRig(t, 1)
+	first := r.node("n1")
+	r.store.SetDown(true)
+	second := r.node("n2", first.options.Control.String())
+	if _, got := second.prompt("/long/", keyBig); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+	if _, got := first.prompt("/long/", keyBig); got.status != 200 {
+		t.Errorf("store down: got %+v", got)
+	}
+	r.store.SetDown(false)
+	delete(r.config.Keys, keyBig)
+	r.apply()
+	r.await("the withdrawn key stops at both", func() bool {
+		_, a := first.prompt("/long/", keyBig)
+		_, b := second.prompt("/long/", keyBig)
+		return a.status == 401 && b.status == 401
+	})
+}
+
+// TestStoreForgetsHistory guards against an instance that misses changes made
+// while it could not follow the store.
+func TestStoreForgetsHistory(t *testing.T) {
+	r := newRig(t, 2)
+	n := r.node("n1")
+	r.store.SetDown(true)
+	r.store.Delete("servers", "e0")
+	delete(r.config.Keys, keyBig)
+	r.apply()
+	r.store.Compact()
+	r.store.SetDown(false)
+	r.await("the withdrawn key stops", func() bool { _, got := n.prompt("/long/", keyBig); return got.status == 401 })
+}
+
+// TestGracefulStopCutsNothing guards against requests that a planned stop cuts,
+// on connections that callers go on using.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	r := newRig(t, 1)
+	for _, e := range r.engines {
+		e.Gap = 30 * time.Millisecond
+	}
+	n := r.node("n1")
+	var wg sync.WaitGroup
+	stopped := make(chan struct{})
+	for range 4 {
+		wg.Go(func() { keepCalling(t, n, stopped) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	n.stop()
+	err := <-n.done
+	close(stopped)
+	wg.Wait()
+	if err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	n.done <- nil // for the clean-up
+}
+
+// keepCalling sends requests over kept connections until the instance is gone.
+func keepCalling(t *testing.T, n *node, stopped <-chan struct{}) {
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	for {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+		id := nextID()
+		req, err := http.NewRequest(http.MethodPost, "http://"+n.options.Callers.String()+"/long/", strings.NewReader("p"))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		req.Host = "a.example"
+		req.Header.Set("Request-Id", id)
+		req.Header.Set("Authorization", "Bearer "+keyBig)
+		req.Header.Set("Model-Name", "m")
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue // nothing was read of the request
+		}
+		raw, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode == 200 && (err != nil || string(raw) != stream(id, 5)) {
+			t.Errorf("request %s was cut: %v, %q", id, err, raw)
+		}
+	}
+}
+
+// TestRateHoldsOverInstances guards against a customer that gets its rate once
+// per instance.
+func TestRateHoldsOverInstances(t *testing.T) {
+	r := newRig(t, 1)
+	nodes := []*node{r.node("n1"), r.node("n2")}
+	time.Sleep(time.Second) // the buckets fill, the instances find each other
+	admitted := 0
+	for range 60 {
+		for _, n := range nodes {
+			if _, got := n.prompt("/short/", keySmall); got.status == 200 {
+				admitted += 320
+			} else if got.status != 429 || got.header.Get("Retry-After") == "" {
+				t.Fatalf("got %+v", got)
+			}
+		}
+	}
+	// One burst, what the time of the calls earns, and one digest's delay.
+	if admitted > 6000 {
+		t.Errorf("%d tokens admitted at a rate and burst of 1000", admitted)
+	}
+}
+
+// TestBadRequestsReachNoUpstream guards against smuggled, oversized and
+// half-sent requests.
+func TestBadRequestsReachNoUpstream(t *testing.T) {
+	r := newRig(t, 1)
+	r.config.Limits.BodyBytes = 1000
+	r.config.Limits.HeaderTimeout = 300 * time.Millisecond
+	r.apply()
+	n := r.node("n1")
+	head := "POST /orders/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: bad\r\nAuthorization: Bearer " + keyBig + "\r\n"
+	for name, raw := range map[string]string{
+		"two lengths":   head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+		"bad length":    head + "Content-Length: -1\r\n\r\n",
+		"oversized":     head + "Content-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000),
+		"chunked big":   head + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n",
+		"no identifier": "POST /orders/ HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " + keyBig + "\r\nContent-Length: 1\r\n\r\nx",
+		"half a head":   "POST /orders/ HTTP/1.1\r\nHost: a.exa",
+		"half a body":   head + "Content-Length: 10\r\n\r\nabc",
+		"bad chunk":     head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+	} {
+		if status := n.raw(t, raw); status >= 200 && status < 300 {
+			t.Errorf("%s: status %d", name, status)
+		}
+	}
+	if got := r.orders.Arrivals(); len(got) != 0 {
+		t.Errorf("reached the server: %+v", got)
+	}
+}
+
+// raw sends bytes, closes its side and returns the status, 0 if none came.
+func (n *node) raw(t *testing.T, request string) int {
+	conn, err := net.Dial("tcp4", n.options.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, request); err != nil {
+		return 0
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
