Start retry budgets full

Cause: the edge's budgets began empty, so that the first failures after a start were not retried; shown by TestIdempotentRequestIsRetried and TestResumableStreamGoesOn, which failed before and pass now.

--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -101,9 +101,7 @@
 		b = &retry.Budget{}
 		r.services[service] = b
 	}
-	b.Ratio = r.bounds.Ratio * retryReserve
-	b.Burst = max(1, share/2)
-	b.PerSecond = share / 2 / r.bounds.Window.Seconds()
+	b.Limit(r.bounds.Ratio*retryReserve, share/2/r.bounds.Window.Seconds(), max(1, share/2))
 	return b
 }
 
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -38,6 +38,15 @@
 	return &Budget{Ratio: 0.1, PerSecond: 1, Burst: 10, tokens: 10}
 }
 
+// Limit sets the figures of the budget; a budget that has none yet is full.
+func (b *Budget) Limit(ratio, perSecond, burst float64) {
+	if b.Burst == 0 {
+		b.tokens = burst
+	}
+	b.Ratio, b.PerSecond, b.Burst = ratio, perSecond, burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Request earns a share of a retry.
 func (b *Budget) Request(now time.Time) {
 	b.refill(now)
