--- /dev/null
+++ b/pkg/fleetrate/fleetrate_test.go
@@ -0,0 +1,166 @@
+package fleetrate
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+const customer = "c"
+
+func limiters(n int, rate Rate, now time.Time) []*Limiter {
+	out := make([]*Limiter, n)
+	for i := range out {
+		out[i] = New()
+		out[i].Configure(map[string]Rate{customer: rate}, now)
+		for j := range n {
+			if j != i {
+				out[i].Expect(fmt.Sprint(j), now)
+			}
+		}
+	}
+	return out
+}
+
+// TestFleetKeepsTheRate guards against a customer that gets more than its rate
+// and burst over all instances, whatever digests are lost and whichever
+// instances are cut off or restarted.
+func TestFleetKeepsTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "instances")
+		rate := Rate{PerSecond: 1000, Burst: 1000}
+		list := limiters(n, rate, start)
+		incarnation := make([]uint64, n)
+		cut := make([]bool, n)
+		const step = 100 * time.Millisecond
+		const largest = 50.0
+		admitted, changes := 0.0, 0 // changes: cuts, heals and restarts
+		steps := rapid.IntRange(20, 200).Draw(t, "steps")
+		for s := range steps {
+			now := start.Add(time.Duration(s+1) * step)
+			offered := rapid.IntRange(0, 10).Draw(t, "offered")
+			for i, l := range list {
+				for range offered {
+					tokens := rapid.Float64Range(1, largest).Draw(t, "tokens")
+					if ok, _ := l.Take(customer, tokens, now); ok {
+						admitted += tokens
+					}
+				}
+				if rapid.IntRange(0, 60).Draw(t, "cut") == 0 {
+					cut[i] = !cut[i]
+					changes++
+				}
+				if rapid.IntRange(0, 80).Draw(t, "restart") == 0 {
+					changes++
+					incarnation[i]++
+					list[i] = limiters(n, rate, now)[i]
+				}
+			}
+			exchange(list, incarnation, cut, now)
+		}
+		// Until a digest passes each instance may spend what all of them may; one
+		// that falls silent is noticed after silentAfter; a restarted one begins
+		// with part of a burst.
+		elapsed := float64(steps) * step.Seconds()
+		perStep := largest * 10
+		unseen := float64(n) * (perStep + rate.PerSecond*(silentAfter+startSpan).Seconds())
+		bound := rate.Burst + rate.PerSecond*elapsed + unseen*float64(1+changes)
+		if n == 1 {
+			bound = rate.Burst + rate.PerSecond*elapsed + largest + rate.PerSecond*startSpan.Seconds()*float64(changes)
+		}
+		if admitted > bound {
+			t.Fatalf("admitted %.0f tokens in %.1f s, bound %.0f", admitted, elapsed, bound)
+		}
+	})
+}
+
+func exchange(list []*Limiter, incarnation []uint64, cut []bool, now time.Time) {
+	for i, from := range list {
+		for j, to := range list {
+			if i != j && !cut[i] && !cut[j] {
+				to.Heard(fmt.Sprint(i), incarnation[i]+1, from.Spent(), now)
+			}
+		}
+	}
+}
+
+// TestCutOffInstancesShareTheRate guards against instances that cannot talk and
+// each spend the whole rate.
+func TestCutOffInstancesShareTheRate(t *testing.T) {
+	const n = 5
+	rate := Rate{PerSecond: 1000, Burst: 1000}
+	list := limiters(n, rate, start)
+	admitted := 0.0
+	const seconds = 30
+	for s := range seconds * 100 {
+		now := start.Add(time.Duration(s) * 10 * time.Millisecond)
+		for _, l := range list {
+			if ok, _ := l.Take(customer, 10, now); ok && s >= 500 {
+				admitted += 10
+			}
+		}
+	}
+	perSecond := admitted / (seconds - 5)
+	if perSecond > rate.PerSecond*1.05 || perSecond < rate.PerSecond*0.9 {
+		t.Errorf("%.0f tokens a second by %d instances apart, rate %.0f", perSecond, n, rate.PerSecond)
+	}
+}
+
+// TestOneBusyInstanceGetsTheWholeRate guards against a rate that is divided
+// though the others spend nothing.
+func TestOneBusyInstanceGetsTheWholeRate(t *testing.T) {
+	rate := Rate{PerSecond: 1000, Burst: 1000}
+	list := limiters(4, rate, start)
+	admitted := 0.0
+	for s := range 1000 {
+		now := start.Add(time.Duration(s) * 10 * time.Millisecond)
+		if ok, _ := list[0].Take(customer, 20, now); ok {
+			admitted += 20
+		}
+		if s%20 == 0 {
+			exchange(list, make([]uint64, 4), make([]bool, 4), now)
+		}
+	}
+	if perSecond := admitted / 10; perSecond < 950 {
+		t.Errorf("%.0f tokens a second of %.0f", perSecond, rate.PerSecond)
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	l := New()
+	l.Configure(map[string]Rate{customer: {PerSecond: 100, Burst: 100}}, start)
+	now := start.Add(time.Second)
+	if ok, _ := l.Take(customer, 300, now); !ok {
+		t.Fatal("a full bucket refuses")
+	}
+	ok, wait := l.Take(customer, 1, now)
+	if ok || math.Abs(wait.Seconds()-2.01) > 0.02 {
+		t.Fatalf("ok %v, wait %v", ok, wait)
+	}
+	if ok, _ := l.Take(customer, 1, now.Add(wait)); !ok {
+		t.Error("refused at the time that it told")
+	}
+}
+
+func TestReturnedTokensCountNot(t *testing.T) {
+	l := New()
+	l.Configure(map[string]Rate{customer: {PerSecond: 100, Burst: 100}}, start)
+	now := start.Add(time.Second)
+	l.Take(customer, 60, now)
+	l.Return(customer, 60)
+	if l.Level(customer) != 100 || l.Spent()[customer] != 0 {
+		t.Errorf("level %v, spent %v", l.Level(customer), l.Spent())
+	}
+}
+
+func TestNoRateNoLimit(t *testing.T) {
+	l := New()
+	if ok, _ := l.Take("other", 1e9, start); !ok {
+		t.Error("a customer without rate is refused")
+	}
+}
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -160,100 +160,127 @@
 func (b *Book) pickEngine(now time.Time, q Query) (*Ticket, time.Duration, error) {
 	p := newPrompt(q)
 	owners := b.owners(p)
-	var best *Ticket
-	var least time.Duration
+	var best estimate
 	for _, u := range b.view.Service(q.Service.Name) {
 		if !b.takesWork(now, u, q) {
 			continue
 		}
-		ticket, cost := b.engineCost(now, u, p)
-		if !b.weightsAllowed(now.Add(waitSpread*cost), u, q.Model) {
+		e := b.estimate(now, u, p)
+		if !b.weightsAllowed(now.Add(waitSpread*e.cost), u, q.Model) {
 			continue
 		}
-		if rank, ok := owners[u.ID]; ok && b.holders.held(ticket.shared(p), u.ID, now) < p.sharedParts {
-			cost += ownerStep * time.Duration(min(rank, maxOwnerRank))
+		if p.sharedTokens >= sharedMinimum && b.holders.held(e.keys[:p.sharedParts], u.ID, now) < p.sharedParts {
+			e.cost += ownerStep * time.Duration(owners.rank(u))
 		}
-		if best == nil || cost < least {
-			best, least = ticket, cost
+		if best.upstream == nil || e.cost < best.cost {
+			best = e
 		}
 	}
-	if best == nil {
+	if best.upstream == nil {
 		return nil, 0, b.none(now, q)
 	}
-	best.Scope = cacheScope(q.Isolated, best.Weights)
-	if next, ok := b.nextWanted(q.Model, best.Weights); ok {
-		best.BeginBy = next.since.Add(b.cfg.WeightsApply - beginMargin)
+	return b.ticket(now, best, p), best.cost, nil
+}
+
+// ticket returns the choice with what the upstream is told.
+func (b *Book) ticket(now time.Time, e estimate, p *prompt) *Ticket {
+	t := &Ticket{
+		Upstream: e.upstream, Weights: e.weights, Scope: cacheScope(p.Isolated, e.weights),
+		Held: e.held, Stored: e.stored, keys: e.keys,
+		work: Work{Requests: 1, Prefill: e.compute, Memory: p.PromptTokens + p.MaxTokens},
 	}
-	if p.sharedParts > 0 {
-		best.Prefix = p.keysFor(0)[p.sharedParts-1]
+	if next, ok := b.nextWanted(p.Model, e.weights); ok {
+		t.BeginBy = next.since.Add(b.cfg.WeightsApply - beginMargin)
 	}
-	if q.CacheStore != nil && p.sharedParts > 0 {
-		shared := best.shared(p)
-		best.FetchFrom = q.CacheStore.Addr
-		best.Save = b.holders.inStore(shared, now) < p.sharedParts
+	if p.sharedParts == 0 {
+		return t
+	}
+	t.Prefix = p.keysFor(0)[p.sharedParts-1]
+	if p.CacheStore != nil {
+		shared := e.keys[:p.sharedParts]
+		t.FetchFrom = p.CacheStore.Addr
+		t.Save = b.holders.inStore(shared, now) < p.sharedParts
 		b.holders.touchSaved(shared, now)
 	}
-	return best, least, nil
+	return t
 }
 
-// shared returns the keys of the prompt's shared parts.
-func (t *Ticket) shared(p *prompt) []uint64 { return t.keys[:p.sharedParts] }
+// owners are the engines that all instances prefer for a prompt, best first.
+type owners [maxOwnerRank]struct {
+	weight   uint64
+	upstream *fleet.Upstream
+}
 
-// owners ranks the engines of a service for a prompt by rendezvous hashing.
-// Prompts with few shared tokens have no owner.
-func (b *Book) owners(p *prompt) map[string]int {
-	if p.sharedTokens < sharedMinimum {
-		return nil
+// rank returns the place of an engine, maxOwnerRank for those behind.
+func (o *owners) rank(u *fleet.Upstream) int {
+	for i := range o {
+		if o[i].upstream == u {
+			return i
+		}
 	}
-	root := p.keysFor(0)[p.sharedParts-1] // the same for all versions
-	list := b.view.Service(p.Service.Name)
-	weights := make([]uint64, len(list))
-	for i, u := range list {
-		weights[i] = xxh3.HashStringSeed(u.ID, root)
+	return maxOwnerRank
+}
+
+// owners ranks the engines of a service for a prompt by rendezvous hashing, the
+// same for all versions of the weights.
+func (b *Book) owners(p *prompt) *owners {
+	out := &owners{}
+	if p.sharedTokens < sharedMinimum {
+		return out
 	}
-	ranks := make(map[string]int, len(list))
-	for i, u := range list {
-		rank := 0
-		for _, w := range weights {
-			if w > weights[i] {
-				rank++
+	root := p.keysFor(0)[p.sharedParts-1]
+	for _, u := range b.view.Service(p.Service.Name) {
+		weight := xxh3.HashStringSeed(u.ID, root)
+		for i := range out {
+			if out[i].upstream == nil || weight > out[i].weight {
+				copy(out[i+1:], out[i:])
+				out[i].weight, out[i].upstream = weight, u
+				break
 			}
 		}
-		ranks[u.ID] = rank
 	}
-	return ranks
+	return out
 }
 
-func (b *Book) engineCost(now time.Time, u *fleet.Upstream, p *prompt) (*Ticket, time.Duration) {
+// estimate is what one engine would do with a prompt.
+type estimate struct {
+	upstream *fleet.Upstream
+	weights  int
+	keys     []uint64
+	held     int           // tokens that it is expected to keep
+	stored   int           // tokens that the store is expected to hold
+	compute  int           // tokens that it must compute
+	cost     time.Duration // until the first token, and what weighs as much
+}
+
+func (b *Book) estimate(now time.Time, u *fleet.Upstream, p *prompt) estimate {
 	s := b.state(u)
-	weights := b.Weights(u, p.Model)
-	keys := p.keysFor(weights)
-	held := tokensOf(p.Parts[:b.holders.held(keys, u.ID, now)])
-	stored := 0
+	e := estimate{upstream: u, weights: b.Weights(u, p.Model)}
+	e.keys = p.keysFor(e.weights)
+	e.held = tokensOf(p.Parts[:b.holders.held(e.keys, u.ID, now)])
 	if p.CacheStore != nil {
-		stored = tokensOf(p.Parts[:b.holders.inStore(keys, now)])
+		e.stored = tokensOf(p.Parts[:b.holders.inStore(e.keys, now)])
 	}
-	compute := max(0, p.PromptTokens-max(held, stored))
-	cost := b.prefill(s.own.Prefill + s.peers.Prefill + compute)
-	if stored > held {
-		cost += fetchCost
+	e.compute = max(0, p.PromptTokens-max(e.held, e.stored))
+	e.cost = b.prefill(s.own.Prefill + s.peers.Prefill + e.compute)
+	if e.stored > e.held {
+		e.cost += fetchCost
 	}
 	requests := s.own.Requests + s.peers.Requests
 	if now.Sub(s.reportedAt) < reportMaxAge {
 		requests = max(requests, s.report.Running)
-		cost += waitingCost * time.Duration(s.report.Waiting)
+		e.cost += waitingCost * time.Duration(s.report.Waiting)
 	}
-	cost += requestCost * time.Duration(requests)
-	cost += b.memoryCost(s, p.Query)
+	e.cost += requestCost * time.Duration(requests)
+	e.cost += b.memoryCost(s, p.Query)
+	e.cost += b.weightsCost(now, u, p.Model)
 	if u.Domain != b.cfg.Domain {
-		cost += remoteCost
+		e.cost += remoteCost
 	}
-	cost += b.weightsCost(now, u, p.Model)
 	if s.health.Ejected(now) {
-		cost += ejectedCost
+		e.cost += ejectedCost
 	}
-	work := Work{Requests: 1, Prefill: compute, Memory: p.PromptTokens + p.MaxTokens}
-	return &Ticket{Upstream: u, Weights: weights, Held: held, Stored: stored, work: work, keys: keys}, cost
+	return e
 }
 
 func (b *Book) prefill(tokens int) time.Duration {
