--- /dev/null
+++ b/pkg/state/state_test.go
@@ -0,0 +1,355 @@
+package state
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+const (
+	operatorTable = "op"
+	serverTable   = "servers"
+)
+
+// fakeStore is a store with one history.
+type fakeStore struct {
+	mu        sync.Mutex
+	rows      map[string]Row
+	history   []Row
+	version   uint64
+	compacted uint64
+	changed   chan struct{}
+	down      bool
+	calls     int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]Row{}, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(table, key, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	row := Row{Table: table, Key: key, Value: []byte(value), Version: s.version, Deleted: deleted}
+	s.rows[table+"/"+key] = row
+	s.history = append(s.history, row)
+	s.wake()
+}
+
+func (s *fakeStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.wake()
+}
+
+var errDown = errors.New("down")
+
+func (s *fakeStore) Rows(_ context.Context, table string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Page{}, errDown
+	}
+	out := Page{Version: s.version}
+	for _, row := range s.rows {
+		if row.Table == table && !row.Deleted {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	return out, nil
+}
+
+func (s *fakeStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		out := Page{Version: s.version}
+		for _, row := range s.history {
+			if row.Table == table && row.Version > after {
+				out.Rows = append(out.Rows, row)
+			}
+		}
+		changed, down, lost := s.changed, s.down, after < s.compacted
+		s.mu.Unlock()
+		switch {
+		case down:
+			return Page{}, errDown
+		case lost:
+			return Page{}, ErrHistoryLost
+		case len(out.Rows) > 0:
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return out, nil
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+// fakeDecoder reads "config N", "weights M N" and "up"; all else is not valid.
+type fakeDecoder struct{}
+
+func (fakeDecoder) Tables() (string, string) { return operatorTable, serverTable }
+
+func (fakeDecoder) Operator(row Row) (Document, error) {
+	fields := strings.Fields(string(row.Value))
+	if row.Deleted {
+		return Document{}, nil
+	}
+	if len(fields) == 2 && fields[0] == "config" {
+		n, err := strconv.ParseUint(fields[1], 10, 64)
+		return Document{Config: routing.New(routing.Config{Version: n})}, err
+	}
+	return Document{}, errors.New("not valid")
+}
+
+func (fakeDecoder) Upstream(row Row) (*fleet.Upstream, error) {
+	if string(row.Value) != "up" {
+		return nil, errors.New("not valid")
+	}
+	return &fleet.Upstream{ID: row.Key, Service: "s", Addr: "10.0.0.1:80"}, nil
+}
+
+type fakeSink struct {
+	mu       sync.Mutex
+	versions []uint64
+	view     *fleet.View
+}
+
+func (s *fakeSink) ConfigChanged(c *routing.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = append(s.versions, c.Version)
+}
+
+func (s *fakeSink) WeightsNamed(Weights) {}
+
+func (s *fakeSink) UpstreamsChanged(v *fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+}
+
+func (s *fakeSink) last() (config uint64, upstreams int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.versions) > 0 {
+		config = s.versions[len(s.versions)-1]
+	}
+	if s.view != nil {
+		upstreams = s.view.Len()
+	}
+	return config, upstreams
+}
+
+// follow runs a follower of the store in virtual time.
+func follow(t *testing.T, store *fakeStore, test func(f *Follower, sink *fakeSink)) {
+	synctest.Test(t, func(t *testing.T) {
+		store.set(func() {}) // virtual time needs a channel made here
+		sink := &fakeSink{}
+		f := New(store, fakeDecoder{}, sink, hclog.NewNullLogger(), time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		test(f, sink)
+		cancel()
+		<-done
+	})
+}
+
+func expect(t *testing.T, sink *fakeSink, config uint64, upstreams int) {
+	t.Helper()
+	if c, u := sink.last(); c != config || u != upstreams {
+		t.Errorf("configuration %d with %d upstreams, want %d with %d", c, u, config, upstreams)
+	}
+}
+
+// TestFollowsChanges guards against a change that is missed or adopted late.
+func TestFollowsChanges(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 3", false)
+	store.put(serverTable, "a", "up", false)
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		expect(t, sink, 3, 1)
+		store.put(serverTable, "b", "up", false)
+		store.put(operatorTable, "config", "config 5", false)
+		time.Sleep(300 * time.Millisecond)
+		expect(t, sink, 5, 2)
+		store.put(serverTable, "a", "", true)
+		store.put(operatorTable, "config", "config 4", false) // lower: never adopted
+		store.put(operatorTable, "config", "noise", false)
+		store.put(serverTable, "c", "noise", false)
+		time.Sleep(300 * time.Millisecond)
+		expect(t, sink, 5, 1)
+	})
+}
+
+// TestHistoryLost guards against changes that are missed because the store
+// forgot them, deletions among them.
+func TestHistoryLost(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(serverTable, "a", "up", false)
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		store.set(func() {
+			store.version += 2
+			row := store.rows[serverTable+"/a"]
+			row.Deleted = true
+			store.rows[serverTable+"/a"] = row
+			store.rows[operatorTable+"/config"] = Row{Table: operatorTable, Key: "config", Value: []byte("config 9"), Version: store.version}
+			store.compacted = store.version
+		})
+		time.Sleep(time.Second)
+		expect(t, sink, 9, 0)
+	})
+}
+
+// TestStoreAwayKeepsState guards against dropping what is known while the store
+// is away, and against hammering it.
+func TestStoreAwayKeepsState(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(serverTable, "a", "up", false)
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		store.set(func() { store.down = true; store.calls = 0 })
+		time.Sleep(20 * time.Second)
+		expect(t, sink, 1, 1)
+		if f.Follows() {
+			t.Error("follows a store that is away")
+		}
+		if store.calls > 60 {
+			t.Errorf("%d calls in 20 s to a store that is away", store.calls)
+		}
+		store.set(func() { store.down = false })
+		store.put(serverTable, "a", "", true)
+		time.Sleep(time.Second)
+		expect(t, sink, 1, 1) // the entry may have lapsed
+		time.Sleep(fleet.ReturnGrace)
+		expect(t, sink, 1, 0)
+		if !f.Follows() {
+			t.Error("does not follow the store after its return")
+		}
+	})
+}
+
+// TestChangesBetweenInstances guards against an instance that takes state from
+// another and misses a change, whatever it held before.
+func TestChangesBetweenInstances(t *testing.T) {
+	store, none := newFakeStore(), newFakeStore()
+	none.down = true
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(serverTable, "a", "up", false)
+	store.put(serverTable, "b", "up", false)
+	follow(t, store, func(from *Follower, _ *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		sink := &fakeSink{}
+		to := New(none, fakeDecoder{}, sink, hclog.NewNullLogger(), time.Now)
+		to.Adopt(from.Changes(to.Versions()))
+		expect(t, sink, 1, 2)
+		store.put(serverTable, "a", "", true)
+		store.put(operatorTable, "config", "config 2", false)
+		time.Sleep(300 * time.Millisecond)
+		changes := from.Changes(to.Versions())
+		for _, change := range changes {
+			if change.Whole || len(change.Rows) != 1 {
+				t.Errorf("%s: %+v", change.Name, change)
+			}
+		}
+		to.Adopt(changes)
+		expect(t, sink, 2, 1)
+		to.Adopt(changes) // again
+		expect(t, sink, 2, 1)
+		if rest := from.Changes(to.Versions()); len(rest) != 0 {
+			t.Errorf("still lacking %+v", rest)
+		}
+	})
+}
+
+// TestDeletionBeforeStartIsTold guards against an upstream that stays listed
+// because the instance that tells the state started after it was removed.
+func TestDeletionBeforeStartIsTold(t *testing.T) {
+	store, none := newFakeStore(), newFakeStore()
+	none.down = true
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(serverTable, "a", "up", false)
+	sink := &fakeSink{}
+	to := New(none, fakeDecoder{}, sink, hclog.NewNullLogger(), time.Now)
+	follow(t, store, func(from *Follower, _ *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		to.Adopt(from.Changes(to.Versions()))
+	})
+	expect(t, sink, 1, 1)
+	store = newFakeStore()
+	store.version = 10
+	store.put(operatorTable, "config", "config 1", false)
+	follow(t, store, func(from *Follower, _ *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		to.Adopt(from.Changes(to.Versions()))
+	})
+	expect(t, sink, 1, 0)
+}
+
+// TestIdleInstanceAsksNobody guards against store calls of instances for which
+// others follow the store, and against one that stays behind afterwards.
+func TestIdleInstanceAsksNobody(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 1", false)
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		f.SetIdle(true)
+		time.Sleep(time.Second)
+		store.set(func() { store.calls = 0 })
+		time.Sleep(10 * time.Second)
+		if store.calls != 0 {
+			t.Errorf("%d calls while idle", store.calls)
+		}
+		store.put(operatorTable, "config", "config 2", false)
+		f.SetIdle(false)
+		time.Sleep(300 * time.Millisecond)
+		expect(t, sink, 2, 0)
+	})
+}
+
+// TestEmptyInstanceIsNeverIdle guards against an instance that waits for others
+// with nothing to serve.
+func TestEmptyInstanceIsNeverIdle(t *testing.T) {
+	store := newFakeStore()
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		f.SetIdle(true)
+		time.Sleep(10 * time.Millisecond)
+		store.put(operatorTable, "config", "config 1", false)
+		time.Sleep(300 * time.Millisecond)
+		expect(t, sink, 1, 0)
+	})
+}
