Add a fault soak of separate processes

Real edge processes against the stand-in platform; proxies delay, reset, silence or cut one way; processes are killed, paused, stopped and hung up; the store is down, forgets its history or loses answers; weights and configurations change. Checked: runs per request, truth of refusals, whole answers, keys that reach a server, cuts under planned work, and the state after the last fault.

--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -19,6 +19,7 @@
 		{"testing", &standinCmd{streams: s}},
 		{"testing", &replayCmd{streams: s}},
 		{"testing", &loadCmd{streams: s}},
+		{"testing", &soakCmd{streams: s}},
 		{"other", &versionCmd{}},
 	}
 }
--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -144,13 +144,6 @@
 	}
 }
 
-// forgetStore drops what the store is expected to hold.
-func (h *holders) forgetStore() {
-	for _, e := range h.byKey {
-		e.saved = time.Time{}
-	}
-}
-
 func (e *entry) drop(id string) {
 	kept := e.engines[:0]
 	for _, holder := range e.engines {
