--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -44,12 +44,15 @@
 }
 
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&c.file, "settings-file", os.Getenv(platform.SettingsVariable), "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
+	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
 }
 
 // Validate reads the settings file.
 func (c *edgeCmd) Validate() settings.Errors {
+	if c.file == "" {
+		c.file = os.Getenv(platform.SettingsVariable)
+	}
 	if c.file == "" {
 		return settings.Errors{errNoSettingsFile}
 	}
--- a/cmd/fescuestep/questionnaire.go
+++ b/cmd/fescuestep/questionnaire.go
@@ -7,12 +7,16 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 
+	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/settings"
+	"github.com/fescuestep/fescuestep/platform"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
 
@@ -89,20 +93,52 @@
 	return subcommands.ExitSuccess
 }
 
-type generateCmd struct{ streams }
+type generateCmd struct {
+	streams
+	format  string
+	host    string
+	version uint64
+	keys    string
+}
+
+// Formats of a generated configuration.
+const (
+	formatProduct  = "product"
+	formatPlatform = "platform"
+)
 
 func (*generateCmd) Name() string { return "generate" }
 func (*generateCmd) Synopsis() string {
 	return "print the configuration generated from a questionnaire"
 }
-func (*generateCmd) SetFlags(*flag.FlagSet)  {}
+
+func (c *generateCmd) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&c.format, "format", formatProduct, "product, or platform for the document that lies in the platform's store")
+	fs.StringVar(&c.host, "host", "", "host name of the routes; with -format platform")
+	fs.Uint64Var(&c.version, "config-version", 1, "version of the document, higher than the last one; with -format platform")
+	fs.StringVar(&c.keys, "keys", "", "file with one customer and one key a line; with -format platform")
+}
+
 func (*generateCmd) Args() (least, most int) { return 1, 1 }
 
+// Validate checks the flags together.
+func (c *generateCmd) Validate() settings.Errors {
+	var out settings.Errors
+	if c.format != formatProduct && c.format != formatPlatform {
+		out = append(out, errors.Newf("-format must be %s or %s", formatProduct, formatPlatform))
+	}
+	if c.format == formatPlatform && c.host == "" {
+		out = append(out, errors.New("-host is needed with -format platform"))
+	}
+	return out
+}
+
 func (*generateCmd) Usage() string {
-	return `questionnaire generate <file>
+	return `questionnaire generate [flags] <file>
 
 Prints the generated configuration as JSON; - reads standard input. The same
-answers always give the same bytes. Nothing is changed.
+answers always give the same bytes. Nothing is changed. With -format platform it
+prints the operator's document of the users' platform.
 `
 }
 
@@ -117,14 +153,63 @@
 		c.printMistakes(fs.Arg(0), mistakes)
 		return subcommands.ExitFailure
 	}
-	encoder := json.NewEncoder(c.out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(d); err != nil {
+	if c.format == formatPlatform {
+		err = c.printDocument(d)
+	} else {
+		encoder := json.NewEncoder(c.out)
+		encoder.SetIndent("", "  ")
+		err = encoder.Encode(d)
+	}
+	if err != nil {
 		return fail(c.streams, err)
 	}
 	return subcommands.ExitSuccess
 }
 
+// printDocument prints the operator's document, after reading it back.
+func (c *generateCmd) printDocument(d *config.Deployment) error {
+	keys, err := c.readKeys(d)
+	if err != nil {
+		return err
+	}
+	raw, err := platform.EncodeConfig(routing.FromDeployment(d, c.host, c.version, keys))
+	if err != nil {
+		return err
+	}
+	if _, err := platform.DecodeConfig(raw); err != nil {
+		return errors.Wrap(err, "the document does not read back")
+	}
+	_, err = fmt.Fprintf(c.out, "%s\n", raw)
+	return err
+}
+
+// readKeys returns the customer of each key.
+func (c *generateCmd) readKeys(d *config.Deployment) (map[string]string, error) {
+	keys := map[string]string{}
+	if c.keys == "" {
+		return keys, nil
+	}
+	raw, err := os.ReadFile(c.keys)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the keys")
+	}
+	known := map[string]bool{}
+	for _, customer := range d.Customers {
+		known[customer.ID] = true
+	}
+	for i, line := range strings.Split(string(raw), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		if len(fields) != 2 || !known[fields[0]] {
+			return nil, errors.Newf("line %d of the keys does not hold a customer of the questionnaire and a key", i+1)
+		}
+		keys[fields[1]] = fields[0]
+	}
+	return keys, nil
+}
+
 type applyCmd struct {
 	streams
 	client settings.Client
--- a/pkg/soak/callers.go
+++ b/pkg/soak/callers.go
@@ -67,8 +67,8 @@
 }
 
 // call sends one request and reads its answer.
-func (c *caller) call(ctx context.Context, id, path, key string) outcome {
-	o := outcome{id: id, path: path, process: c.process.name, sent: time.Now()}
+func (c *caller) call(ctx context.Context, id, path, key string) (o outcome) {
+	o = outcome{id: id, path: path, process: c.process.name, sent: time.Now()}
 	defer func() { o.ended = time.Now() }()
 	method := http.MethodPost
 	if path == pathRead {
--- a/pkg/soak/system.go
+++ b/pkg/soak/system.go
@@ -202,6 +202,7 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(s.binary, "edge", "-settings-file", p.file)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak process")
 	}
