--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -115,7 +115,7 @@
 		PeerAddr:    netip.AddrPortFrom(s.Callers.Addr(), s.PeerPort),
 		Seeds:       s.Seeds,
 		MemoryBytes: s.MemoryBytes,
-		Grace:       s.Bounds.Grace, WeightsApply: s.Bounds.WeightsApply, OrderGap: s.Bounds.Lease,
+		Grace:       s.Bounds.Grace, WeightsApply: s.Bounds.WeightsApply, Settled: s.Bounds.Settled, OrderGap: s.Bounds.Lease,
 		ChecksFencing: s.ChecksFencing,
 		Retries:       edge.RetryBounds{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Extra: s.Bounds.RetryExtra},
 		InstanceTable: platform.TableInstances,
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -147,7 +147,7 @@
 	o := edge.Options{
 		Name: name, Domain: "z1", Callers: freeAddr(r.t), Ready: freeAddr(r.t), ReadyPath: platform.ReadinessPath,
 		Control: freeAddr(r.t), PeerAddr: freeAddr(r.t), Seeds: seeds, MemoryBytes: 128 << 20,
-		Grace: 3 * time.Second, WeightsApply: 6 * time.Second, OrderGap: 3 * time.Second, ChecksFencing: true,
+		Grace: 3 * time.Second, WeightsApply: 6 * time.Second, Settled: 3 * time.Second, OrderGap: 3 * time.Second, ChecksFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
 		InstanceTable: platform.TableInstances,
 	}
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -62,6 +62,7 @@
 	MemoryBytes   int64
 	Grace         time.Duration // from the stop signal to the end of the process
 	WeightsApply  time.Duration // until requests begin on named weights only
+	Settled       time.Duration // after a start, until bounds on time apply
 	OrderGap      time.Duration // least time between orders of two leaders
 	ChecksFencing bool          // engines reject orders with a stale fencing token
 	Retries       RetryBounds
@@ -193,7 +194,13 @@
 
 // WeightsNamed implements state.Sink.
 func (i *Instance) WeightsNamed(w state.Weights) {
-	i.placer.setWanted(w.Model, w.Version)
+	since := i.now()
+	if !w.Recent {
+		// It may have been named at any time. An instance that has just started
+		// is given the time in which it settles.
+		since = since.Add(i.options.Settled - i.options.WeightsApply)
+	}
+	i.placer.setWanted(w.Model, w.Version, since)
 	i.peers.tellState()
 }
 
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -96,10 +96,10 @@
 	p.book.SetView(v)
 }
 
-func (p *placer) setWanted(model string, version int) {
+func (p *placer) setWanted(model string, version int, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SetWanted(model, version, p.now())
+	p.book.SetWanted(model, version, since)
 }
 
 func (p *placer) sawPlaced(id string, keys []uint64, saved bool) {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -39,7 +39,7 @@
 	weightsMargin = 800 * time.Millisecond
 	// beginMargin covers the time from the naming of weights to this instance's
 	// knowledge of it, and the way to the upstream.
-	beginMargin = 200 * time.Millisecond
+	beginMargin = 400 * time.Millisecond
 	// waitSpread times the expected wait covers most of the actual ones.
 	waitSpread = 2
 	// sharedMinimum is the number of shared tokens from which a prompt has an
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -48,6 +48,7 @@
 type Weights struct {
 	Model   string
 	Version int
+	Recent  bool // seen as it was named; otherwise it may have been named long ago
 }
 
 // Document is a decoded row of the operator. At most one field is set.
@@ -362,7 +363,7 @@
 		if change.Name == upstreams {
 			changed = f.upstream(row) || changed
 		} else {
-			f.operator(row)
+			f.operator(row, !change.Whole)
 		}
 		if row.Deleted {
 			row.Value = nil
@@ -403,7 +404,9 @@
 	return f.list.Put(u)
 }
 
-func (f *Follower) operator(row Row) {
+// operator takes a row of the operator; recent says that it was written just
+// now.
+func (f *Follower) operator(row Row, recent bool) {
 	document, err := f.decoder.Operator(row)
 	if err != nil {
 		f.refuse(row, err)
@@ -413,7 +416,8 @@
 	case document.Config != nil:
 		f.adoptConfig(document.Config)
 	case document.Weights != nil:
-		f.log.Info("weights named", "model", document.Weights.Model, "version", document.Weights.Version)
+		document.Weights.Recent = recent
+		f.log.Info("weights named", "model", document.Weights.Model, "version", document.Weights.Version, "recent", recent)
 		f.sink.WeightsNamed(*document.Weights)
 	}
 }
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,6 +126,10 @@
 		n, err := strconv.ParseUint(fields[1], 10, 64)
 		return Document{Config: routing.New(routing.Config{Version: n})}, err
 	}
+	if len(fields) == 3 && fields[0] == "weights" {
+		n, err := strconv.Atoi(fields[2])
+		return Document{Weights: &Weights{Model: fields[1], Version: n}}, err
+	}
 	return Document{}, errors.New("not valid")
 }
 
@@ -138,6 +143,7 @@
 type fakeSink struct {
 	mu       sync.Mutex
 	versions []uint64
+	weights  []Weights
 	view     *fleet.View
 }
 
@@ -147,7 +153,11 @@
 	s.versions = append(s.versions, c.Version)
 }
 
-func (s *fakeSink) WeightsNamed(Weights) {}
+func (s *fakeSink) WeightsNamed(w Weights) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.weights = append(s.weights, w)
+}
 
 func (s *fakeSink) UpstreamsChanged(v *fleet.View) {
 	s.mu.Lock()
@@ -353,3 +363,22 @@
 		expect(t, sink, 1, 0)
 	})
 }
+
+// TestWeightsFoundAtStartAreNotRecent guards against a started instance that
+// counts the time allowed on replaced weights from its own start.
+func TestWeightsFoundAtStartAreNotRecent(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(operatorTable, "version/m", "weights m 2", false)
+	follow(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Millisecond)
+		store.put(operatorTable, "version/m", "weights m 3", false)
+		time.Sleep(300 * time.Millisecond)
+		sink.mu.Lock()
+		defer sink.mu.Unlock()
+		want := []Weights{{"m", 2, false}, {"m", 3, true}}
+		if !slices.Equal(sink.weights, want) {
+			t.Errorf("named %+v, want %+v", sink.weights, want)
+		}
+	})
+}
