Wait for shared parts that are being computed for another request

Change: instances tell when an engine is expected to have computed a prompt, and requests for it wait that long, at most 0.6 s and once.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -299,11 +299,12 @@
 	p.hurry()
 }
 
-// tellPlaced says where the shared parts of a long prompt are kept.
-func (p *peers) tellPlaced(t *placement.Ticket, saved bool) {
+// tellPlaced says where the shared parts of a long prompt are kept, or will be
+// after a time.
+func (p *peers) tellPlaced(t *placement.Ticket, ready time.Duration, saved bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	placed := &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved}
+	placed := &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved, ReadyMs: uint32(ready.Milliseconds())}
 	p.news.placed = append(p.news.placed, told[*rpc.Placed]{placed, repeats})
 	p.hurry()
 }
@@ -458,7 +459,7 @@
 		p.placer.SawWeights(w.Upstream, w.Model, int(w.Version))
 	}
 	for _, placed := range d.Placed {
-		p.placer.sawPlaced(placed.Upstream, placed.Keys, placed.Saved)
+		p.placer.sawPlaced(placed.Upstream, placed.Keys, time.Duration(placed.ReadyMs)*time.Millisecond, placed.Saved)
 	}
 	if !p.follower.Follows() && knowsMore(d, p.follower.Versions()) {
 		select {
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -16,7 +16,7 @@
 // placer makes a placement.Book safe for concurrent use.
 type placer struct {
 	now    func() time.Time
-	onLong func(t *placement.Ticket, saved bool) // called when a prompt that keeps an engine busy was sent, or saved to the store
+	onLong func(t *placement.Ticket, ready time.Duration, saved bool) // called when a prompt that keeps an engine busy was sent or computed
 
 	mu   sync.Mutex
 	book *placement.Book
@@ -24,7 +24,7 @@
 }
 
 func newPlacer(book *placement.Book, now func() time.Time) *placer {
-	return &placer{now: now, book: book, view: fleet.NewView(nil), onLong: func(*placement.Ticket, bool) {}}
+	return &placer{now: now, book: book, view: fleet.NewView(nil), onLong: func(*placement.Ticket, time.Duration, bool) {}}
 }
 
 // Pick implements dispatch.Placer.
@@ -40,17 +40,24 @@
 	p.book.Begin(t, p.now())
 	p.mu.Unlock()
 	if t.Prefill() >= longPrefill {
-		p.onLong(t, false)
+		p.onLong(t, t.Expected, false)
 	}
 }
 
+// Computing implements dispatch.Placer.
+func (p *placer) Computing(t *placement.Ticket) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Computing(t, p.now())
+}
+
 // FirstToken implements dispatch.Placer.
 func (p *placer) FirstToken(t *placement.Ticket, saved bool) {
 	p.mu.Lock()
 	p.book.FirstToken(t, saved, p.now())
 	p.mu.Unlock()
-	if saved && t.Prefill() >= longPrefill {
-		p.onLong(t, true)
+	if t.Prefill() >= longPrefill {
+		p.onLong(t, 0, saved)
 	}
 }
 
@@ -102,10 +109,10 @@
 	p.book.SetWanted(model, version, since)
 }
 
-func (p *placer) sawPlaced(id string, keys []uint64, saved bool) {
+func (p *placer) sawPlaced(id string, keys []uint64, ready time.Duration, saved bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SawPlaced(id, keys, saved, p.now())
+	p.book.SawPlaced(id, keys, ready, saved, p.now())
 }
 
 func (p *placer) setPeers(total map[string]placement.Work) {
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 type Placer interface {
 	Pick(q placement.Query) (t *placement.Ticket, expected time.Duration, err error)
 	Begin(t *placement.Ticket)
+	// Computing returns how long the upstream still computes the prompt's shared
+	// parts for other requests.
+	Computing(t *placement.Ticket) time.Duration
 	FirstToken(t *placement.Ticket, saved bool)
 	Done(t *placement.Ticket, r placement.Result)
 	SawLoad(id string, load call.Load)
@@ -109,6 +112,7 @@
 	mayRun    bool   // an upstream may have run the request
 	ranBefore bool   // mayRun before the current attempt
 	failure   *answer
+	settled   bool        // has waited for shared parts
 	paid      atomic.Bool // the next retry was taken from the budget
 }
 
@@ -145,6 +149,9 @@
 			Upstream: ticket.Upstream.ID, Weights: ticket.Weights, Expected: expected,
 			Prefix: ticket.Prefix, Held: ticket.Held, Stored: ticket.Stored, Saves: ticket.Save,
 		}
+		if !x.settle(ctx, ticket) {
+			continue
+		}
 		x.tried[ticket.Upstream.ID] = true
 		result, err := x.attempt(ctx, ticket)
 		x.h.placer.Done(ticket, result)
@@ -167,6 +174,29 @@
 	}
 }
 
+// settleStep is between looks at parts that are being computed.
+const settleStep = 10 * time.Millisecond
+
+// settle waits, once per request, while the upstream computes the prompt's shared
+// parts for another request: sent now, they would be computed twice. It reports
+// false if the choice should be made anew.
+func (x *exchange) settle(ctx context.Context, t *placement.Ticket) bool {
+	if x.settled || x.h.placer.Computing(t) == 0 {
+		return true
+	}
+	x.settled = true
+	for wait := x.h.placer.Computing(t); wait > 0; wait = x.h.placer.Computing(t) {
+		timer := time.NewTimer(min(wait, settleStep))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return true // the attempt fails and is ended as such
+		}
+	}
+	return false
+}
+
 func (x *exchange) query() placement.Query {
 	c := &x.edge.Call
 	q := placement.Query{
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -87,6 +87,9 @@
 // than these must have been left long ago.
 const maxWanted = 16
 
+// maxComputing bounds the wait for shared parts that are being computed.
+const maxComputing = 600 * time.Millisecond
+
 // Config holds the figures of placement.
 type Config struct {
 	Domain string // failure domain of this instance
@@ -288,11 +291,12 @@
 // Ticket is one attempt at an upstream, from Pick to Done.
 type Ticket struct {
 	Upstream  *fleet.Upstream
-	Weights   int       // version that the upstream must have; 0: any
-	Scope     string    // of KV cache
-	FetchFrom string    // IP:port of a store or engine that may hold more of the prompt
-	Save      bool      // the store does not hold the prompt's parts yet
-	BeginBy   time.Time // when the request must have begun, for its weights are replaced; zero: no bound
+	Weights   int           // version that the upstream must have; 0: any
+	Scope     string        // of KV cache
+	FetchFrom string        // IP:port of a store or engine that may hold more of the prompt
+	Expected  time.Duration // until the first token
+	Save      bool          // the store does not hold the prompt's parts yet
+	BeginBy   time.Time     // when the request must have begun, for its weights are replaced; zero: no bound
 
 	Held   int    // tokens of the prompt that the upstream is expected to keep
 	Stored int    // tokens that the store is expected to hold
@@ -324,12 +328,21 @@
 	t.sent, t.alone = now, s.own.Prefill+s.peers.Prefill == 0
 	s.own.add(t.work)
 	t.prefill = t.work.Prefill
-	b.holders.add(t.keys, t.Upstream.ID, now)
+	b.holders.add(t.keys, t.Upstream.ID, now, now.Add(t.Expected))
+}
+
+// Computing returns how long the upstream is still expected to compute the
+// prompt's shared parts for other requests; it would compute them again for one
+// that is sent before.
+func (b *Book) Computing(t *Ticket, now time.Time) time.Duration {
+	ready := b.holders.ready(t.SharedKeys(), t.Upstream.ID)
+	return max(0, min(ready.Sub(now), maxComputing))
 }
 
 // FirstToken records that the prompt was computed.
 func (b *Book) FirstToken(t *Ticket, saved bool, now time.Time) {
 	b.learnRate(t, now)
+	b.holders.computed(t.keys, t.Upstream.ID, now)
 	if s := b.states[t.Upstream.ID]; s != nil {
 		s.own.Prefill -= t.prefill
 	}
@@ -360,12 +373,16 @@
 }
 
 // SawPlaced records that another instance sent a prompt with these shared parts
-// to an upstream, and whether the store holds them.
-func (b *Book) SawPlaced(id string, keys []uint64, saved bool, now time.Time) {
+// to an upstream, after which time they are computed, and whether the store holds
+// them.
+func (b *Book) SawPlaced(id string, keys []uint64, after time.Duration, saved bool, now time.Time) {
 	if b.view.ByID(id) == nil {
 		return
 	}
-	b.holders.add(keys, id, now)
+	b.holders.add(keys, id, now, now.Add(after))
+	if after <= 0 {
+		b.holders.computed(keys, id, now)
+	}
 	if saved {
 		b.holders.saved(keys, now)
 	}
--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -31,8 +31,9 @@
 }
 
 type holder struct {
-	id string // upstream
-	at time.Time
+	id    string    // upstream
+	at    time.Time // of the last use
+	ready time.Time // when the part is expected to be computed
 }
 
 type entry struct {
@@ -59,21 +60,54 @@
 	return e
 }
 
-// add records that an engine keeps the parts from now on.
-func (h *holders) add(keys []uint64, id string, now time.Time) {
+// add records that an engine keeps the parts from now on. Those that it did not
+// keep before are computed until ready.
+func (h *holders) add(keys []uint64, id string, now, ready time.Time) {
 	for _, key := range keys {
 		e := h.entry(key)
-		found := false
-		for i := range e.engines {
-			if e.engines[i].id == id {
-				e.engines[i].at = now
-				found = true
+		held := e.engine(id)
+		switch {
+		case held == nil:
+			e.engines = append(e.engines, holder{id, now, ready})
+		case now.Sub(held.at) >= holderMaxAge:
+			*held = holder{id, now, ready}
+		default:
+			held.at = now
+		}
+	}
+}
+
+// computed records that an engine has computed the parts.
+func (h *holders) computed(keys []uint64, id string, now time.Time) {
+	for _, key := range keys {
+		if held := h.entry(key).engine(id); held != nil {
+			held.ready = now
+		}
+	}
+}
+
+// ready returns when an engine is expected to have computed all the parts that
+// it keeps.
+func (h *holders) ready(keys []uint64, id string) time.Time {
+	var out time.Time
+	for _, key := range keys {
+		if e := h.byKey[key]; e != nil {
+			if held := e.engine(id); held != nil && held.ready.After(out) {
+				out = held.ready
 			}
 		}
-		if !found {
-			e.engines = append(e.engines, holder{id, now})
+	}
+	return out
+}
+
+// engine returns the holder with the ID, or nil.
+func (e *entry) engine(id string) *holder {
+	for i := range e.engines {
+		if e.engines[i].id == id {
+			return &e.engines[i]
 		}
 	}
+	return nil
 }
 
 func (h *holders) saved(keys []uint64, now time.Time) {
@@ -106,12 +140,8 @@
 	if e == nil {
 		return false
 	}
-	for _, holder := range e.engines {
-		if holder.id == id {
-			return now.Sub(holder.at) < holderMaxAge
-		}
-	}
-	return false
+	held := e.engine(id)
+	return held != nil && now.Sub(held.at) < holderMaxAge
 }
 
 // inStore returns how many leading parts the store is expected to hold.
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -186,7 +186,7 @@
 func (b *Book) ticket(now time.Time, e estimate, p *prompt) *Ticket {
 	t := &Ticket{
 		Upstream: e.upstream, Weights: e.weights, Scope: cacheScope(p.Isolated, e.weights),
-		Held: e.held, Stored: e.stored, keys: e.keys,
+		Held: e.held, Stored: e.stored, Expected: e.cost, keys: e.keys,
 		work: Work{Requests: 1, Prefill: e.compute, Memory: p.PromptTokens + p.MaxTokens},
 	}
 	if next, ok := b.nextWanted(p.Model, e.weights); ok {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -73,7 +73,7 @@
 )
 
 // MaxLoads returns how many of the engines may load at once.
-func MaxLoads(engines int) int { return max(leastLoads, engines/engineShare) }
+func MaxLoads(engines int) int { return max(leastLoads, (engines+engineShare-1)/engineShare) }
 
 type engine struct {
 	Engine
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -123,9 +123,11 @@
 func newTable() *table { return &table{rows: map[string]Row{}} }
 
 const (
-	// feedPause collects changes of a table that come shortly after each other
-	// into one call.
-	feedPause = 120 * time.Millisecond
+	// operatorPause and upstreamPause collect changes that come shortly after each
+	// other into one call. Entries of upstreams change often, and upstreams serve
+	// on for longer than this after they say that they leave.
+	operatorPause = 120 * time.Millisecond
+	upstreamPause = 400 * time.Millisecond
 	// feedWait is how long the store holds a call without changes. A silent
 	// connection shows after it.
 	feedWait = 2500 * time.Millisecond
@@ -177,12 +179,19 @@
 		f.answered(name)
 		f.take(Table{Name: name, Version: page.Version, Whole: !known, Rows: page.Rows})
 		if known && len(page.Rows) > 0 {
-			sleep(ctx, feedPause)
+			sleep(ctx, f.pause(name))
 		}
 		known = true
 	}
 }
 
+func (f *Follower) pause(name string) time.Duration {
+	if operator, _ := f.decoder.Tables(); name == operator {
+		return operatorPause
+	}
+	return upstreamPause
+}
+
 // turn waits until this instance is to follow the store. The returned context
 // ends when it no longer is.
 func (f *Follower) turn(ctx context.Context) (context.Context, context.CancelFunc) {
