--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -276,8 +276,11 @@
 	return errors.Wrap(err, "requests were cut at the shutdown")
 }
 
-// ready reports whether the platform should send connections.
-func (i *Instance) ready() bool { return !i.draining.Load() && i.snapshot.Load() != nil }
+// ready reports whether the platform should send connections: the configuration
+// and the upstreams are known and the instance does not stop.
+func (i *Instance) ready() bool {
+	return !i.draining.Load() && i.snapshot.Load() != nil && i.follower.Complete()
+}
 
 // controlServers starts the servers for the platform and other instances.
 func (i *Instance) controlServers(ctx context.Context) ([]*http.Server, error) {
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -152,15 +152,11 @@
 // another upstream can be tried, and before the engine's weights may no longer
 // be used.
 func (x *exchange) guard(t *placement.Ticket, conn *httpconn.Conn) *guard {
-	patience := x.patience()
-	if t.BeginBy.IsZero() {
-		return newGuard(patience, conn, x.payRetry)
+	limit := time.Duration(0)
+	if !t.BeginBy.IsZero() {
+		limit = max(t.BeginBy.Sub(x.h.now()), time.Nanosecond)
 	}
-	left := max(t.BeginBy.Sub(x.h.now()), time.Nanosecond)
-	if patience > 0 && patience < left {
-		return newGuard(patience, conn, x.payRetry)
-	}
-	return newGuard(left, conn, func() bool { return true })
+	return newGuard(x.patience(), limit, conn, x.payRetry)
 }
 
 // patience is how long the first bytes of the answer are waited for before
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -296,35 +296,49 @@
 // guard closes a connection unless it is stopped in time.
 type guard struct {
 	timer *time.Timer
+	last  *time.Timer
 
 	mu      sync.Mutex
 	stopped bool
 	fired   bool
 }
 
-// newGuard returns a guard that acts after d if allowed agrees then; it never
-// acts if d is 0.
-func newGuard(d time.Duration, c *httpconn.Conn, allowed func() bool) *guard {
+// newGuard returns a guard that acts after patience if allowed agrees then, and
+// in any case at the limit. A time of 0 stands for none.
+func newGuard(patience, limit time.Duration, c *httpconn.Conn, allowed func() bool) *guard {
 	g := &guard{}
-	if d <= 0 {
-		return g
+	act := func(agreed func() bool) func() {
+		return func() { g.act(c, agreed) }
 	}
-	g.timer = time.AfterFunc(d, func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.stopped || !allowed() {
-			return
+	always := func() bool { return true }
+	switch {
+	case patience > 0 && (limit <= 0 || patience < limit):
+		g.timer = time.AfterFunc(patience, act(allowed))
+		if limit > 0 {
+			g.last = time.AfterFunc(limit, act(always))
 		}
-		g.fired = true
-		c.Close()
-	})
+	case limit > 0:
+		g.last = time.AfterFunc(limit, act(always))
+	}
 	return g
 }
 
+func (g *guard) act(c *httpconn.Conn, agreed func() bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped || g.fired || !agreed() {
+		return
+	}
+	g.fired = true
+	c.Close()
+}
+
 // stop reports whether the guard has not acted and never will.
 func (g *guard) stop() bool {
-	if g.timer != nil {
-		g.timer.Stop()
+	for _, timer := range []*time.Timer{g.timer, g.last} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -97,6 +97,7 @@
 	version uint64         // of the store, up to which the rows are known
 	whole   uint64         // version of the last whole read: earlier deletions are not known
 	healthy bool           // the store answers
+	known   bool           // the rows were read or told at least once
 }
 
 // Table is a table, or what has changed in it, as instances tell each other.
@@ -305,6 +306,19 @@
 	return healthy
 }
 
+// Complete reports whether every table was read, or told by another instance, at
+// least once.
+func (f *Follower) Complete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.tables {
+		if !t.known {
+			return false
+		}
+	}
+	return true
+}
+
 // Versions returns up to which version of the store each table is known.
 func (f *Follower) Versions() map[string]uint64 {
 	f.mu.Lock()
@@ -354,6 +368,7 @@
 	if t == nil {
 		return
 	}
+	t.known = true
 	rows := change.Rows
 	if change.Whole {
 		rows = append(rows, t.missing(change)...)
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -382,3 +382,17 @@
 		}
 	})
 }
+
+// TestCompleteOnlyWithAllTables guards against an instance that counts as ready
+// before it knows any upstream.
+func TestCompleteOnlyWithAllTables(t *testing.T) {
+	f := New(newFakeStore(), fakeDecoder{}, &fakeSink{}, hclog.NewNullLogger(), time.Now)
+	f.Adopt([]Table{{Name: operatorTable, Version: 1, Whole: true, Rows: []Row{{Key: "config", Version: 1, Value: []byte("config 1")}}}})
+	if f.Complete() {
+		t.Error("complete without upstreams")
+	}
+	f.Adopt([]Table{{Name: serverTable, Version: 1, Whole: true}})
+	if !f.Complete() {
+		t.Error("not complete though all tables were told")
+	}
+}
