Keep to rates after a restart of all instances

Change: a started instance begins with empty buckets, takes instances that it has not heard for spending an equal share, and expects all to spend on as they did between the last two digests.

--- a/pkg/fleetrate/fleetrate.go
+++ b/pkg/fleetrate/fleetrate.go
@@ -17,9 +17,6 @@
 	// forgetAfter ends the assumption: an instance that is unheard for so long
 	// has been removed.
 	forgetAfter = 60 * time.Second
-	// startSpan is the time's worth of rate that a started instance begins
-	// with, since it does not know what was spent before.
-	startSpan = 500 * time.Millisecond
 )
 
 // Rate is a customer's limit.
@@ -37,11 +34,17 @@
 
 type peer struct {
 	incarnation uint64
-	heard       time.Time
+	listed      time.Time
+	heard       time.Time          // zero: not yet
 	totals      map[string]float64 // spent, as last reported
+	speed       map[string]float64 // tokens per second between the last two reports
 	assumed     map[string]float64 // taken off since the last report
 }
 
+func newPeer(now time.Time) *peer {
+	return &peer{listed: now, totals: map[string]float64{}, speed: map[string]float64{}, assumed: map[string]float64{}}
+}
+
 // Limiter holds the buckets of all customers.
 type Limiter struct {
 	buckets map[string]*bucket
@@ -64,7 +67,8 @@
 	for name, rate := range rates {
 		b := l.buckets[name]
 		if b == nil {
-			l.buckets[name] = &bucket{rate: rate, level: min(rate.Burst, rate.PerSecond*startSpan.Seconds()), at: now}
+			// Empty: a started instance does not know what was spent before.
+			l.buckets[name] = &bucket{rate: rate, at: now}
 			continue
 		}
 		l.refill(name, b, now)
@@ -73,10 +77,10 @@
 	}
 }
 
-// Expect names an instance that spends though it was not heard yet.
+// Expect names an instance that may spend though it was not heard yet.
 func (l *Limiter) Expect(name string, now time.Time) {
 	if l.peers[name] == nil {
-		l.peers[name] = &peer{heard: now, totals: map[string]float64{}, assumed: map[string]float64{}}
+		l.peers[name] = newPeer(now)
 	}
 }
 
@@ -90,21 +94,29 @@
 	for customer, b := range l.buckets {
 		l.refill(customer, b, now)
 	}
-	first := p.incarnation == 0
-	if p.incarnation != incarnation {
-		// What the earlier process spent after its last report stays assumed.
-		p.incarnation = incarnation
-		p.totals = map[string]float64{}
-		if first {
-			p.totals = totals
+	if p.incarnation == 0 {
+		// What it spent before is not known; what was assumed stays taken off.
+		p.incarnation, p.totals = incarnation, totals
+		clear(p.assumed)
+		for customer, b := range l.buckets {
+			p.speed[customer] = b.rate.PerSecond / float64(len(l.peers)+1)
 		}
+		p.heard = now
+		return
 	}
+	if p.incarnation != incarnation {
+		p.incarnation, p.totals = incarnation, map[string]float64{}
+	}
+	elapsed := now.Sub(p.heard).Seconds()
 	for customer, total := range totals {
 		b := l.buckets[customer]
 		if b == nil {
 			continue
 		}
 		spent := total - p.totals[customer]
+		if elapsed > 0 {
+			p.speed[customer] = max(0, spent/elapsed)
+		}
 		b.level = min(b.rate.Burst, b.level-spent+p.assumed[customer])
 	}
 	p.totals = totals
@@ -112,8 +124,9 @@
 	clear(p.assumed)
 }
 
-// refill adds what the time since the last call brought and takes off the
-// assumed spending of silent instances.
+// refill adds what the time since the last call brought and takes off what the
+// others are assumed to have spent meanwhile: as much as before, or an equal
+// share if they are silent.
 func (l *Limiter) refill(name string, b *bucket, now time.Time) {
 	elapsed := now.Sub(b.at).Seconds()
 	if elapsed <= 0 {
@@ -122,18 +135,21 @@
 	b.at = now
 	earned := b.rate.PerSecond * elapsed
 	share := earned / float64(len(l.peers)+1)
+	taken := 0.0
 	for id, p := range l.peers {
 		unheard := now.Sub(p.heard)
-		if unheard > forgetAfter {
+		if min(unheard, now.Sub(p.listed)) > forgetAfter {
 			delete(l.peers, id)
 			continue
 		}
+		spent := p.speed[name] * elapsed
 		if unheard > silentAfter {
-			p.assumed[name] += share
-			earned -= share
+			spent = share
 		}
+		p.assumed[name] += spent
+		taken += spent
 	}
-	b.level = min(b.rate.Burst, b.level+earned)
+	b.level = min(b.rate.Burst, b.level+earned-taken)
 }
 
 // Take admits tokens of a customer. If it refuses, it returns the time after
--- a/pkg/fleetrate/fleetrate_test.go
+++ b/pkg/fleetrate/fleetrate_test.go
@@ -68,10 +68,10 @@
 		// with part of a burst.
 		elapsed := float64(steps) * step.Seconds()
 		perStep := largest * 10
-		unseen := float64(n) * (perStep + rate.PerSecond*(silentAfter+startSpan).Seconds())
+		unseen := float64(n) * (perStep + rate.PerSecond*silentAfter.Seconds())
 		bound := rate.Burst + rate.PerSecond*elapsed + unseen*float64(1+changes)
 		if n == 1 {
-			bound = rate.Burst + rate.PerSecond*elapsed + largest + rate.PerSecond*startSpan.Seconds()*float64(changes)
+			bound = rate.Burst + rate.PerSecond*elapsed + largest*float64(1+changes)
 		}
 		if admitted > bound {
 			t.Fatalf("admitted %.0f tokens in %.1f s, bound %.0f", admitted, elapsed, bound)
@@ -134,7 +134,7 @@
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	l := New()
 	l.Configure(map[string]Rate{customer: {PerSecond: 100, Burst: 100}}, start)
-	now := start.Add(time.Second)
+	now := start.Add(time.Second) // the bucket is full
 	if ok, _ := l.Take(customer, 300, now); !ok {
 		t.Fatal("a full bucket refuses")
 	}
@@ -164,3 +164,106 @@
 		t.Error("a customer without rate is refused")
 	}
 }
+
+// TestOverloadInLargeFleet guards against a customer that sends several times
+// its rate and gets more than the bound of a sliding window, because instances
+// learn late what the others spend.
+func TestOverloadInLargeFleet(t *testing.T) {
+	const (
+		n        = 75
+		step     = 10 * time.Millisecond
+		interval = 75 // steps between two digests of an instance
+		window   = 800
+		offered  = 4.2 // times the rate
+		quiet    = 300 // steps before the overload
+	)
+	rate := Rate{PerSecond: 400_000, Burst: 400_000}
+	list := limiters(n, rate, start)
+	const tokens = 2000.0
+	due := make([]float64, n)
+	var spent []float64
+	for s := range 3000 {
+		now := start.Add(time.Duration(s) * step)
+		admitted := 0.0
+		load := 0.5
+		if s >= quiet {
+			load = offered
+		}
+		for i, l := range list {
+			due[i] += rate.PerSecond * load * step.Seconds() / n
+			for due[i] >= tokens {
+				due[i] -= tokens
+				if ok, _ := l.Take(customer, tokens, now); ok {
+					admitted += tokens
+				}
+			}
+			if (s+i)%interval == 0 {
+				totals := l.Spent()
+				for j, other := range list {
+					if j != i {
+						other.Heard(fmt.Sprint(i), 1, totals, now)
+					}
+				}
+			}
+		}
+		spent = append(spent, admitted)
+	}
+	most, sum, total := 0.0, 0.0, 0.0
+	for s, x := range spent {
+		sum += x
+		if s >= window {
+			sum -= spent[s-window]
+		}
+		most = max(most, sum)
+		if s >= quiet {
+			total += x
+		}
+	}
+	bound := (rate.PerSecond*8 + rate.Burst) * 1.1
+	if most > bound {
+		t.Errorf("%.0f tokens in 8 s, at most %.0f", most, bound)
+	}
+	if mean := total / 27; mean < 0.9*rate.PerSecond {
+		t.Errorf("%.0f tokens a second served of a rate of %.0f", mean, rate.PerSecond)
+	}
+}
+
+// TestRestartOfAllUnderOverload guards against a rate that is spent once more
+// because all instances start anew and know nothing of each other's spending.
+func TestRestartOfAllUnderOverload(t *testing.T) {
+	const (
+		n        = 75
+		step     = 10 * time.Millisecond
+		interval = 75
+		tokens   = 2000.0
+		offered  = 4.2
+	)
+	rate := Rate{PerSecond: 400_000, Burst: 400_000}
+	list := limiters(n, rate, start)
+	due := make([]float64, n)
+	admitted := 0.0
+	for s := range 200 {
+		now := start.Add(time.Duration(s) * step)
+		for i, l := range list {
+			due[i] += rate.PerSecond * offered * step.Seconds() / n
+			for due[i] >= tokens {
+				due[i] -= tokens
+				if ok, _ := l.Take(customer, tokens, now); ok {
+					admitted += tokens
+				}
+			}
+			if (s+i)%interval == interval-1 {
+				totals := l.Spent()
+				for j, other := range list {
+					if j != i {
+						other.Heard(fmt.Sprint(i), 1, totals, now)
+					}
+				}
+			}
+		}
+	}
+	// 2 s of the rate, one request an instance, and one digest's delay at most.
+	if most := rate.PerSecond*2 + n*tokens + rate.PerSecond*0.75; admitted > most {
+		t.Errorf("%.0f tokens in the first 2 s, at most %.0f", admitted, most)
+	}
+}
