--- a/cmd/fescuestep/soak.go
+++ b/cmd/fescuestep/soak.go
@@ -72,6 +72,9 @@
 	}
 	status := subcommands.ExitSuccess
 	for i := range c.seeds {
+		if ctx.Err() != nil {
+			return subcommands.ExitFailure
+		}
 		seed := c.seed + uint64(i)
 		findings, err := soak.Run(ctx, soak.Options{
 			Binary: binary, Seed: seed, Duration: c.duration, Instances: c.instances, Callers: c.callers, Out: c.out,
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/platform/standin"
 )
@@ -73,6 +75,9 @@
 		return r.findings, nil
 	}
 	r.play(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(err, "the run was broken off")
+	}
 	return r.findings, nil
 }
 
