--- a/cmd/fescuestep/docs_test.go
+++ b/cmd/fescuestep/docs_test.go
@@ -149,7 +149,7 @@
 // TestDocsFaults guards against a table of faults that names metrics which
 // don't exist.
 func TestDocsFaults(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "operations.md"))
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/pkg/edge/digest_test.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+	"github.com/fescuestep/fescuestep/pkg/state"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+type noDecoder struct{}
+
+func (noDecoder) Tables() (string, string)                   { return "op", "servers" }
+func (noDecoder) Operator(state.Row) (state.Document, error) { return state.Document{}, nil }
+func (noDecoder) Upstream(row state.Row) (*fleet.Upstream, error) {
+	return &fleet.Upstream{ID: row.Key}, nil
+}
+
+type noSink struct{}
+
+func (noSink) ConfigChanged(*routing.Snapshot) {}
+func (noSink) WeightsNamed(state.Weights)      {}
+func (noSink) UpstreamsChanged(*fleet.View)    {}
+
+// testPeers returns the state of an instance that sends nothing.
+func testPeers() *peers {
+	now := func() time.Time { return time.Unix(1000, 0) }
+	book := placement.NewBook(placement.Config{PrefillPerMS: 60}, rand.New(rand.NewPCG(1, 2)))
+	p := newPlacer(book, now)
+	p.setView(fleet.NewView([]*fleet.Upstream{{ID: "e1", Service: "llm", Weights: map[string]int{"m": 1}}}))
+	follower := state.New(nil, noDecoder{}, noSink{}, hclog.NewNullLogger(), now)
+	self := &rpc.Address{Name: "self", Digests: "10.0.0.1:7600", Control: "10.0.0.1:8608", Domain: "z"}
+	return newPeers(self, 1, nil, nil, p, newLimiter(now), follower, hclog.NewNullLogger(), now)
+}
+
+func digestOf(sequence uint64, partial bool, work ...*rpc.Work) *rpc.Digest {
+	return &rpc.Digest{
+		Sender:      &rpc.Address{Name: "other", Digests: "10.0.0.2:7600", Control: "10.0.0.2:8608", Domain: "z"},
+		Incarnation: 5, Sequence: sequence, Partial: partial, Work: work,
+	}
+}
+
+// TestDigestsInAnyOrder guards against an older, repeated or partial digest that
+// undoes what a newer one said.
+func TestDigestsInAnyOrder(t *testing.T) {
+	p := testPeers()
+	p.take(digestOf(2, false, &rpc.Work{Upstream: "e1", Requests: 4, Prefill: 100}))
+	p.take(digestOf(1, false, &rpc.Work{Upstream: "e1", Requests: 9}))
+	p.take(digestOf(3, true, &rpc.Work{Upstream: "e2", Requests: 1}))
+	p.take(digestOf(3, true, &rpc.Work{Upstream: "e2", Requests: 7}))
+	p.mergeWork()
+	if got := p.placer.book.Load("e1"); got != (placement.Work{Requests: 4, Prefill: 100}) {
+		t.Errorf("work at e1: %+v", got)
+	}
+	if work := p.known["other"].digest.Work; len(work) != 2 {
+		t.Errorf("holds %v", work)
+	}
+}
+
+// TestNewsIsToldTwice guards against news that is lost with one datagram, and
+// against news that fills the links for ever.
+func TestNewsIsToldTwice(t *testing.T) {
+	p := testPeers()
+	for range 3 * maxNews {
+		p.tellWeights("e1", "m", 2)
+	}
+	told, largest := 0, 0
+	for range 10 {
+		raw, _ := p.digest(true)
+		d := &rpc.Digest{}
+		if err := proto.Unmarshal(raw, d); err != nil {
+			t.Fatal(err)
+		}
+		told += len(d.Weights)
+		largest = max(largest, len(raw))
+	}
+	if told != 3*maxNews*repeats {
+		t.Errorf("told %d times, want %d", told, 3*maxNews*repeats)
+	}
+	if largest > maxDigest {
+		t.Errorf("a digest has %d bytes", largest)
+	}
+}
+
+// TestStoppedInstanceIsForgotten guards against an instance whose share of rates
+// stays assumed after it said that it stops.
+func TestStoppedInstanceIsForgotten(t *testing.T) {
+	p := testPeers()
+	d := digestOf(1, false)
+	d.Leaving = true
+	p.take(d)
+	if names := p.live(); len(names) != 0 {
+		t.Errorf("a leaving instance counts as live: %v", names)
+	}
+	p.now = func() time.Time { return time.Unix(1002, 0) }
+	p.digest(false)
+	if p.count() != 0 {
+		t.Error("still known after it stopped")
+	}
+}
+
+func FuzzTakeDigest(f *testing.F) {
+	raw, err := proto.Marshal(digestOf(1, false, &rpc.Work{Upstream: "e1", Requests: 1}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := &rpc.Digest{}
+		if proto.Unmarshal(raw, d) != nil {
+			return
+		}
+		p := testPeers()
+		p.take(d)
+		p.mergeWork()
+		p.source(0)
+	})
+}
