--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -114,7 +114,7 @@
 		Domain: o.Domain, PrefillPerMS: placement.DefaultPrefillPerMS, WeightsApply: o.WeightsApply,
 	}, rand.New(rand.NewPCG(seed, 1)))
 	i.placer = newPlacer(book, now)
-	i.limiter = newLimiter(now)
+	i.limiter = newLimiter(o.Name, now)
 	i.follower = state.New(p.Store, p.Decoder, i, p.Log.Named("state"), now)
 	if err := i.newPeers(); err != nil {
 		return nil, err
--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -22,8 +22,8 @@
 	rates *fleetrate.Limiter
 }
 
-func newLimiter(now func() time.Time) *limiter {
-	return &limiter{now: now, rates: fleetrate.New()}
+func newLimiter(self string, now func() time.Time) *limiter {
+	return &limiter{now: now, rates: fleetrate.New(self)}
 }
 
 func (l *limiter) configure(s *routing.Snapshot) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -144,7 +144,8 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.receive(ctx) })
 	wg.Go(func() { p.followState(ctx) })
-	timer := time.NewTimer(p.interval())
+	// Instances that start together tell at different times.
+	timer := time.NewTimer(time.Duration(p.incarnation % uint64(digestInterval)))
 	defer timer.Stop()
 	for {
 		select {
--- a/pkg/fleetrate/fleetrate.go
+++ b/pkg/fleetrate/fleetrate.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 const (
@@ -27,9 +29,12 @@
 
 type bucket struct {
 	rate  Rate
-	level float64 // may be negative: a request is admitted while it is positive
+	level float64 // of the fleet; may be negative: a request is admitted while it is positive
 	at    time.Time
 	spent float64 // by this instance since its start
+
+	scarce bool    // the level is low, so that each instance keeps to a share
+	share  float64 // of this instance while tokens are scarce; may be negative
 }
 
 type peer struct {
@@ -45,15 +50,26 @@
 	return &peer{listed: now, totals: map[string]float64{}, speed: map[string]float64{}, assumed: map[string]float64{}}
 }
 
+const (
+	// scarceBelow and plentyAbove are parts of a burst: below the first, each
+	// instance admits from an equal share of the rate, so that not all of them
+	// admit a request at the moment at which the bucket has tokens again.
+	scarceBelow = 0.3
+	plentyAbove = 0.6
+)
+
 // Limiter holds the buckets of all customers.
 type Limiter struct {
+	offset  float64 // of this instance's first admission among all, in [0, 1)
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
 
-// New returns a limiter without customers.
-func New() *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
+// New returns the limiter of the instance self, without customers.
+func New(self string) *Limiter {
+	const steps = 1 << 16
+	offset := float64(xxh3.HashString(self)%steps) / steps
+	return &Limiter{offset: offset, buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
 // Configure replaces the rates. Buckets of customers that stay keep their
@@ -150,6 +166,31 @@
 		taken += spent
 	}
 	b.level = min(b.rate.Burst, b.level+earned-taken)
+	b.share = min(b.rate.Burst/float64(len(l.peers)+1), b.share+share)
+}
+
+// admits reports whether a request of that many tokens may run. While tokens are
+// scarce the instances begin one after the other: each waits for its offset's
+// part of the request.
+func (l *Limiter) admits(b *bucket, tokens float64) bool {
+	switch {
+	case b.level > plentyAbove*b.rate.Burst || len(l.peers) == 0:
+		b.scarce = false
+	case !b.scarce && b.level < scarceBelow*b.rate.Burst:
+		b.scarce = true
+		b.share = -l.offset * tokens
+	}
+	return b.level > 0 && (!b.scarce || b.share > 0)
+}
+
+// wait returns when a refused request may be admitted.
+func (l *Limiter) wait(b *bucket) time.Duration {
+	seconds := max(0, 1-b.level) / b.rate.PerSecond
+	if b.scarce {
+		perInstance := b.rate.PerSecond / float64(len(l.peers)+1)
+		seconds = max(seconds, max(0, 1-b.share)/perInstance)
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // Take admits tokens of a customer. If it refuses, it returns the time after
@@ -160,10 +201,11 @@
 		return true, 0
 	}
 	l.refill(name, b, now)
-	if b.level <= 0 {
-		return false, time.Duration((1 - b.level) / b.rate.PerSecond * float64(time.Second))
+	if !l.admits(b, tokens) {
+		return false, l.wait(b)
 	}
 	b.level -= tokens
+	b.share -= tokens
 	b.spent += tokens
 	return true, 0
 }
@@ -175,6 +217,7 @@
 		return
 	}
 	b.level = min(b.rate.Burst, b.level+tokens)
+	b.share += tokens
 	b.spent -= tokens
 }
 
