--- a/pkg/edge/limits.go
+++ b/pkg/edge/limits.go
@@ -147,3 +147,15 @@
 	defer l.mu.Unlock()
 	return l.rates.Spent()
 }
+
+func (l *limiter) level(customer string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rates.Level(customer)
+}
+
+func (l *limiter) adoptLevel(customer string, level float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rates.AdoptLevel(customer, level, l.now())
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -341,7 +341,7 @@
 		d.Tables = append(d.Tables, &rpc.Table{Name: name, Version: version})
 	}
 	for customer, tokens := range spent {
-		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens})
+		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.level(customer)})
 	}
 	d.Loads = next(&p.news.loads)
 	d.Weights = next(&p.news.weights)
@@ -452,6 +452,7 @@
 	}
 	if !d.Partial {
 		p.limiter.heard(name, d.Incarnation, spentTotals(d))
+		p.adoptLevels(d)
 	}
 	for _, l := range d.Loads {
 		p.placer.SetBusy(l.Upstream, time.Duration(l.Ms)*time.Millisecond)
@@ -470,6 +471,21 @@
 	}
 }
 
+// levelsKnown is how long an instance must have run before another one started
+// for its levels to be better than none.
+const levelsKnown = 3 * time.Second
+
+// adoptLevels takes the levels of buckets from an instance that has run for
+// longer; incarnations are start times in Unix nanoseconds.
+func (p *peers) adoptLevels(d *rpc.Digest) {
+	if d.Incarnation+uint64(levelsKnown) > p.incarnation {
+		return
+	}
+	for _, s := range d.Spent {
+		p.limiter.adoptLevel(s.Customer, s.Level)
+	}
+}
+
 func spentTotals(d *rpc.Digest) map[string]float64 {
 	totals := make(map[string]float64, len(d.Spent))
 	for _, s := range d.Spent {
--- a/pkg/fleetrate/fleetrate.go
+++ b/pkg/fleetrate/fleetrate.go
@@ -33,6 +33,8 @@
 	at    time.Time
 	spent float64 // by this instance since its start
 
+	told bool // the level was taken from an instance that ran before
+
 	scarce bool    // the level is low, so that each instance keeps to a share
 	share  float64 // of this instance while tokens are scarce; may be negative
 }
@@ -103,6 +105,18 @@
 // Leave forgets an instance that has stopped.
 func (l *Limiter) Leave(name string) { delete(l.peers, name) }
 
+// AdoptLevel takes the level of a customer's bucket from an instance that ran
+// before this one started, once: a started instance does not know what was spent.
+func (l *Limiter) AdoptLevel(name string, level float64, now time.Time) {
+	b := l.buckets[name]
+	if b == nil || b.told {
+		return
+	}
+	l.refill(name, b, now)
+	b.told = true
+	b.level = min(b.rate.Burst, level)
+}
+
 // Heard records what an instance has spent since its start.
 func (l *Limiter) Heard(name string, incarnation uint64, totals map[string]float64, now time.Time) {
 	l.Expect(name, now)
@@ -180,7 +194,13 @@
 		b.scarce = true
 		b.share = -l.offset * tokens
 	}
-	return b.level > 0 && (!b.scarce || b.share > 0)
+	return b.level > 0 && (!b.scarce || b.share > 0 || !l.crowds(b, tokens))
+}
+
+// crowds reports whether one such request at each instance would be more than a
+// burst.
+func (l *Limiter) crowds(b *bucket, tokens float64) bool {
+	return tokens*float64(len(l.peers)+1) > b.rate.Burst
 }
 
 // wait returns when a refused request may be admitted.
--- a/pkg/fleetrate/fleetrate_test.go
+++ b/pkg/fleetrate/fleetrate_test.go
@@ -346,3 +346,20 @@
 		t.Errorf("%.0f tokens a second served of a rate of %.0f", mean, rate.PerSecond)
 	}
 }
+
+// TestStartedInstanceTakesTheLevel guards against a started instance that refuses
+// what the others would admit.
+func TestStartedInstanceTakesTheLevel(t *testing.T) {
+	rate := Rate{PerSecond: 1000, Burst: 1000}
+	l := limiters(6, rate, start)[0]
+	l.AdoptLevel(customer, 900, start)
+	l.AdoptLevel(customer, -5000, start) // only once
+	for i := range 8 {
+		if ok, _ := l.Take(customer, 50, start); !ok {
+			t.Fatalf("request %d of 50 tokens is refused at a level of 900", i)
+		}
+	}
+	if level := l.Level(customer); level != 500 {
+		t.Errorf("level %.0f", level)
+	}
+}
