--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -30,6 +30,7 @@
 	Plan   Planned
 	Sum    Row // control at two years with the planned index
 	Slopes []slope
+	Edge   []edgeFleet
 }
 
 type slope struct {
@@ -40,7 +41,7 @@
 // Page returns the text of docs/CAPACITY.md.
 func Page(s *Slopes) (string, error) {
 	r := newReader(s)
-	p := page{Commit: s.Commit}
+	p := page{Commit: s.Commit, Edge: edgeFleets()}
 	for _, size := range []Size{Today(), TwoYears()} {
 		rows := Rows(size, r)
 		p.Fleets = append(p.Fleets, fleet{size, rows, total(rows, nil), faults(size)})
