--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -135,11 +135,12 @@
 	}
 }
 
-// watchSettings follows the settings file, with or without SIGHUP.
+// watchSettings follows the settings file, with or without SIGHUP, until ctx
+// ends. The signal stays registered afterwards: its default would end the process
+// in the middle of a graceful stop.
 func (c *edgeCmd) watchSettings(ctx context.Context, instance *edge.Instance, log hclog.Logger) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	last := ""
--- a/cmd/fescuestep/edge_test.go
+++ b/cmd/fescuestep/edge_test.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/questionnaire"
 	"github.com/fescuestep/fescuestep/pkg/routing"
@@ -74,3 +78,16 @@
 		t.Errorf("status %d: %s", status, errs)
 	}
 }
+
+// TestHangUpDuringStopIsIgnored guards against a process that SIGHUP ends while it
+// stops gracefully; the test process itself would end.
+func TestHangUpDuringStopIsIgnored(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c := &edgeCmd{file: filepath.Join(t.TempDir(), "none")}
+	c.watchSettings(ctx, nil, hclog.NewNullLogger())
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -40,7 +40,7 @@
 	Pools        []Pool        `json:"pools"`
 }
 
-// Customer is one tenant. Teams of a customer share its rate and cache scope.
+// Customer is one organisation. Teams of a customer share its rate and cache scope.
 type Customer struct {
 	ID              string          `json:"id"`
 	Name            string          `json:"name"`
--- a/pkg/questionnaire/schema.go
+++ b/pkg/questionnaire/schema.go
@@ -27,7 +27,7 @@
 	Customers []string `yaml:"customers" validate:"required,min=2,dive,required"`
 }
 
-// Customer is one tenant and its share of the deployment.
+// Customer is one organisation and its share of the deployment.
 type Customer struct {
 	ID              string   `yaml:"id" validate:"required,name"`
 	Name            string   `yaml:"name" validate:"max=200"`
