--- a/pkg/fleetrate/fleetrate_test.go
+++ b/pkg/fleetrate/fleetrate_test.go
@@ -126,8 +126,7 @@
 			exchange(list, make([]uint64, 4), make([]bool, 4), now)
 		}
 	}
-	// A started instance begins with an empty bucket and an equal share.
-	if perSecond := admitted / 9.5; perSecond < 950 {
+	if perSecond := admitted / 10; perSecond < 950 {
 		t.Errorf("%.0f tokens a second of %.0f", perSecond, rate.PerSecond)
 	}
 }
