Choose engines by their own speed and fetch prompts from engines that keep them

Cause: a third of the engines is 1.3 times slower than the others, but one speed was learned for all; work at an engine counted fully until its first token; and prompts were always fetched from the store of KV cache, whose link is three times slower than an engine's and busy with saves, so that a request went to the busy engine that keeps its prompt or computed it again.

Change: each engine's speed is learned, told to the other instances with the news of a computed prompt, and forgotten towards the mean; a backlog is worked off with time; an engine that keeps the shared parts is the source of a fetch if that is faster; engines are cleared for a load by their expected wait, and loads are read every 50 ms.

--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -77,8 +77,10 @@
 	Expected time.Duration // until the first token
 	Prefix   uint64        // identifies the shared parts of the prompt; 0: none
 	Held     int           // tokens that the upstream is expected to keep
-	Stored   int           // tokens that the store of KV cache is expected to hold
-	Saves    bool          // the upstream was asked to save the prompt to the store
+	Fetched  int           // tokens that it is expected to have after a fetch
+	// FetchFrom is the engine or store that was named to fetch from, IP:port.
+	FetchFrom string
+	Saves     bool // the upstream was asked to save the prompt to the store
 }
 
 // Target is the upstream chosen for one attempt.
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -65,7 +65,7 @@
 		fields = append(fields, "service", e.Service, "upstream", c.Upstream, "weights", c.Weights,
 			"sent_to", e.Attempts, "expected_ms", c.Expected.Milliseconds())
 		if c.Prefix != 0 {
-			fields = append(fields, "prefix", strconv.FormatUint(c.Prefix, 16), "held", c.Held, "stored", c.Stored, "saves", c.Saves)
+			fields = append(fields, "prefix", strconv.FormatUint(c.Prefix, 16), "held", c.Held, "fetched", c.Fetched, "fetch_from", c.FetchFrom, "saves", c.Saves)
 		}
 	}
 	if e.Call.Counted {
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -113,11 +113,14 @@
 
 // tellPlaced says where the shared parts of a long prompt are kept, or will be
 // after a time.
-func (p *peers) tellPlaced(t *placement.Ticket, ready time.Duration, saved bool) {
+func (p *peers) tellPlaced(placed placement.Placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	placed := &rpc.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved, ReadyMs: uint32(ready.Milliseconds())}
-	p.news.placed = append(p.news.placed, told[*rpc.Placed]{placed, repeats})
+	piece := &rpc.Placed{
+		Upstream: placed.Upstream, Keys: placed.Keys, Saved: placed.Saved,
+		ReadyMs: uint32(placed.Ready.Milliseconds()), Speed: float32(placed.Speed),
+	}
+	p.news.placed = append(p.news.placed, told[*rpc.Placed]{piece, repeats})
 	p.hurry()
 }
 
@@ -272,7 +275,10 @@
 		p.placer.SawWeights(w.Upstream, w.Model, int(w.Version))
 	}
 	for _, placed := range d.Placed {
-		p.placer.sawPlaced(placed.Upstream, placed.Keys, time.Duration(placed.ReadyMs)*time.Millisecond, placed.Saved)
+		p.placer.sawPlaced(placement.Placed{
+			Upstream: placed.Upstream, Keys: placed.Keys, Saved: placed.Saved,
+			Ready: time.Duration(placed.ReadyMs) * time.Millisecond, Speed: placement.Speed(placed.Speed),
+		})
 	}
 	if !p.follower.Follows() && knowsMore(d, p.follower.Versions()) {
 		select {
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -16,7 +16,7 @@
 // placer makes a placement.Book safe for concurrent use.
 type placer struct {
 	now    func() time.Time
-	onLong func(t *placement.Ticket, ready time.Duration, saved bool) // called when a prompt that keeps an engine busy was sent or computed
+	onLong func(placement.Placed) // called when a prompt that keeps an engine busy was sent or computed
 
 	mu   sync.Mutex
 	book *placement.Book
@@ -24,7 +24,7 @@
 }
 
 func newPlacer(book *placement.Book, now func() time.Time) *placer {
-	return &placer{now: now, book: book, view: fleet.NewView(nil), onLong: func(*placement.Ticket, time.Duration, bool) {}}
+	return &placer{now: now, book: book, view: fleet.NewView(nil), onLong: func(placement.Placed) {}}
 }
 
 // Pick implements dispatch.Placer.
@@ -40,7 +40,7 @@
 	p.book.Begin(t, p.now())
 	p.mu.Unlock()
 	if t.Prefill() >= longPrefill {
-		p.onLong(t, t.Expected, false)
+		p.onLong(placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Ready: t.Expected})
 	}
 }
 
@@ -54,10 +54,10 @@
 // FirstToken implements dispatch.Placer.
 func (p *placer) FirstToken(t *placement.Ticket, saved bool) {
 	p.mu.Lock()
-	p.book.FirstToken(t, saved, p.now())
+	speed := p.book.FirstToken(t, saved, p.now())
 	p.mu.Unlock()
 	if t.Prefill() >= longPrefill {
-		p.onLong(t, 0, saved)
+		p.onLong(placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved, Speed: speed})
 	}
 }
 
@@ -109,16 +109,16 @@
 	p.book.SetWanted(model, version, since)
 }
 
-func (p *placer) sawPlaced(id string, keys []uint64, ready time.Duration, saved bool) {
+func (p *placer) sawPlaced(placed placement.Placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SawPlaced(id, keys, ready, saved, p.now())
+	p.book.SawPlaced(placed, p.now())
 }
 
 func (p *placer) setPeers(total map[string]placement.Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SetPeers(total)
+	p.book.SetPeers(total, p.now())
 }
 
 func (p *placer) own() map[string]placement.Work {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -267,6 +267,7 @@
 			if first && has == e.Has {
 				continue // known from the list
 			}
+			r.log.Info("engine has loaded weights", "upstream", e.ID, "model", e.Model, "version", has, "loading", len(r.plan.Loading()))
 			r.placer.SawWeights(e.ID, e.Model, has)
 			r.placer.SetBusy(e.ID, 0)
 			r.peers.tellWeights(e.ID, e.Model, has)
@@ -276,6 +277,7 @@
 
 // engines lists the engines of the book. The caller holds mu.
 func (p *placer) engines() []rollout.Engine {
+	now := p.now()
 	var out []rollout.Engine
 	for _, u := range p.view.All() {
 		if u.Draining {
@@ -289,7 +291,7 @@
 			out = append(out, rollout.Engine{
 				ID: u.ID, Addr: u.Addr, Model: model,
 				Has: p.book.Weights(u, model), Wants: wants,
-				Load: p.book.Load(u.ID).Requests, Queued: p.book.Load(u.ID).Prefill,
+				Load: p.book.Load(u.ID).Requests, Waits: p.book.Waits(u.ID, now),
 			})
 		}
 	}
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -128,9 +128,7 @@
 	s.Priority, s.HasPriority = priority(route, customer), true
 	s.CacheScope = t.Scope
 	s.FetchFrom = t.FetchFrom
-	if t.Save {
-		s.SaveTo = t.FetchFrom
-	}
+	s.SaveTo = t.SaveTo
 	return s
 }
 
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -147,7 +147,7 @@
 		}
 		x.edge.Choice = chain.Placement{
 			Upstream: ticket.Upstream.ID, Weights: ticket.Weights, Expected: expected,
-			Prefix: ticket.Prefix, Held: ticket.Held, Stored: ticket.Stored, Saves: ticket.Save,
+			Prefix: ticket.Prefix, Held: ticket.Held, Fetched: ticket.Fetched, FetchFrom: ticket.FetchFrom, Saves: ticket.SaveTo != "",
 		}
 		if !x.settle(ctx, ticket) {
 			continue
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -68,7 +68,7 @@
 }
 
 func (x *exchange) firstEvent(t *placement.Ticket, resp *http.Response) {
-	x.h.placer.FirstToken(t, t.Save)
+	x.h.placer.FirstToken(t, t.SaveTo != "")
 	if x.r.Outcome.Started {
 		return // a resumed stream keeps the head of its first upstream
 	}
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -51,6 +51,8 @@
 type state struct {
 	own        Work
 	peers      Work
+	backlog    backlog
+	observed   observed
 	weights    map[string]seenWeights // by model
 	report     call.Load
 	reportedAt time.Time
@@ -74,7 +76,7 @@
 	holders *holders
 	wanted  map[string][]wanted // by model, in the order of versions
 	outlier retry.OutlierConfig
-	rate    float64 // prompt tokens that an engine computes in a millisecond
+	speed   Speed // mean of all engines
 }
 
 // wanted is a version that was named for a model.
@@ -107,7 +109,7 @@
 // NewBook returns a book without upstreams.
 func NewBook(cfg Config, rng *rand.Rand) *Book {
 	return &Book{
-		cfg: cfg, rng: rng, rate: cfg.PrefillPerMS,
+		cfg: cfg, rng: rng, speed: Speed(cfg.PrefillPerMS),
 		view:    fleet.NewView(nil),
 		states:  map[string]*state{},
 		holders: newHolders(),
@@ -276,16 +278,34 @@
 	return total
 }
 
-// SetPeers replaces the work that other instances have at the upstreams.
-func (b *Book) SetPeers(total map[string]Work) {
-	for id, s := range b.states {
-		s.peers = total[id]
+// Waits returns how long the requests that wait at an upstream are expected to
+// wait until they have begun.
+func (b *Book) Waits(id string, now time.Time) time.Duration {
+	s := b.states[id]
+	if s == nil {
+		return 0
 	}
-	for id, work := range total {
+	b.advance(s, now)
+	return s.observed.expected(b.speed, now).take(s.backlog.tokens)
+}
+
+// SetPeers replaces the work that other instances have at the upstreams.
+func (b *Book) SetPeers(total map[string]Work, now time.Time) {
+	for id := range total {
 		if u := b.view.ByID(id); u != nil {
-			b.state(u).peers = work
+			b.state(u)
 		}
 	}
+	for id, s := range b.states {
+		b.setPeers(s, total[id], now)
+	}
+}
+
+func (b *Book) setPeers(s *state, work Work, now time.Time) {
+	b.advance(s, now)
+	s.backlog.tokens += float64(max(0, work.Prefill-s.peers.Prefill))
+	s.peers = work
+	b.advance(s, now)
 }
 
 // Ticket is one attempt at an upstream, from Pick to Done.
@@ -295,12 +315,12 @@
 	Scope     string        // of KV cache
 	FetchFrom string        // IP:port of a store or engine that may hold more of the prompt
 	Expected  time.Duration // until the first token
-	Save      bool          // the store does not hold the prompt's parts yet
+	SaveTo    string        // IP:port of a store that does not hold the prompt's parts yet
 	BeginBy   time.Time     // when the request must have begun, for its weights are replaced; zero: no bound
 
-	Held   int    // tokens of the prompt that the upstream is expected to keep
-	Stored int    // tokens that the store is expected to hold
-	Prefix uint64 // identifies the shared parts, the same for all versions of weights
+	Held    int    // tokens of the prompt that the upstream is expected to keep
+	Fetched int    // tokens that the upstream has with the help of another engine or the store
+	Prefix  uint64 // identifies the shared parts, the same for all versions of weights
 
 	alone   bool // nothing else was to be computed when it was sent
 	sent    time.Time
@@ -325,8 +345,10 @@
 // Begin counts an attempt before it is sent.
 func (b *Book) Begin(t *Ticket, now time.Time) {
 	s := b.state(t.Upstream)
-	t.sent, t.alone = now, s.own.Prefill+s.peers.Prefill == 0
+	t.sent, t.alone = now, s.prefill() == 0
+	b.advance(s, now)
 	s.own.add(t.work)
+	s.backlog.tokens += float64(t.work.Prefill)
 	t.prefill = t.work.Prefill
 	b.holders.add(t.keys, t.Upstream.ID, now, now.Add(t.Expected))
 }
@@ -339,52 +361,53 @@
 	return max(0, min(ready.Sub(now), maxComputing))
 }
 
-// FirstToken records that the prompt was computed.
-func (b *Book) FirstToken(t *Ticket, saved bool, now time.Time) {
-	b.learnRate(t, now)
+// FirstToken records that the prompt was computed, and returns the speed that the
+// engine showed.
+func (b *Book) FirstToken(t *Ticket, saved bool, now time.Time) Speed {
+	sample := t.measure(now)
 	b.holders.computed(t.keys, t.Upstream.ID, now)
 	if s := b.states[t.Upstream.ID]; s != nil {
+		b.learnSpeed(s, sample, now)
 		s.own.Prefill -= t.prefill
+		b.advance(s, now)
 	}
 	t.prefill = 0
 	if saved {
 		b.holders.saved(t.keys, now)
 	}
+	return sample
 }
 
-const (
-	// rateSample is the least number of computed tokens from which the rate is
-	// learned, so that other times hardly count.
-	rateSample = 4096
-	// rateWeight is the weight of a new observation.
-	rateWeight = 0.1
-	// leastRate and mostRate bound it, in tokens per millisecond.
-	leastRate, mostRate = 2, 2000
-)
+// advance lets an upstream work off its backlog until now.
+func (b *Book) advance(s *state, now time.Time) {
+	s.backlog.advance(s.observed.expected(b.speed, now), s.prefill(), now)
+}
 
-// learnRate observes how fast an engine computed a prompt that did not wait.
-func (b *Book) learnRate(t *Ticket, now time.Time) {
-	took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
-	if !t.alone || t.work.Prefill < rateSample || took <= 0 {
-		return
-	}
-	sample := min(max(float64(t.work.Prefill)/took, leastRate), mostRate)
-	b.rate += rateWeight * (sample - b.rate)
+// prefill returns the tokens of prompts without a first token.
+func (s *state) prefill() int { return max(0, s.own.Prefill+s.peers.Prefill) }
+
+// Placed is what another instance tells of a long prompt that it sent.
+type Placed struct {
+	Upstream string
+	Keys     []uint64      // of the shared parts
+	Ready    time.Duration // until they are computed; 0: they are
+	Saved    bool          // the store holds them
+	Speed    Speed         // that the upstream showed with it
 }
 
-// SawPlaced records that another instance sent a prompt with these shared parts
-// to an upstream, after which time they are computed, and whether the store holds
-// them.
-func (b *Book) SawPlaced(id string, keys []uint64, after time.Duration, saved bool, now time.Time) {
-	if b.view.ByID(id) == nil {
+// SawPlaced records what another instance tells.
+func (b *Book) SawPlaced(p Placed, now time.Time) {
+	u := b.view.ByID(p.Upstream)
+	if u == nil {
 		return
 	}
-	b.holders.add(keys, id, now, now.Add(after))
-	if after <= 0 {
-		b.holders.computed(keys, id, now)
+	b.learnSpeed(b.state(u), p.Speed, now)
+	b.holders.add(p.Keys, p.Upstream, now, now.Add(p.Ready))
+	if p.Ready <= 0 {
+		b.holders.computed(p.Keys, p.Upstream, now)
 	}
-	if saved {
-		b.holders.saved(keys, now)
+	if p.Saved {
+		b.holders.saved(p.Keys, now)
 	}
 }
 
@@ -401,6 +424,7 @@
 	s.own.Requests -= t.work.Requests
 	s.own.Memory -= t.work.Memory
 	s.own.Prefill -= t.prefill
+	b.advance(s, now)
 	t.prefill = 0
 	switch r {
 	case OK:
--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -144,6 +144,25 @@
 	return held != nil && now.Sub(held.at) < holderMaxAge
 }
 
+// keepers lists the engines that are expected to keep all the parts, computed and
+// used lately.
+func (h *holders) keepers(keys []uint64, now time.Time) []string {
+	if len(keys) == 0 {
+		return nil
+	}
+	last := h.byKey[keys[len(keys)-1]]
+	if last == nil {
+		return nil
+	}
+	var out []string
+	for _, held := range last.engines {
+		if now.Sub(held.at) < sourceMaxAge && h.held(keys, held.id, now) == len(keys) && !h.ready(keys, held.id).After(now) {
+			out = append(out, held.id)
+		}
+	}
+	return out
+}
+
 // inStore returns how many leading parts the store is expected to hold.
 func (h *holders) inStore(keys []uint64, now time.Time) int {
 	for i, key := range keys {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -18,8 +18,6 @@
 	// ownerStep is added per rank behind the engine that all instances prefer
 	// for a prompt, so that they agree without talking while it has room.
 	ownerStep = 40 * time.Millisecond
-	// fetchCost is a move of KV cache from the store.
-	fetchCost = 25 * time.Millisecond
 	// requestCost is what one running request adds to the time of the others'
 	// tokens.
 	requestCost = time.Millisecond
@@ -137,23 +135,35 @@
 	Query
 	sharedParts  int // all but the last
 	sharedTokens int
-	keys         map[int][]uint64 // by version of the weights
+	caches       map[int]*cached // by version of the weights
+}
+
+// cached is what is known of a prompt's parts under one version of the weights.
+type cached struct {
+	keys    []uint64
+	sources []source
 }
 
 func newPrompt(q Query) *prompt {
-	p := &prompt{Query: q, keys: map[int][]uint64{}}
+	p := &prompt{Query: q, caches: map[int]*cached{}}
 	p.sharedParts = max(0, len(q.Parts)-1)
 	p.sharedTokens = tokensOf(q.Parts[:p.sharedParts])
 	return p
 }
 
 func (p *prompt) keysFor(weights int) []uint64 {
-	keys, ok := p.keys[weights]
-	if !ok {
-		keys = prefixKeys(cacheScope(p.Isolated, weights), p.Model, p.Parts)
-		p.keys[weights] = keys
+	return prefixKeys(cacheScope(p.Isolated, weights), p.Model, p.Parts)
+}
+
+// cached looks up a prompt's parts under a version of the weights.
+func (b *Book) cached(p *prompt, weights int, now time.Time) *cached {
+	c := p.caches[weights]
+	if c == nil {
+		c = &cached{keys: p.keysFor(weights)}
+		c.sources = b.sources(p, c.keys, now)
+		p.caches[weights] = c
 	}
-	return keys
+	return c
 }
 
 // pickEngine chooses the engine with the least expected time to first token.
@@ -169,7 +179,7 @@
 		if !b.weightsAllowed(now.Add(waitSpread*e.cost), u, q.Model) {
 			continue
 		}
-		if p.sharedTokens >= sharedMinimum && b.holders.held(e.keys[:p.sharedParts], u.ID, now) < p.sharedParts {
+		if p.sharedTokens >= sharedMinimum && max(e.held, e.fetched) < p.sharedTokens {
 			e.cost += ownerStep * time.Duration(owners.rank(u))
 		}
 		if best.upstream == nil || e.cost < best.cost {
@@ -186,7 +196,7 @@
 func (b *Book) ticket(now time.Time, e estimate, p *prompt) *Ticket {
 	t := &Ticket{
 		Upstream: e.upstream, Weights: e.weights, Scope: cacheScope(p.Isolated, e.weights),
-		Held: e.held, Stored: e.stored, Expected: e.cost, keys: e.keys,
+		Held: e.held, Fetched: e.fetched, Expected: e.cost, keys: e.keys,
 		work: Work{Requests: 1, Prefill: e.compute, Memory: p.PromptTokens + p.MaxTokens},
 	}
 	if next, ok := b.nextWanted(p.Model, e.weights); ok {
@@ -196,10 +206,14 @@
 		return t
 	}
 	t.Prefix = p.keysFor(0)[p.sharedParts-1]
+	if e.source != nil {
+		t.FetchFrom = e.source.addr
+	}
 	if p.CacheStore != nil {
 		shared := e.keys[:p.sharedParts]
-		t.FetchFrom = p.CacheStore.Addr
-		t.Save = b.holders.inStore(shared, now) < p.sharedParts
+		if b.holders.inStore(shared, now) < p.sharedParts {
+			t.SaveTo = p.CacheStore.Addr
+		}
 		b.holders.touchSaved(shared, now)
 	}
 	return t
@@ -248,7 +262,8 @@
 	weights  int
 	keys     []uint64
 	held     int           // tokens that it is expected to keep
-	stored   int           // tokens that the store is expected to hold
+	source   *source       // from where it fetches more of the prompt; nil: nowhere
+	fetched  int           // tokens that it has with the source's help
 	compute  int           // tokens that it must compute
 	cost     time.Duration // until the first token, and what weighs as much
 }
@@ -256,16 +271,15 @@
 func (b *Book) estimate(now time.Time, u *fleet.Upstream, p *prompt) estimate {
 	s := b.state(u)
 	e := estimate{upstream: u, weights: b.Weights(u, p.Model)}
-	e.keys = p.keysFor(e.weights)
+	c := b.cached(p, e.weights, now)
+	e.keys = c.keys
 	e.held = tokensOf(p.Parts[:b.holders.held(e.keys, u.ID, now)])
-	if p.CacheStore != nil {
-		e.stored = tokensOf(p.Parts[:b.holders.inStore(e.keys, now)])
-	}
-	e.compute = max(0, p.PromptTokens-max(e.held, e.stored))
-	e.cost = b.prefill(s.own.Prefill + s.peers.Prefill + e.compute)
-	if e.stored > e.held {
-		e.cost += fetchCost
-	}
+	speed := s.observed.expected(b.speed, now)
+	var move time.Duration
+	e.source, e.fetched, move = p.bestSource(c.sources, u, e.held, speed)
+	e.compute = max(0, p.PromptTokens-max(e.held, e.fetched))
+	b.advance(s, now)
+	e.cost = move + speed.take(s.backlog.tokens+float64(e.compute))
 	requests := s.own.Requests + s.peers.Requests
 	if now.Sub(s.reportedAt) < reportMaxAge {
 		requests = max(requests, s.report.Running)
@@ -283,10 +297,6 @@
 	return e
 }
 
-func (b *Book) prefill(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / b.rate * float64(time.Millisecond))
-}
-
 // memoryCost grows once an engine's memory is nearly full, when requests are
 // preempted or wait.
 func (b *Book) memoryCost(s *state, q Query) time.Duration {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -107,7 +107,7 @@
 	b.FirstToken(first, true, start.Add(300*time.Millisecond))
 	b.Done(first, OK, start.Add(time.Second))
 	again := pick(t, b, start.Add(2*time.Second), long("c"))
-	if again.Upstream != first.Upstream || again.Held != 17000 || again.Save {
+	if again.Upstream != first.Upstream || again.Held != 17000 || again.SaveTo != "" {
 		t.Errorf("got %+v", again)
 	}
 }
@@ -121,13 +121,44 @@
 	a.SetBusy(owner.Upstream.ID, start.Add(time.Second))
 	sent := pick(t, a, start, long("c"))
 	a.Begin(sent, start)
-	b.SawPlaced(sent.Upstream.ID, sent.SharedKeys(), 0, true, start)
+	b.SawPlaced(Placed{Upstream: sent.Upstream.ID, Keys: sent.SharedKeys(), Saved: true}, start)
 	got := pick(t, b, start.Add(time.Second), long("c"))
-	if got.Upstream.ID != sent.Upstream.ID || got.Held != 13000 || got.Stored != 13000 {
+	if got.Upstream.ID != sent.Upstream.ID || got.Held != 13000 || got.SaveTo != "" {
 		t.Errorf("got %+v", got)
 	}
 }
 
+// TestIdleEngineFetchesFromBusyOne guards against a prompt that waits behind
+// others, or is computed again, while its parts can be moved to an idle engine.
+func TestIdleEngineFetchesFromBusyOne(t *testing.T) {
+	engine := *llm.Engine
+	engine.TokenBytes, engine.LinkMbps = 163840, 1_100_000
+	service := &routing.Service{Name: "llm", Engine: &engine}
+	ask := func(chain, own string) Query {
+		q := long(chain)
+		q.Service, q.CacheStore = service, nil
+		q.Parts[1].ID = own
+		return q
+	}
+	b := newBook(12, 1)
+	keeper := pick(t, b, start, ask("c", "first"))
+	b.Begin(keeper, start)
+	now := start.Add(300 * time.Millisecond)
+	b.FirstToken(keeper, false, now)
+	b.Done(keeper, OK, now)
+	other := ask("other", "other")
+	other.Exclude = func(id string) bool { return id != keeper.Upstream.ID }
+	b.Begin(pick(t, b, now, other), now)
+	got := pick(t, b, now, ask("c", "second"))
+	if got.Upstream == keeper.Upstream || got.FetchFrom != keeper.Upstream.Addr || got.Fetched != 13000 {
+		t.Errorf("goes to %s, fetches %d tokens from %q", got.Upstream.ID, got.Fetched, got.FetchFrom)
+	}
+	b.SetView(view(12, 2)) // the keeper's weights were replaced
+	if got := pick(t, b, now, ask("c", "third")); got.Fetched != 0 {
+		t.Errorf("fetches %d tokens of other weights from %q", got.Fetched, got.FetchFrom)
+	}
+}
+
 // TestSharedPartsAreComputedOnce guards against a second request that makes an
 // engine compute shared parts while it does so for the first.
 func TestSharedPartsAreComputedOnce(t *testing.T) {
@@ -137,7 +168,7 @@
 		t.Error("the first request waits")
 	}
 	a.Begin(first, start)
-	b.SawPlaced(first.Upstream.ID, first.SharedKeys(), first.Expected, false, start)
+	b.SawPlaced(Placed{Upstream: first.Upstream.ID, Keys: first.SharedKeys(), Ready: first.Expected}, start)
 	for name, book := range map[string]*Book{"same instance": a, "other instance": b} {
 		second := pick(t, book, start, long("c"))
 		wait := book.Computing(second, start)
@@ -147,7 +178,7 @@
 	}
 	now := start.Add(100 * time.Millisecond)
 	a.FirstToken(first, false, now)
-	b.SawPlaced(first.Upstream.ID, first.SharedKeys(), 0, false, now)
+	b.SawPlaced(Placed{Upstream: first.Upstream.ID, Keys: first.SharedKeys()}, now)
 	for name, book := range map[string]*Book{"same instance": a, "other instance": b} {
 		if wait := book.Computing(pick(t, book, now, long("c")), now); wait != 0 {
 			t.Errorf("%s: waits %v for parts that are computed", name, wait)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -15,13 +15,13 @@
 
 // Engine is an engine as far as a rollout is concerned.
 type Engine struct {
-	ID     string
-	Addr   string // IP:port
-	Model  string
-	Has    int // version of the weights
-	Wants  int // version named by the operator
-	Load   int // running requests; engines with few are loaded first
-	Queued int // prompt tokens of requests that have not begun; an order would have them refused
+	ID    string
+	Addr  string // IP:port
+	Model string
+	Has   int           // version of the weights
+	Wants int           // version named by the operator
+	Load  int           // running requests; engines with few are loaded first
+	Waits time.Duration // until the requests that wait there are expected to have begun; an order would have them refused
 }
 
 // Report is an engine's own account of its state.
@@ -51,9 +51,9 @@
 
 const (
 	// pollEvery is between reads of an engine that loads.
-	pollEvery = 150 * time.Millisecond
+	pollEvery = 50 * time.Millisecond
 	// firstPoll is the least time of a load.
-	firstPoll = 300 * time.Millisecond
+	firstPoll = 200 * time.Millisecond
 	// lateAfter is how long an order without answer and effect is waited for.
 	lateAfter = 500 * time.Millisecond
 	// clearSpan is how long an engine that gets no new work is given until the
@@ -61,6 +61,8 @@
 	clearSpan = 500 * time.Millisecond
 	// clearLeast covers requests that were sent before the others knew.
 	clearLeast = 40 * time.Millisecond
+	// clearEnough is the expected wait at which an engine counts as clear.
+	clearEnough = 10 * time.Millisecond
 	// retryAfter is between attempts at an engine that fails or rejects.
 	retryAfter = 700 * time.Millisecond
 	// loadTimeout ends the wait for an accepted order.
@@ -153,7 +155,7 @@
 // or had the time to.
 func (e *engine) clear(now time.Time) bool {
 	waited := now.Sub(e.reserved)
-	return !e.reserved.IsZero() && waited >= clearLeast && (e.Queued == 0 || waited >= clearSpan)
+	return !e.reserved.IsZero() && waited >= clearLeast && (e.Waits <= clearEnough || waited >= clearSpan)
 }
 
 // sorted lists engines with the oldest weights and the least work first.
