Expect prompts to be kept by the tokens that came after them

Change: new tokens are counted per engine and for the store; instances tell the tokens of long prompts with their placements, numbered so that repeated news counts once; shorter prompts are estimated from the own ones and the number of instances.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -116,9 +116,11 @@
 func (p *peers) tellPlaced(placed placement.Placed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.placedSerial++
 	piece := &rpc.Placed{
-		Upstream: placed.Upstream, Keys: placed.Keys, Saved: placed.Saved,
+		Serial: p.placedSerial, Upstream: placed.Upstream, Keys: placed.Keys, Saves: uint32(max(0, placed.Saves)),
 		ReadyMs: uint32(placed.Ready.Milliseconds()), Speed: float32(placed.Speed),
+		Brings: uint32(max(0, placed.Brings)),
 	}
 	p.news.placed = append(p.news.placed, told[*rpc.Placed]{piece, repeats})
 	p.hurry()
@@ -260,6 +262,7 @@
 		other.digest.Work = nil
 	}
 	p.followLeader(d, now)
+	unheard := other.unheard(d)
 	p.mu.Unlock()
 	if fresh {
 		p.hurry() // the sender may not know this instance yet
@@ -274,10 +277,11 @@
 	for _, w := range d.Weights {
 		p.placer.SawWeights(w.Upstream, w.Model, int(w.Version))
 	}
-	for _, placed := range d.Placed {
+	for _, placed := range unheard {
 		p.placer.sawPlaced(placement.Placed{
-			Upstream: placed.Upstream, Keys: placed.Keys, Saved: placed.Saved,
+			Upstream: placed.Upstream, Keys: placed.Keys, Saves: int(placed.Saves),
 			Ready: time.Duration(placed.ReadyMs) * time.Millisecond, Speed: placement.Speed(placed.Speed),
+			Brings: int(placed.Brings),
 		})
 	}
 	if !p.follower.Follows() && knowsMore(d, p.follower.Versions()) {
@@ -288,6 +292,22 @@
 	}
 }
 
+// unheard returns the placements that no earlier digest of the sender's process
+// told.
+func (p *peer) unheard(d *rpc.Digest) []*rpc.Placed {
+	if p.placedOf != d.Incarnation {
+		p.placedOf, p.placedSerial = d.Incarnation, 0
+	}
+	var out []*rpc.Placed
+	for _, placed := range d.Placed {
+		if placed.Serial > p.placedSerial {
+			p.placedSerial = placed.Serial
+			out = append(out, placed)
+		}
+	}
+	return out
+}
+
 // levelsKnown is how long an instance must have run before another one started
 // for its levels to be better than none.
 const levelsKnown = 3 * time.Second
@@ -342,4 +362,5 @@
 	}
 	p.mu.Unlock()
 	p.placer.setPeers(total)
+	p.placer.setInstances(p.instances())
 }
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// TestPlacementsCountOnce guards against tokens that are counted twice because
+// news is repeated, and against a restarted instance whose news is ignored.
+func TestPlacementsCountOnce(t *testing.T) {
+	other := &peer{}
+	told := func(incarnation uint64, serials ...uint64) int {
+		d := &rpc.Digest{Incarnation: incarnation}
+		for _, serial := range serials {
+			d.Placed = append(d.Placed, &rpc.Placed{Serial: serial})
+		}
+		return len(other.unheard(d))
+	}
+	for _, step := range []struct {
+		incarnation uint64
+		serials     []uint64
+		want        int
+	}{{5, []uint64{1, 2}, 2}, {5, []uint64{1, 2, 3}, 1}, {5, []uint64{3}, 0}, {6, []uint64{1}, 1}, {6, []uint64{1, 2}, 1}} {
+		if got := told(step.incarnation, step.serials...); got != step.want {
+			t.Errorf("process %d, placements %v: %d count, want %d", step.incarnation, step.serials, got, step.want)
+		}
+	}
+}
+
 // TestNewsIsToldTwice guards against news that is lost with one datagram, and
 // against news that fills the links for ever.
 func TestNewsIsToldTwice(t *testing.T) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -60,6 +60,9 @@
 	heard   time.Time // zero: only listed
 	listed  time.Time
 	digest  *rpc.Digest // last one
+
+	placedOf     uint64 // incarnation whose placements were heard
+	placedSerial uint64 // of the last placement that was heard
 }
 
 // peers exchanges digests with the other instances.
@@ -77,11 +80,13 @@
 	more        chan struct{} // another instance knows more
 	relay       atomic.Bool   // this instance follows the store, for others too
 
-	mu       sync.Mutex
-	known    map[string]*peer
-	seeds    []string
-	sequence uint64
-	leaving  bool
+	mu           sync.Mutex
+	known        map[string]*peer
+	seeds        []string
+	sequence     uint64
+	leaving      bool
+	placedSerial uint64 // of the last placement that was told
+
 	loads    map[string]time.Time // engines that load, until when that was told
 	news     news
 	leader   string    // the instance that last gave orders
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -9,10 +9,6 @@
 	"github.com/fescuestep/fescuestep/pkg/placement"
 )
 
-// longPrefill is the number of prompt tokens from which other instances are told
-// at once, since their requests would wait behind it.
-const longPrefill = 4096
-
 // placer makes a placement.Book safe for concurrent use.
 type placer struct {
 	now    func() time.Time
@@ -39,8 +35,8 @@
 	p.mu.Lock()
 	p.book.Begin(t, p.now())
 	p.mu.Unlock()
-	if t.Prefill() >= longPrefill {
-		p.onLong(placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Ready: t.Expected})
+	if t.Long() {
+		p.onLong(placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Ready: t.Expected, Brings: t.Brings()})
 	}
 }
 
@@ -56,8 +52,12 @@
 	p.mu.Lock()
 	speed := p.book.FirstToken(t, saved, p.now())
 	p.mu.Unlock()
-	if t.Prefill() >= longPrefill {
-		p.onLong(placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Saved: saved, Speed: speed})
+	if t.Long() {
+		placed := placement.Placed{Upstream: t.Upstream.ID, Keys: t.SharedKeys(), Speed: speed}
+		if saved {
+			placed.Saves = t.Saves()
+		}
+		p.onLong(placed)
 	}
 }
 
@@ -115,6 +115,12 @@
 	p.book.SawPlaced(placed, p.now())
 }
 
+func (p *placer) setInstances(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.SetInstances(n)
+}
+
 func (p *placer) setPeers(total map[string]placement.Work) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -77,6 +77,8 @@
 	wanted  map[string][]wanted // by model, in the order of versions
 	outlier retry.OutlierConfig
 	speed   Speed // mean of all engines
+
+	instances int // of the fleet
 }
 
 // wanted is a version that was named for a model.
@@ -322,6 +324,9 @@
 	Fetched int    // tokens that the upstream has with the help of another engine or the store
 	Prefix  uint64 // identifies the shared parts, the same for all versions of weights
 
+	brings float64 // tokens that are new to the upstream
+	saves  float64 // tokens that are new to the store
+
 	alone   bool // nothing else was to be computed when it was sent
 	sent    time.Time
 	work    Work
@@ -339,8 +344,11 @@
 	return t.keys[:len(t.keys)-1]
 }
 
-// Prefill returns the prompt tokens that the upstream is expected to compute.
-func (t *Ticket) Prefill() int { return t.work.Prefill }
+// Brings returns the tokens of the prompt that are new to the upstream.
+func (t *Ticket) Brings() int { return int(t.brings) }
+
+// Saves returns the tokens of the prompt that are new to the store.
+func (t *Ticket) Saves() int { return int(t.saves) }
 
 // Begin counts an attempt before it is sent.
 func (b *Book) Begin(t *Ticket, now time.Time) {
@@ -350,9 +358,30 @@
 	s.own.add(t.work)
 	s.backlog.tokens += float64(t.work.Prefill)
 	t.prefill = t.work.Prefill
+	b.holders.bring(t.Upstream.ID, t.brings*b.unheard(t.Long()))
 	b.holders.add(t.keys, t.Upstream.ID, now, now.Add(t.Expected))
 }
 
+// Long reports whether the other instances are told of the prompt, since their
+// requests would wait behind it.
+func (t *Ticket) Long() bool { return t.work.Prefill >= longPrefill }
+
+// longPrefill is the number of prompt tokens to compute from which instances
+// tell each other of a request.
+const longPrefill = 4096
+
+// unheard returns how many requests of the whole fleet one of this instance
+// stands for: the others do not tell of theirs unless they are long.
+func (b *Book) unheard(told bool) float64 {
+	if told {
+		return 1
+	}
+	return float64(max(1, b.instances))
+}
+
+// SetInstances sets the number of instances in the fleet.
+func (b *Book) SetInstances(n int) { b.instances = n }
+
 // Computing returns how long the upstream is still expected to compute the
 // prompt's shared parts for other requests; it would compute them again for one
 // that is sent before.
@@ -373,6 +402,7 @@
 	}
 	t.prefill = 0
 	if saved {
+		b.holders.bring(storeID, t.saves*b.unheard(t.Long()))
 		b.holders.saved(t.keys, now)
 	}
 	return sample
@@ -391,8 +421,9 @@
 	Upstream string
 	Keys     []uint64      // of the shared parts
 	Ready    time.Duration // until they are computed; 0: they are
-	Saved    bool          // the store holds them
+	Saves    int           // tokens that are new to the store, which then holds the parts; 0: none were saved
 	Speed    Speed         // that the upstream showed with it
+	Brings   int           // tokens that are new to the upstream; 0: told before
 }
 
 // SawPlaced records what another instance tells.
@@ -402,11 +433,13 @@
 		return
 	}
 	b.learnSpeed(b.state(u), p.Speed, now)
+	b.holders.bring(p.Upstream, float64(max(0, p.Brings)))
 	b.holders.add(p.Keys, p.Upstream, now, now.Add(p.Ready))
 	if p.Ready <= 0 {
 		b.holders.computed(p.Keys, p.Upstream, now)
 	}
-	if p.Saved {
+	if p.Saves > 0 {
+		b.holders.bring(storeID, float64(p.Saves))
 		b.holders.saved(p.Keys, now)
 	}
 }
--- a/pkg/placement/holders.go
+++ b/pkg/placement/holders.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// holderMaxAge is how long after its last use a prompt part is expected to
-	// be kept by an engine.
-	holderMaxAge = 20 * time.Second
-	// savedMaxAge is the same for the store, which has several times the room.
-	savedMaxAge = 25 * time.Second
+	// holderMaxAge is how long after its last use a prompt part is remembered.
+	holderMaxAge = time.Minute
+	// keptShare of a keeper's room is filled with new tokens before it is expected
+	// to have dropped a part: a few tokens are brought that are not known here.
+	keptShare = 0.85
 	// maxHolderKeys bounds the remembered parts; about 200 bytes each.
 	maxHolderKeys = 20_000
 )
@@ -33,20 +33,53 @@
 type holder struct {
 	id    string    // upstream
 	at    time.Time // of the last use
+	mark  float64   // tokens that had been brought to the upstream by then
 	ready time.Time // when the part is expected to be computed
 }
 
 type entry struct {
 	engines []holder
 	saved   time.Time // when the store last held it
+	mark    float64   // tokens that had been brought to the store by then
 }
 
+// memory is the room of an engine or the store, where the parts that were used
+// least lately make room for new ones.
+type memory struct {
+	room    int     // tokens; 0: not known
+	brought float64 // new tokens so far
+}
+
+// keeps reports whether a part is still there that was used when the memory had
+// been brought mark tokens.
+func (m *memory) keeps(mark float64) bool {
+	return m.room <= 0 || m.brought-mark < keptShare*float64(m.room)
+}
+
+// storeID stands for the store of KV cache among the IDs of upstreams.
+const storeID = ""
+
 // holders remembers where parts of prompts are kept.
 type holders struct {
-	byKey map[uint64]*entry
+	byKey    map[uint64]*entry
+	memories map[string]*memory // by upstream, and the store's
 }
 
-func newHolders() *holders { return &holders{byKey: map[uint64]*entry{}} }
+func newHolders() *holders {
+	return &holders{byKey: map[uint64]*entry{}, memories: map[string]*memory{}}
+}
+
+func (h *holders) memory(id string) *memory {
+	m := h.memories[id]
+	if m == nil {
+		m = &memory{}
+		h.memories[id] = m
+	}
+	return m
+}
+
+// bring counts new tokens at an engine or the store.
+func (h *holders) bring(id string, tokens float64) { h.memory(id).brought += tokens }
 
 func (h *holders) entry(key uint64) *entry {
 	e := h.byKey[key]
@@ -63,20 +96,26 @@
 // add records that an engine keeps the parts from now on. Those that it did not
 // keep before are computed until ready.
 func (h *holders) add(keys []uint64, id string, now, ready time.Time) {
+	mark := h.memory(id).brought
 	for _, key := range keys {
 		e := h.entry(key)
 		held := e.engine(id)
 		switch {
 		case held == nil:
-			e.engines = append(e.engines, holder{id, now, ready})
-		case now.Sub(held.at) >= holderMaxAge:
-			*held = holder{id, now, ready}
+			e.engines = append(e.engines, holder{id, now, mark, ready})
+		case !h.kept(held, now):
+			*held = holder{id, now, mark, ready}
 		default:
-			held.at = now
+			held.at, held.mark = now, mark
 		}
 	}
 }
 
+// kept reports whether the part is still expected to be there.
+func (h *holders) kept(held *holder, now time.Time) bool {
+	return now.Sub(held.at) < holderMaxAge && h.memory(held.id).keeps(held.mark)
+}
+
 // computed records that an engine has computed the parts.
 func (h *holders) computed(keys []uint64, id string, now time.Time) {
 	for _, key := range keys {
@@ -111,16 +150,19 @@
 }
 
 func (h *holders) saved(keys []uint64, now time.Time) {
+	mark := h.memory(storeID).brought
 	for _, key := range keys {
-		h.entry(key).saved = now
+		e := h.entry(key)
+		e.saved, e.mark = now, mark
 	}
 }
 
 // touchSaved records a use of parts that the store holds.
 func (h *holders) touchSaved(keys []uint64, now time.Time) {
+	mark := h.memory(storeID).brought
 	for _, key := range keys {
-		if e := h.byKey[key]; e != nil && !e.saved.IsZero() {
-			e.saved = now
+		if e := h.byKey[key]; e != nil && h.stored(e, now) {
+			e.saved, e.mark = now, mark
 		}
 	}
 }
@@ -141,7 +183,12 @@
 		return false
 	}
 	held := e.engine(id)
-	return held != nil && now.Sub(held.at) < holderMaxAge
+	return held != nil && h.kept(held, now)
+}
+
+// stored reports whether the store is expected to hold a part.
+func (h *holders) stored(e *entry, now time.Time) bool {
+	return !e.saved.IsZero() && now.Sub(e.saved) < holderMaxAge && h.memory(storeID).keeps(e.mark)
 }
 
 // keepers lists the engines that are expected to keep all the parts, computed and
@@ -156,7 +203,7 @@
 	}
 	var out []string
 	for _, held := range last.engines {
-		if now.Sub(held.at) < sourceMaxAge && h.held(keys, held.id, now) == len(keys) && !h.ready(keys, held.id).After(now) {
+		if h.held(keys, held.id, now) == len(keys) && !h.ready(keys, held.id).After(now) {
 			out = append(out, held.id)
 		}
 	}
@@ -167,7 +214,7 @@
 func (h *holders) inStore(keys []uint64, now time.Time) int {
 	for i, key := range keys {
 		e := h.byKey[key]
-		if e == nil || e.saved.IsZero() || now.Sub(e.saved) >= savedMaxAge {
+		if e == nil || !h.stored(e, now) {
 			return i
 		}
 	}
@@ -185,6 +232,7 @@
 
 // forget drops an engine from all parts.
 func (h *holders) forget(id string) {
+	delete(h.memories, id)
 	for key, e := range h.byKey {
 		e.drop(id)
 		if len(e.engines) == 0 && e.saved.IsZero() {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -202,6 +202,7 @@
 	if next, ok := b.nextWanted(p.Model, e.weights); ok {
 		t.BeginBy = next.since.Add(b.cfg.WeightsApply - beginMargin)
 	}
+	t.brings = float64(max(0, p.PromptTokens-e.held))
 	if p.sharedParts == 0 {
 		return t
 	}
@@ -213,6 +214,7 @@
 		shared := e.keys[:p.sharedParts]
 		if b.holders.inStore(shared, now) < p.sharedParts {
 			t.SaveTo = p.CacheStore.Addr
+			t.saves = float64(p.PromptTokens)
 		}
 		b.holders.touchSaved(shared, now)
 	}
@@ -271,6 +273,7 @@
 func (b *Book) estimate(now time.Time, u *fleet.Upstream, p *prompt) estimate {
 	s := b.state(u)
 	e := estimate{upstream: u, weights: b.Weights(u, p.Model)}
+	b.holders.memory(u.ID).room = p.Service.Engine.KVTokens
 	c := b.cached(p, e.weights, now)
 	e.keys = c.keys
 	e.held = tokensOf(p.Parts[:b.holders.held(e.keys, u.ID, now)])
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -121,7 +121,7 @@
 	a.SetBusy(owner.Upstream.ID, start.Add(time.Second))
 	sent := pick(t, a, start, long("c"))
 	a.Begin(sent, start)
-	b.SawPlaced(Placed{Upstream: sent.Upstream.ID, Keys: sent.SharedKeys(), Saved: true}, start)
+	b.SawPlaced(Placed{Upstream: sent.Upstream.ID, Keys: sent.SharedKeys(), Saves: 17000}, start)
 	got := pick(t, b, start.Add(time.Second), long("c"))
 	if got.Upstream.ID != sent.Upstream.ID || got.Held != 13000 || got.SaveTo != "" {
 		t.Errorf("got %+v", got)
@@ -159,6 +159,46 @@
 	}
 }
 
+// TestPartsMakeRoomForNewOnes guards against requests that follow a prompt to an
+// engine which has dropped it, whichever instance sent what came after it.
+func TestPartsMakeRoomForNewOnes(t *testing.T) {
+	for name, bring := range map[string]func(b *Book, id string, i int){
+		"own requests": func(b *Book, id string, i int) {
+			q := long(fmt.Sprint("new", i))
+			q.Exclude = func(other string) bool { return other != id }
+			ticket, _, err := b.Pick(start, q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Begin(ticket, start)
+			b.FirstToken(ticket, false, start)
+			b.Done(ticket, OK, start)
+		},
+		"requests of another instance": func(b *Book, id string, i int) {
+			b.SawPlaced(Placed{Upstream: id, Keys: []uint64{uint64(i)}, Brings: 17000}, start)
+		},
+	} {
+		b := newBook(12, 1)
+		keeper := pick(t, b, start, long("c"))
+		b.Begin(keeper, start)
+		b.FirstToken(keeper, false, start)
+		b.Done(keeper, OK, start)
+		held := 0
+		for held = 0; held < 100; held++ {
+			q := long("c")
+			q.CacheStore = nil
+			q.Exclude = func(other string) bool { return other != keeper.Upstream.ID }
+			if pick(t, b, start, q).Held == 0 {
+				break
+			}
+			bring(b, keeper.Upstream.ID, held)
+		}
+		if held < 6 || held > 9 { // 148,000 tokens in all, 17,000 each
+			t.Errorf("%s: the prompt is expected to be kept for %d others", name, held)
+		}
+	}
+}
+
 // TestSharedPartsAreComputedOnce guards against a second request that makes an
 // engine compute shared parts while it does so for the first.
 func TestSharedPartsAreComputedOnce(t *testing.T) {
--- a/pkg/placement/source.go
+++ b/pkg/placement/source.go
@@ -12,10 +12,6 @@
 	moveSetup = 5 * time.Millisecond
 	// farMove is how much longer moves between failure domains take.
 	farMove = 2
-	// sourceMaxAge is how long after its last use a prompt part is fetched from
-	// an engine. It may have made room for others by then, and a fetch that finds
-	// nothing makes the prompt be computed again.
-	sourceMaxAge = 8 * time.Second
 	// unknownMove is the time of a move over a link whose speed is not known.
 	unknownMove = 25 * time.Millisecond
 )
@@ -41,6 +37,7 @@
 		out = append(out, source{u.ID, u.Addr, u.Domain, p.Service.Engine.LinkMbps, p.sharedTokens})
 	}
 	if p.CacheStore != nil {
+		b.holders.memory(storeID).room = p.CacheStore.KVTokens
 		stored := tokensOf(p.Parts[:b.holders.inStore(keys, now)])
 		out = append(out, source{"", p.CacheStore.Addr, p.CacheStore.Domain, p.CacheStore.LinkMbps, stored})
 	}
