Count only fetches from the store as uses of what it holds

Cause: every choice counted as a use of the parts in the store, also when they were kept by the engine or fetched from another one; the store drops what it was not asked for.

--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -216,7 +216,9 @@
 			t.SaveTo = p.CacheStore.Addr
 			t.saves = float64(p.PromptTokens)
 		}
-		b.holders.touchSaved(shared, now)
+		if e.fetched > e.held && e.source.id == storeID {
+			b.holders.touchSaved(shared, now)
+		}
 	}
 	return t
 }
