Learn how many engines may load weights at once

Change: the first loads of a leader run at half of the limit; from then on the limit falls while more at once bring hardly more loads a second, and rises while they do not slow each other.

--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	lease    *control.Lease
 	plan     *rollout.Plan
+	loads    rollout.Loads
 	token    uint64 // of the plan
 	calls    int    // steps of the plan under way
 	needFrom time.Time
@@ -125,7 +126,7 @@
 		return
 	}
 	if token != r.token || r.plan == nil {
-		r.plan, r.token, r.told = rollout.NewPlan(), token, map[string]int{}
+		r.plan, r.token, r.told = rollout.NewPlan(&r.loads), token, map[string]int{}
 		r.log.Info("leader lease taken", "token", token)
 	}
 	r.plan.SetEngines(list)
@@ -267,7 +268,7 @@
 			if first && has == e.Has {
 				continue // known from the list
 			}
-			r.log.Info("engine has loaded weights", "upstream", e.ID, "model", e.Model, "version", has, "loading", len(r.plan.Loading()))
+			r.log.Info("engine has loaded weights", "upstream", e.ID, "model", e.Model, "version", has, "loading", len(r.plan.Loading()), "limit", r.loads.Limit(len(list)))
 			r.placer.SawWeights(e.ID, e.Model, has)
 			r.placer.SetBusy(e.ID, 0)
 			r.peers.tellWeights(e.ID, e.Model, has)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -67,16 +67,8 @@
 	retryAfter = 700 * time.Millisecond
 	// loadTimeout ends the wait for an accepted order.
 	loadTimeout = 5 * time.Second
-	// engineShare is the part of the engines that may load at once: each takes
-	// no work meanwhile, and many loads at once slow each other down.
-	engineShare = 5
-	// leastLoads may run at once in a small fleet.
-	leastLoads = 2
 )
 
-// MaxLoads returns how many of the engines may load at once.
-func MaxLoads(engines int) int { return max(leastLoads, (engines+engineShare-1)/engineShare) }
-
 type engine struct {
 	Engine
 	busy      bool // a call is under way
@@ -85,6 +77,7 @@
 	reserved  time.Time // when work was first kept away for the next order; zero: not
 	ordered   int       // version of the order whose effect is awaited, 0: none
 	orderedAt time.Time // when it was given
+	loadsThen float64   // loadTime of the plan at that time
 	accepted  bool      // the engine answered that it carries the order out
 	readAt    time.Time // when the next read is due
 	retryAt   time.Time
@@ -93,11 +86,15 @@
 // Plan is a leader's plan. It starts empty at every takeover.
 type Plan struct {
 	engines map[string]*engine
+	loads   *Loads
 	last    time.Time // of the last order
+
+	loadTime  float64   // seconds for which engines were ordered, summed over all
+	countedAt time.Time // until when
 }
 
-// NewPlan returns an empty plan.
-func NewPlan() *Plan { return &Plan{engines: map[string]*engine{}} }
+// NewPlan returns an empty plan that bounds loads by what was learned.
+func NewPlan(loads *Loads) *Plan { return &Plan{engines: map[string]*engine{}, loads: loads} }
 
 // SetEngines replaces the engines that need weights or may be loading.
 func (p *Plan) SetEngines(list []Engine) {
@@ -118,14 +115,9 @@
 // Next returns the calls to make now; each must be answered with Reported or
 // Ordered. mayOrder says whether the leader's lease covers orders.
 func (p *Plan) Next(now time.Time, mayOrder bool) []Step {
+	p.countLoads(now)
 	var steps []Step
-	loads := 0
-	for _, e := range p.engines {
-		if e.ordered > 0 || !e.reserved.IsZero() {
-			loads++
-		}
-	}
-	free := MaxLoads(len(p.engines)) - loads
+	free := p.loads.Limit(len(p.engines)) - len(p.Loading())
 	for _, e := range p.sorted() {
 		step, ok := p.step(now, e, mayOrder)
 		if !ok {
@@ -198,12 +190,33 @@
 	}
 	e.busy = true
 	e.reserved = time.Time{}
-	e.ordered, e.orderedAt, e.accepted = e.Wants, now, false
+	e.ordered, e.orderedAt, e.accepted, e.loadsThen = e.Wants, now, false, p.loadTime
 	e.readAt = now.Add(firstPoll)
 	p.last = now
 	return Step{Engine: e.Engine, Order: true, Version: e.Wants, Orders: e.orders}, true
 }
 
+// countLoads adds the time since the last call for every engine that is ordered.
+func (p *Plan) countLoads(now time.Time) {
+	since := now.Sub(p.countedAt).Seconds()
+	p.countedAt = now
+	for _, e := range p.engines {
+		if e.ordered > 0 {
+			p.loadTime += since
+		}
+	}
+}
+
+// loaded tells how long an accepted order took and how many were under way.
+func (p *Plan) loaded(now time.Time, e *engine) {
+	took := now.Sub(e.orderedAt)
+	if !e.accepted || took <= 0 {
+		return
+	}
+	p.countLoads(now)
+	p.loads.Loaded(took, (p.loadTime-e.loadsThen)/took.Seconds())
+}
+
 // Reported takes the result of a read.
 func (p *Plan) Reported(now time.Time, id string, r Report, err error) {
 	e := p.engines[id]
@@ -230,6 +243,7 @@
 	waited := now.Sub(e.orderedAt)
 	switch {
 	case e.Has >= e.ordered:
+		p.loaded(now, e)
 		e.ordered = 0
 	case r.Loading || (e.accepted && waited < loadTimeout) || (moved && waited < loadTimeout):
 		e.readAt = now.Add(pollEvery)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -88,7 +88,7 @@
 // against more loads at once than allowed.
 func TestAllEnginesLoad(t *testing.T) {
 	list := engines(12, 1, 2)
-	p, f := NewPlan(), newFleet(list)
+	p, f := NewPlan(&Loads{}), newFleet(list)
 	p.SetEngines(list)
 	took := play(p, f, 10*time.Second, func(time.Time) {
 		if n := len(p.Loading()); n > MaxLoads(12) {
@@ -109,7 +109,7 @@
 // that crashed while they loaded.
 func TestCrashedEnginesDoNotBlock(t *testing.T) {
 	list := engines(12, 1, 2)
-	p, f := NewPlan(), newFleet(list)
+	p, f := NewPlan(&Loads{}), newFleet(list)
 	p.SetEngines(list)
 	for _, s := range p.Next(start, true) {
 		f.perform(p, start, s) // reads
@@ -134,7 +134,7 @@
 func TestLostOrderIsRepeatedOnce(t *testing.T) {
 	for _, arrives := range []bool{false, true} {
 		list := engines(1, 1, 2)
-		p, f := NewPlan(), newFleet(list)
+		p, f := NewPlan(&Loads{}), newFleet(list)
 		p.SetEngines(list)
 		lost := 0
 		for at := time.Duration(0); at < 5*time.Second; at += 20 * time.Millisecond {
@@ -162,7 +162,7 @@
 // TestStaleTokenEndsLeadership guards against a leader that goes on after an
 // engine has seen its successor.
 func TestStaleTokenEndsLeadership(t *testing.T) {
-	p := NewPlan()
+	p := NewPlan(&Loads{})
 	p.SetEngines(engines(1, 1, 2))
 	if p.Ordered(start, "e00", errors.Wrap(ErrStale, "status")) {
 		t.Error("still leader after a stale token")
