End a load of weights when the listing shows them

Cause: the demo on the platform's dialect got 503 no_upstream from two instances up to a second after the last of four engines had loaded. The listing with the new weights came before the leader's next read of the engine: the leader told the others that it takes work again and, in the same step, once more that it loads, for 1.5 s; after the read it told nothing, since the version was told already.

Ruled out: lost datagrams (both pieces of news arrived, in this order).

Test: TestListedWeightsEndALoad, red before.

--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -129,7 +129,7 @@
 		r.plan, r.token, r.told = rollout.NewPlan(&r.loads), token, map[string]int{}
 		r.log.Info("leader lease taken", "token", token)
 	}
-	r.plan.SetEngines(list)
+	r.plan.SetEngines(now, list)
 	r.tellWeights(list)
 	for _, step := range r.plan.Next(now, r.lease.MaySend(r.since(now), r.checksFencing)) {
 		r.call(ctx, step, token)
--- a/pkg/rollout/loads_test.go
+++ b/pkg/rollout/loads_test.go
@@ -55,7 +55,7 @@
 					for i := range list {
 						list[i].Has = f.has(now, list[i].ID)
 					}
-					p.SetEngines(list)
+					p.SetEngines(now, list)
 					for _, s := range p.Next(now, true) {
 						f.perform(p, now, s)
 					}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -97,7 +97,7 @@
 func NewPlan(loads *Loads) *Plan { return &Plan{engines: map[string]*engine{}, loads: loads} }
 
 // SetEngines replaces the engines that need weights or may be loading.
-func (p *Plan) SetEngines(list []Engine) {
+func (p *Plan) SetEngines(now time.Time, list []Engine) {
 	next := make(map[string]*engine, len(list))
 	for _, e := range list {
 		known := p.engines[e.ID]
@@ -107,6 +107,10 @@
 		has := known.Has
 		known.Engine = e
 		known.Has = max(has, e.Has)
+		if known.ordered > 0 && known.Has >= known.ordered {
+			p.loaded(now, known) // the listing was sooner than the next read
+			known.ordered = 0
+		}
 		next[e.ID] = known
 	}
 	p.engines = next
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 func TestAllEnginesLoad(t *testing.T) {
 	list := engines(12, 1, 2)
 	p, f := NewPlan(&Loads{}), newFleet(list)
-	p.SetEngines(list)
+	p.SetEngines(start, list)
 	took := play(p, f, 10*time.Second, func(time.Time) {
 		if n := len(p.Loading()); n > MaxLoads(12) {
 			t.Fatalf("%d engines load at once", n)
@@ -110,7 +111,7 @@
 func TestCrashedEnginesDoNotBlock(t *testing.T) {
 	list := engines(12, 1, 2)
 	p, f := NewPlan(&Loads{}), newFleet(list)
-	p.SetEngines(list)
+	p.SetEngines(start, list)
 	for _, s := range p.Next(start, true) {
 		f.perform(p, start, s) // reads
 	}
@@ -135,7 +136,7 @@
 	for _, arrives := range []bool{false, true} {
 		list := engines(1, 1, 2)
 		p, f := NewPlan(&Loads{}), newFleet(list)
-		p.SetEngines(list)
+		p.SetEngines(start, list)
 		lost := 0
 		for at := time.Duration(0); at < 5*time.Second; at += 20 * time.Millisecond {
 			now := start.Add(at)
@@ -163,8 +164,36 @@
 // engine has seen its successor.
 func TestStaleTokenEndsLeadership(t *testing.T) {
 	p := NewPlan(&Loads{})
-	p.SetEngines(engines(1, 1, 2))
+	p.SetEngines(start, engines(1, 1, 2))
 	if p.Ordered(start, "e00", errors.Wrap(ErrStale, "status")) {
 		t.Error("still leader after a stale token")
 	}
 }
+
+// TestListedWeightsEndALoad guards against an engine that is kept free of work
+// after it has loaded, because its listing says so before it was read.
+func TestListedWeightsEndALoad(t *testing.T) {
+	p, f := NewPlan(&Loads{}), newFleet(engines(4, 1, 2))
+	p.SetEngines(start, engines(4, 1, 2))
+	now := start
+	var ordered string
+	for ordered == "" {
+		now = now.Add(20 * time.Millisecond)
+		for _, s := range p.Next(now, true) {
+			f.perform(p, now, s)
+			if s.Order {
+				ordered = s.Engine.ID
+			}
+		}
+	}
+	list := engines(4, 1, 2)
+	for i := range list {
+		if list[i].ID == ordered {
+			list[i].Has = 2
+		}
+	}
+	p.SetEngines(start, list)
+	if loading := p.Loading(); slices.Contains(loading, ordered) {
+		t.Errorf("%s is listed with the new weights and still counts as loading", ordered)
+	}
+}
