--- a/cmd/fescuestep/demo.go
+++ b/cmd/fescuestep/demo.go
@@ -7,9 +7,14 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/demo"
+	"github.com/fescuestep/fescuestep/pkg/demo/edgedemo"
+	"github.com/fescuestep/fescuestep/pkg/edge"
 	"github.com/fescuestep/fescuestep/pkg/logging"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/platform"
 )
 
 // demoTimeout ends a demo that hangs.
@@ -18,6 +23,7 @@
 type demoCmd struct {
 	streams
 	serve    bool
+	platform bool
 	logLevel string
 }
 
@@ -27,11 +33,12 @@
 
 func (c *demoCmd) SetFlags(fs *flag.FlagSet) {
 	fs.BoolVar(&c.serve, "serve", false, "leave everything running afterwards and print lines for curl")
+	fs.BoolVar(&c.platform, "platform", false, "show edge instances on the stand-in of the users' platform instead")
 	fs.StringVar(&c.logLevel, "log-level", "error", "trace, debug, info, warn or error")
 }
 
 func (*demoCmd) Usage() string {
-	return `demo [-serve]
+	return `demo [-serve] [-platform]
 
 Starts stand-ins for everything outside, three router instances and both
 example deployments on loopback, makes real calls and prints what happened.
@@ -39,11 +46,30 @@
 `
 }
 
+// shown is a running demonstration.
+type shown interface {
+	Run(ctx context.Context) error
+	Describe()
+	Close()
+}
+
+func (c *demoCmd) start(ctx context.Context, log hclog.Logger) (shown, error) {
+	if c.platform {
+		return edgedemo.Start(ctx, startEdge, c.out, log)
+	}
+	return demo.Start(ctx, c.out, log)
+}
+
+// startEdge assembles an instance as the edge command does.
+func startEdge(s *platform.Settings, log hclog.Logger) (edgedemo.Instance, error) {
+	return edge.New(edgeOptions(s), edgeParts(s, metrics.New(), log))
+}
+
 func (c *demoCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	log := logging.New(logging.Options{Name: "demo", Level: c.logLevel, Output: c.err})
 	bounded, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	d, err := demo.Start(bounded, c.out, log)
+	d, err := c.start(bounded, log)
 	if err != nil {
 		return fail(c.streams, err)
 	}
--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -97,6 +97,7 @@
 		return subcommands.ExitFailure
 	}
 	go c.watchSettings(ctx, instance, log)
+	go countDropped(ctx, queue, m)
 	if err := instance.Run(ctx); err != nil {
 		log.Error("ended", "error", err)
 		return subcommands.ExitFailure
@@ -130,11 +131,30 @@
 		Decoder: platform.Decoder{},
 		Engines: platform.NewEngines(s.Name, dial),
 		Metrics: collect.Requests(m),
+		Service: m,
 		Scrape:  m.Handler(),
 		Log:     log,
 	}
 }
 
+// countDropped shows the log lines that were dropped in the metrics until ctx
+// ends.
+func countDropped(ctx context.Context, queue *logging.Queue, m *metrics.Metrics) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	counted := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		dropped := queue.Dropped()
+		m.LogLinesDropped(dropped - counted)
+		counted = dropped
+	}
+}
+
 // watchSettings follows the settings file, with or without SIGHUP, until ctx
 // ends. The signal stays registered afterwards: its default would end the process
 // in the middle of a graceful stop.
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -10,12 +10,21 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/metrics"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
-// accessLog writes one line per request with what decided it.
+// ServiceMetrics counts what callers get.
+type ServiceMetrics interface {
+	Served(route string, promptTokens int, o metrics.Outcome)
+}
+
+// accessLog writes one line per request with what decided it, and counts what
+// the caller got.
 type accessLog struct {
-	log hclog.Logger
-	now func() time.Time
+	log     hclog.Logger
+	metrics ServiceMetrics
+	now     func() time.Time
 }
 
 // Name implements chain.Filter.
@@ -26,6 +35,7 @@
 	return func(ctx context.Context, r *chain.Request) error {
 		err := next(ctx, r)
 		a.write(r, err)
+		a.count(r, err)
 		return err
 	}
 }
@@ -50,6 +60,35 @@
 	a.log.Info("request", fields...)
 }
 
+// count records the request under its route, if it has one.
+func (a accessLog) count(r *chain.Request, err error) {
+	e := r.Edge
+	if e == nil || e.Route == nil {
+		return
+	}
+	a.metrics.Served(e.Route.Name, e.Call.PromptTokens, served(r, err, a.now()))
+}
+
+// served judges an answer as its caller does: a stream by its first token.
+func served(r *chain.Request, err error, now time.Time) metrics.Outcome {
+	var failure *code.Error
+	if errors.As(err, &failure) && failure.Run == code.NotRun && !r.Outcome.Started {
+		return metrics.Refused
+	}
+	success := r.Outcome.Status >= 200 && r.Outcome.Status < 300
+	if err != nil || !success || !r.Outcome.Complete {
+		return metrics.Failure
+	}
+	took := now.Sub(r.Arrived)
+	if r.Edge.Route.Kind == routing.Stream {
+		took = r.Outcome.FirstToken
+	}
+	if target := r.Edge.Route.TargetLatency; target > 0 && took > target {
+		return metrics.Late
+	}
+	return metrics.InTime
+}
+
 func edgeFields(e *chain.Edge) []any {
 	fields := make([]any, 0, 24)
 	if e.Routing != nil {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -156,7 +156,7 @@
 	out := &syncBuffer{}
 	i, err := edge.New(o, edge.Parts{
 		Dialect: platform.Dialect{}, Store: platform.NewStore(r.storeAt, dial), Decoder: platform.Decoder{},
-		Engines: platform.NewEngines(name, dial), Metrics: collect.Requests(m), Scrape: m.Handler(),
+		Engines: platform.NewEngines(name, dial), Metrics: collect.Requests(m), Service: m, Scrape: m.Handler(),
 		Log: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
 	})
 	if err != nil {
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -76,6 +76,7 @@
 	Decoder state.Decoder
 	Engines Engines
 	Metrics accounting.Metrics
+	Service ServiceMetrics
 	Scrape  http.Handler // serves metrics at /metrics next to readiness
 	Log     hclog.Logger
 }
@@ -172,7 +173,7 @@
 	retries := newRetries(i.options.Retries, i.peers.instances, i.now)
 	last := dispatch.New(p.Dialect, i.placer, retries, i.conns, i.options.Domain, p.Log.Named("dispatch"), i.now)
 	return chain.Build(last.Handle,
-		accessLog{log: p.Log.Named("access"), now: i.now},
+		accessLog{log: p.Log.Named("access"), metrics: p.Service, now: i.now},
 		accounting.New(p.Metrics, i.now),
 		hostroute.New(p.Dialect, i.snapshot.Load),
 		customerkey.Filter{},
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -43,6 +43,8 @@
 	defResults      = define(Counter, "results_total", "Requests by result: ok or the name of a result code.", "class", "result")
 	defPromptTokens = define(Counter, "prompt_tokens_total", "Prompt tokens of completed requests.", "customer", "class")
 	defCachedTokens = define(Counter, "cached_tokens_total", "Prompt tokens that the engine had cached.", "customer", "class")
+	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
+	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
 
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -26,6 +26,7 @@
 
 	instruments sync.Map // counters, gauges and histograms by name and label values
 	pools       labels
+	routes      labels
 	customers   customers
 }
 
@@ -47,6 +48,7 @@
 	}, interval)
 	m := &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 	m.pools.most = maxPools
+	m.routes.most = maxPools
 	m.customers.init(m)
 	return m
 }
--- /dev/null
+++ b/pkg/metrics/service.go
@@ -0,0 +1,38 @@
+package metrics
+
+// Outcomes of a request as its caller sees it.
+const (
+	InTime Outcome = "in_time" // first token or whole answer within the route's target
+	Late   Outcome = "late"
+)
+
+// SizeClass is a range of prompt sizes.
+type SizeClass string
+
+// Upper bounds of the size classes in tokens.
+const (
+	smallPrompt  = 2_000
+	mediumPrompt = 20_000
+)
+
+// SizeOf returns the class of a prompt.
+func SizeOf(promptTokens int) SizeClass {
+	switch {
+	case promptTokens <= 0:
+		return "none"
+	case promptTokens < smallPrompt:
+		return "small"
+	case promptTokens < mediumPrompt:
+		return "medium"
+	}
+	return "large"
+}
+
+// Served counts a request by what its caller got: InTime, Late, Refused or
+// Failure.
+func (m *Metrics) Served(route string, promptTokens int, o Outcome) {
+	m.counter(defServed, m.routes.value(route), string(SizeOf(promptTokens)), string(o)).Inc(1)
+}
+
+// LogLinesDropped counts lines that did not fit into the queue of the log.
+func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -62,11 +63,18 @@
 // NoUpstream says why no upstream can take a request.
 type NoUpstream struct {
 	Listed     int           // upstreams of the service, draining ones included
+	Draining   int           // of them
+	Tried      int           // by the same request
+	Busy       int           // take no work for now
+	Replaced   int           // have weights that are replaced before the request would begin
 	RetryAfter time.Duration // when one is expected to take work
 }
 
 // Error implements error.
-func (*NoUpstream) Error() string { return "no upstream takes work" }
+func (e *NoUpstream) Error() string {
+	return fmt.Sprintf("no upstream takes work: %d listed, %d draining, %d tried, %d busy, %d with replaced weights",
+		e.Listed, e.Draining, e.Tried, e.Busy, e.Replaced)
+}
 
 // defaultRetryAfter is told when nothing is known about the next free upstream.
 const defaultRetryAfter = 300 * time.Millisecond
@@ -334,13 +342,22 @@
 	return oldWeightsLate
 }
 
-// none says when an upstream is expected to take work.
+// none says why no upstream takes work, and when one is expected to.
 func (b *Book) none(now time.Time, q Query) *NoUpstream {
 	list := b.view.Service(q.Service.Name)
 	out := &NoUpstream{Listed: len(list), RetryAfter: defaultRetryAfter}
 	for _, u := range list {
-		if s := b.states[u.ID]; s != nil && now.Before(s.busyUntil) {
+		s := b.state(u)
+		switch {
+		case u.Draining:
+			out.Draining++
+		case q.Exclude != nil && q.Exclude(u.ID):
+			out.Tried++
+		case now.Before(s.busyUntil):
+			out.Busy++
 			out.RetryAfter = min(out.RetryAfter, s.busyUntil.Sub(now))
+		default:
+			out.Replaced++
 		}
 	}
 	return out
