Trust a listing that stays behind what an engine showed

The leader's plan and the placement kept the highest version ever seen; the engine was never loaded again and refused every request that named the newer version.

Change: a version that was shown outlives a listing by 3 s, counted from its last confirmation, and only against a listing that was renewed since, so that an outage of the store does not undo it. The plan then reads the engine again.

Ruled out: following the start time in the listing alone; the late order may come after it.

--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -79,7 +79,7 @@
 func (p *placer) SawWeights(id, model string, version int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SawWeights(id, model, version)
+	p.book.SawWeights(id, model, version, p.now())
 }
 
 // WeightsDiffer implements dispatch.Placer.
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -279,6 +279,7 @@
 // engines lists the engines of the book. The caller holds mu.
 func (p *placer) engines() []rollout.Engine {
 	now := p.now()
+	p.book.SettleWeights(now)
 	var out []rollout.Engine
 	for _, u := range p.view.All() {
 		if u.Draining {
--- a/pkg/placement/book.go
+++ b/pkg/placement/book.go
@@ -65,6 +65,7 @@
 type seenWeights struct {
 	version int
 	sure    bool // stated by the upstream or by the instance that had it loaded
+	at      time.Time
 }
 
 // Book keeps the state of all upstreams.
@@ -78,7 +79,9 @@
 	outlier retry.OutlierConfig
 	speed   Speed // mean of all engines
 
-	instances int // of the fleet
+	relisted  bool      // the listing is newer than listedAt
+	listedAt  time.Time // when the listing was last renewed; it is not while the store is away
+	instances int       // of the fleet
 }
 
 // wanted is a version that was named for a model.
@@ -123,7 +126,7 @@
 // SetView replaces the listed upstreams. The state of one that is no longer
 // listed is forgotten, as is that of one that restarted under its ID.
 func (b *Book) SetView(v *fleet.View) {
-	defer func() { b.view = v }()
+	defer func() { b.view, b.relisted = v, true }()
 	for id, s := range b.states {
 		u := v.ByID(id)
 		if u == nil {
@@ -208,17 +211,45 @@
 
 // SawWeights records the version that an upstream or the instance that had it
 // loaded stated.
-func (b *Book) SawWeights(id, model string, version int) {
+func (b *Book) SawWeights(id, model string, version int, now time.Time) {
 	u := b.view.ByID(id)
 	if u == nil {
 		return
 	}
 	s := b.state(u)
 	seen := s.weights[model]
-	if version < u.Weights[model] || (seen.sure && version <= seen.version) {
+	if seen.sure && version == seen.version {
+		s.weights[model] = seenWeights{version, true, now}
 		return
 	}
-	b.setWeights(u, model, seenWeights{version, true})
+	if version < u.Weights[model] || (seen.sure && version < seen.version) {
+		return
+	}
+	b.setWeights(u, model, seenWeights{version, true, now})
+}
+
+// listingLag is how long a listing may be older than what an upstream showed.
+const listingLag = 3 * time.Second
+
+// SettleWeights lets the listing of an upstream decide over a higher version that
+// it showed and has not shown for a while: an order that was carried out late,
+// after a restart, brings older weights back.
+func (b *Book) SettleWeights(now time.Time) {
+	if b.relisted {
+		b.listedAt, b.relisted = now, false
+	}
+	for id, s := range b.states {
+		u := b.view.ByID(id)
+		if u == nil {
+			continue
+		}
+		for model, seen := range s.weights {
+			if seen.sure && u.Weights[model] < seen.version && b.listedAt.Sub(seen.at) > listingLag {
+				delete(s.weights, model)
+				b.holders.forget(id)
+			}
+		}
+	}
 }
 
 // WeightsDiffer records that an upstream refused a version: it has been brought
@@ -229,7 +260,7 @@
 		return
 	}
 	if next, ok := b.nextWanted(model, refused); ok {
-		b.setWeights(u, model, seenWeights{next.version, false})
+		b.setWeights(u, model, seenWeights{version: next.version})
 	}
 }
 
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -247,7 +247,7 @@
 	b := newBook(2, 1)
 	b.SetWanted("m", 2, start)
 	b.SetWanted("m", 3, start.Add(4*time.Second))
-	b.SawWeights("e00", "m", 2)
+	b.SawWeights("e00", "m", 2, start)
 	for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
 		ticket, _, err := b.Pick(start.Add(at), long(fmt.Sprint("c", at)))
 		switch {
@@ -280,13 +280,36 @@
 	if got := b.Weights(b.view.ByID("e00"), "m"); got != 1 {
 		t.Errorf("a guess outlives a newer listing: %d", got)
 	}
-	b.SawWeights("e00", "m", 3)
-	b.SawWeights("e00", "m", 2) // late
+	b.SawWeights("e00", "m", 3, start)
+	b.SawWeights("e00", "m", 2, start) // late
 	if got := b.Weights(b.view.ByID("e00"), "m"); got != 3 {
 		t.Errorf("version %d after 3 was seen", got)
 	}
 }
 
+// TestListingDecidesInTheEnd guards against an upstream that is asked for ever for
+// weights which a late order took away after a restart.
+func TestListingDecidesInTheEnd(t *testing.T) {
+	b := newBook(1, 1)
+	e := b.view.ByID("e00")
+	b.SawWeights("e00", "m", 2, start)
+	b.SawWeights("e00", "m", 2, start.Add(2*time.Second)) // shown again
+	b.SetView(view(1, 1))
+	b.SettleWeights(start.Add(4 * time.Second))
+	if got := b.Weights(e, "m"); got != 2 {
+		t.Errorf("version %d, 2 was shown two seconds ago", got)
+	}
+	b.SettleWeights(start.Add(6 * time.Second))
+	if got := b.Weights(e, "m"); got != 2 {
+		t.Errorf("version %d by a listing from before", got)
+	}
+	b.SetView(view(1, 1))
+	b.SettleWeights(start.Add(6 * time.Second))
+	if got := b.Weights(e, "m"); got != 1 {
+		t.Errorf("version %d, listed as 1 and not shown for four seconds", got)
+	}
+}
+
 // TestNobodyTakesWork guards against a refusal without the time to come back.
 func TestNobodyTakesWork(t *testing.T) {
 	b := newBook(1, 1)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -67,12 +67,15 @@
 	retryAfter = 700 * time.Millisecond
 	// loadTimeout ends the wait for an accepted order.
 	loadTimeout = 5 * time.Second
+	// listingLag is how long a listing may be older than what was read.
+	listingLag = 3 * time.Second
 )
 
 type engine struct {
 	Engine
-	busy      bool // a call is under way
-	known     bool // orders is known
+	busy      bool      // a call is under way
+	hasAt     time.Time // when Has was last read or listed
+	known     bool      // orders is known
 	orders    int
 	reserved  time.Time // when work was first kept away for the next order; zero: not
 	ordered   int       // version of the order whose effect is awaited, 0: none
@@ -106,7 +109,7 @@
 		}
 		has := known.Has
 		known.Engine = e
-		known.Has = max(has, e.Has)
+		known.keep(now, has)
 		if known.ordered > 0 && known.Has >= known.ordered {
 			p.loaded(now, known) // the listing was sooner than the next read
 			known.ordered = 0
@@ -116,6 +119,20 @@
 	p.engines = next
 }
 
+// keep judges a listing by the version that was known before: it may be older
+// than the last read. If it stays behind, a late order has brought older weights
+// back after a restart, and the engine is read again.
+func (e *engine) keep(now time.Time, has int) {
+	switch {
+	case e.Has >= has:
+		e.hasAt = now
+	case now.Sub(e.hasAt) < listingLag:
+		e.Has = has
+	default:
+		e.known = false
+	}
+}
+
 // Next returns the calls to make now; each must be answered with Reported or
 // Ordered. mayOrder says whether the leader's lease covers orders.
 func (p *Plan) Next(now time.Time, mayOrder bool) []Step {
@@ -235,7 +252,7 @@
 		e.retryAt = now.Add(retryAfter)
 		return
 	}
-	e.Has = max(e.Has, r.Weights[e.Model])
+	e.Has, e.hasAt = max(e.Has, r.Weights[e.Model]), now
 	moved := e.known && r.Orders != e.orders
 	e.known, e.orders = true, r.Orders
 	if e.ordered == 0 {
