--- a/pkg/quota/property_test.go
+++ b/pkg/quota/property_test.go
@@ -1,33 +1,19 @@
 package quota_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/fescuestep/fescuestep/internal/rapidtest"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/quota"
 )
 
-// TestMain fixes the seed and the number of rapid's checks unless flags say
-// otherwise: go test ./pkg/quota -rapid.seed=N -rapid.checks=N.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "10000", "rapid.steps": "80"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain keeps the verdict the same in every run.
+func TestMain(m *testing.M) { rapidtest.Main(m, 10000, 80) }
 
 // Quota of the customer in the property test.
 const (
