Play placements against a model of engines in virtual time

fescuestep load -edge plays a load through the placement of edge instances, through two simple placements with the same information, and against a bound, in seconds and without a network: prompts in pieces between the tokens of other requests, memory with parts that make room, moves over links, a store, digests and news with their delays.

Times on the wire and retries are left out in the emulator, and its prompts repeat less.

--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -15,6 +15,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/load"
 	"github.com/fescuestep/fescuestep/pkg/load/embedded"
+	"github.com/fescuestep/fescuestep/pkg/load/emulator"
 	"github.com/fescuestep/fescuestep/pkg/pick"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 )
@@ -31,6 +32,7 @@
 	faults    string
 	overload  bool
 	virtual   bool
+	edge      bool
 	instances int
 	rate      float64
 	targets   list
@@ -60,6 +62,10 @@
 router instances and stand-ins of its own in this process; -virtual runs the
 decision code alone in virtual time, with repeatable figures; -target sends to
 running instances. Progress goes to standard error.
+
+With -edge the placement of edge instances is played against a model of engines
+in virtual time, next to simple placements and to a bound: each request alone on
+the fastest engine, which keeps every shared part that came before.
 `
 }
 
@@ -72,6 +78,7 @@
 	fs.StringVar(&c.faults, "faults", "none", `fault schedule: none, standard, or "time:kind:target:duration,..." with the kinds engine_crash, event_gap (a count instead of the duration), table_outage, key_revocation and instance_restart`)
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
+	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
 	fs.Var(&c.targets, "target", "base URL of a running instance, repeatable; replaces the embedded instances")
@@ -85,11 +92,18 @@
 	if _, err := load.ProfileFor(c.profile); err != nil {
 		wrong = append(wrong, errors.Wrap(err, "-profile"))
 	}
+	names := pick.Names()
+	if c.edge {
+		names = emulator.Policies()
+	}
 	for _, p := range c.policies {
-		if !slices.Contains(pick.Names(), p) {
-			wrong = append(wrong, errors.Newf("-policy: unknown policy %q, have %v", p, pick.Names()))
+		if !slices.Contains(names, p) {
+			wrong = append(wrong, errors.Newf("-policy: unknown policy %q, have %v", p, names))
 		}
 	}
+	if c.edge && (c.virtual || c.overload || c.faults != "none" || len(c.targets) > 0) {
+		wrong = append(wrong, errors.New("-edge excludes -virtual, -overload, -faults and -target"))
+	}
 	if _, err := load.ParseFaults(c.faults, c.duration); err != nil {
 		wrong = append(wrong, errors.Wrap(err, "-faults"))
 	}
@@ -102,7 +116,37 @@
 	return wrong
 }
 
+// playEdge plays the load against the model of engines.
+func (c *loadCmd) playEdge() error {
+	d := emulator.Small(1)
+	if c.rate > 0 {
+		d = emulator.Small(c.rate / d.Rate())
+	}
+	if c.instances > 0 {
+		d.Instances = c.instances
+	}
+	policies := []string(c.policies)
+	if len(policies) == 0 {
+		policies = emulator.Policies()
+	}
+	results, err := emulator.Play(d, policies, c.seed, c.duration)
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return json.NewEncoder(c.out).Encode(results)
+	}
+	emulator.Write(c.out, results)
+	return nil
+}
+
 func (c *loadCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.edge {
+		if err := c.playEdge(); err != nil {
+			return fail(c.streams, err)
+		}
+		return subcommands.ExitSuccess
+	}
 	report, err := c.measure(ctx)
 	if err != nil {
 		return fail(c.streams, err)
