Leave out a source of state that does not answer

Ruled out: a lost digest (it knew that others know more and kept asking), the relays' own view (others left the server in time).

Change: an instance that gives no state is not asked again for 3 s.

Test: TestSilentSourceIsLeft.

--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -64,6 +65,26 @@
 	}
 }
 
+// TestSilentSourceIsLeft guards against an instance that asks one which has died
+// again and again while others know the same.
+func TestSilentSourceIsLeft(t *testing.T) {
+	p := testPeers()
+	for i, name := range []string{"dead", "alive"} {
+		d := digestOf(1, false)
+		d.Sender = &rpc.Address{Name: name, Digests: fmt.Sprintf("10.0.0.%d:7600", i+2), Control: name + ":8608", Domain: "z"}
+		d.Follows = name == "dead" // the better source by what it said last
+		d.Tables = []*rpc.Table{{Name: "servers", Version: 7}}
+		p.take(d)
+	}
+	if got := p.source(0); got != "dead:8608" {
+		t.Fatalf("asks %q first", got)
+	}
+	p.silence("dead:8608")
+	if got := p.source(1); got != "alive:8608" {
+		t.Errorf("asks %q after the other gave no answer", got)
+	}
+}
+
 // TestPlacementsCountOnce guards against tokens that are counted twice because
 // news is repeated, and against a restarted instance whose news is ignored.
 func TestPlacementsCountOnce(t *testing.T) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -38,6 +38,9 @@
 	stoppedAfter = time.Second
 	// stateTimeout bounds a request for the state of another instance.
 	stateTimeout = 700 * time.Millisecond
+	// mutePause is how long an instance that did not answer is not asked for state:
+	// one that has just died is still taken for the best source.
+	mutePause = 3 * time.Second
 	// stateInterval is between looks at who follows the store.
 	stateInterval = 300 * time.Millisecond
 	// relaySilence is how long a relay may be unheard before others follow the
@@ -60,6 +63,7 @@
 	heard   time.Time // zero: only listed
 	listed  time.Time
 	digest  *rpc.Digest // last one
+	mute    time.Time   // until when it is not asked for state, since it did not answer
 
 	placedOf     uint64 // incarnation whose placements were heard
 	placedSerial uint64 // of the last placement that was heard
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -69,6 +69,9 @@
 		if other.control == "" || !knowsMore(other.digest, versions) || p.now().Sub(other.heard) > relaySilence {
 			continue
 		}
+		if p.now().Before(other.mute) {
+			continue
+		}
 		r := 1
 		if other.digest.Follows {
 			r += 2
@@ -90,6 +93,17 @@
 	return seed
 }
 
+// silence keeps an instance that did not answer from being asked at once again.
+func (p *peers) silence(control string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.known {
+		if other.control == control {
+			other.mute = p.now().Add(mutePause)
+		}
+	}
+}
+
 func knowsMore(d *rpc.Digest, versions map[string]uint64) bool {
 	for _, t := range d.GetTables() {
 		if t.Version > versions[t.Name] {
@@ -118,6 +132,7 @@
 	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, req)
 	if err != nil {
 		p.log.Info("instance gives no state", "addr", addr, "error", err)
+		p.silence(addr)
 		return
 	}
 	changes := make([]state.Table, 0, len(resp.Tables))
--- a/pkg/placement/source.go
+++ b/pkg/placement/source.go
@@ -59,8 +59,8 @@
 
 // bestSource returns the source with which an engine that keeps some tokens of a
 // prompt has computed it first, and the time of the move. Without any that keeps
-// more, it is the last one, which may know parts that this instance does not know
-// of.
+// more, it is the first of the others, which may know parts that this instance does
+// not know of.
 func (p *prompt) bestSource(sources []source, to *fleet.Upstream, held int, speed Speed) (best *source, tokens int, took time.Duration) {
 	saved := time.Duration(0)
 	for i := range sources {
