pkg/rollout: crash engines while they load in TestCrashedEnginesDoNotBlock

Cause: the test marked engines as crashed at the second call of Next, which only starts to drain them, so no engine ever crashed. Change: as many engines as may load at once crash halfway through their load. Shown: with a plan that keeps the load of an engine pending after its report failed, the test fails (the remaining engines never load); it passes on the code as it is.

--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -109,22 +109,27 @@
 }
 
 // TestCrashedEnginesDoNotBlock guards against a rollout that waits for engines
-// that crash while they load.
+// that crash while they load: the crashed ones hold all places of the limit on
+// concurrent loads, and stay listed.
 func TestCrashedEnginesDoNotBlock(t *testing.T) {
 	list := engines(12, 1, 2)
 	p, f := NewPlan(&LoadLimiter{}), newFakeFleet(list)
 	p.SetEngines(start, list)
-	for _, s := range p.Next(start, true) {
-		f.perform(p, start, s) // reads
-	}
-	now := start.Add(20 * time.Millisecond)
-	for _, s := range p.Next(now, true) {
-		f.perform(p, now, s)
-		if s.Load {
-			f.down[s.Engine.ID] = true
+	crashes := InitialLoadLimit(len(list))
+	crashAt := map[string]time.Time{}
+	runPlan(p, f, 6*time.Second, func(now time.Time) {
+		for id, until := range f.loadingUntil {
+			if _, known := crashAt[id]; !known && len(crashAt) < crashes {
+				crashAt[id] = until.Add(-loadTime / 2)
+			}
 		}
+		for id, at := range crashAt {
+			f.down[id] = !now.Before(at)
+		}
+	})
+	if len(crashAt) != crashes {
+		t.Fatalf("%d engines crashed while they loaded, want %d", len(crashAt), crashes)
 	}
-	runPlan(p, f, 6*time.Second, nil)
 	for id, version := range f.versions {
 		if !f.down[id] && version != 2 {
 			t.Errorf("%s still has version %d", id, version)
