pkg/httpconn: bound heads and skipped bodies of responses

Cause: http.ReadResponse reads header fields and lines without a limit, and interim responses were read without a count, so an upstream that never ends its head grows the memory of the process until the deadline. Change: the head with its interim responses is bounded by 64 KB; a response to another request is skipped only if its whole body is small and of known length; error texts that quote the upstream are cut. Shown: TestEndlessHeadIsBounded read 64 MB before and ends now at 64 KB; TestLateCopyBodyIsNoResponse got the forged body before (both failed first). TestLateCopyIsSkipped passed before and stays as a guard.

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -20,19 +20,30 @@
 // readBufferSize is in bytes; most response heads and stream events fit.
 const readBufferSize = 2 << 10
 
+// maxHeadBytes bounds the head of a response in bytes, together with the interim
+// responses before it. An upstream in trouble may send a head that never ends.
+const maxHeadBytes = 64 << 10
+
 // maxSkippedResponses is the number of responses to other requests that Receive
 // skips before it gives up on the connection.
 const maxSkippedResponses = 2
 
-// maxSkippedBodyBytes bounds the body of a skipped response in bytes.
+// maxSkippedBodyBytes is the size in bytes up to which the body of a response to
+// another request is skipped. The connection is given up for a larger one.
 const maxSkippedBodyBytes = 1 << 20
 
-// ErrResponseMismatch is returned when a response belongs to another request.
-var ErrResponseMismatch = errors.New("response belongs to another request")
+var (
+	// ErrResponseMismatch is returned when a response belongs to another request.
+	ErrResponseMismatch = errors.New("response belongs to another request")
+	// ErrHeadTooLarge is returned when a response does not begin within
+	// maxHeadBytes.
+	ErrHeadTooLarge = errors.New("head of the response is too large")
+)
 
 // Conn is a connection to an upstream.
 type Conn struct {
 	net    net.Conn
+	head   *headLimiter // what reader reads from
 	reader *bufio.Reader
 	reused bool
 
@@ -40,6 +51,36 @@
 	idleLimit time.Duration // idle time after which the upstream may close the connection
 }
 
+func newConn(conn net.Conn) *Conn {
+	head := &headLimiter{source: conn}
+	return &Conn{net: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+}
+
+// headLimiter bounds the bytes that are read while a head is expected.
+type headLimiter struct {
+	source    io.Reader
+	limited   bool
+	remaining int // bytes that may still be read if limited
+}
+
+// limit allows n bytes until unlimit is called.
+func (l *headLimiter) limit(n int) { l.limited, l.remaining = true, n }
+
+func (l *headLimiter) unlimit() { l.limited = false }
+
+// Read implements io.Reader. It returns ErrHeadTooLarge when the limit is used up.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -100,37 +141,69 @@
 
 // Receive reads the head of the response to a request of the given method.
 // matches reports whether a response belongs to the request. On a reused
-// connection a few responses that do not are skipped; otherwise Receive fails
-// with ErrResponseMismatch. The returned stop must be called when the body has
-// been read; until then the connection is closed when ctx ends. stop returns
-// false if ctx has ended.
+// connection a few small responses that do not are skipped; otherwise Receive
+// fails with ErrResponseMismatch. It fails with ErrHeadTooLarge if no head ends
+// within maxHeadBytes. The returned stop must be called when the body has been
+// read; until then the connection is closed when ctx ends. stop returns false if
+// ctx has ended.
 func (c *Conn) Receive(ctx context.Context, method string, matches func(*http.Response) bool) (resp *http.Response, stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, c.Close)
-	req := &http.Request{Method: method}
-	for skipped := 0; ; {
-		resp, err = http.ReadResponse(c.reader, req)
+	for range maxSkippedResponses + 1 {
+		resp, err = c.readHead(method)
 		if err != nil {
-			stop()
-			return nil, nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue // interim (1xx) response
+			break
 		}
 		if matches(resp) {
 			return resp, stop, nil
 		}
-		skipped++
-		if skipped > maxSkippedResponses || resp.ContentLength < 0 || !c.reused {
-			stop()
-			return nil, nil, ErrResponseMismatch
+		if err = c.skip(resp); err != nil {
+			break
 		}
-		if _, err := io.CopyN(io.Discard, resp.Body, min(resp.ContentLength, maxSkippedBodyBytes)); err != nil && resp.ContentLength > 0 {
-			stop()
-			return nil, nil, errors.Wrap(err, "cannot skip a response to another request")
+	}
+	stop()
+	if err == nil {
+		err = ErrResponseMismatch
+	}
+	return nil, nil, err
+}
+
+// readHead reads the head of the next response that is not interim (1xx).
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.head.remaining <= 0:
+			return nil, ErrHeadTooLarge
+		case err != nil:
+			return nil, shortened(err)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 	}
 }
 
+// maxErrorBytes bounds the text of an error that quotes what an upstream sent.
+const maxErrorBytes = 200
+
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.Newf("%q...", text[:maxErrorBytes])
+	}
+	return err
+}
+
+// skip reads the body of a response to another request. It fails if the next
+// response cannot be told from the rest of that body.
+func (c *Conn) skip(resp *http.Response) error {
+	if !c.reused || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBodyBytes {
+		return ErrResponseMismatch
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return errors.Wrap(err, "cannot skip a response to another request")
+}
+
 // reusable reports whether the connection is open and has no unread data. Data
 // that arrives before a request is sent belongs to no request.
 func (c *Conn) reusable() bool {
--- a/pkg/httpconn/connpool.go
+++ b/pkg/httpconn/connpool.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -57,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{net: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return newConn(conn), nil
 }
 
 func (p *ConnPool) takeIdle(addr string, maxIdle time.Duration) *Conn {
