--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -105,6 +105,9 @@
 	// bodyMemoryDivisor limits buffered request bodies to this fraction (1/4) of
 	// Options.MemoryBytes.
 	bodyMemoryDivisor = 4
+	// responseMemoryDivisor limits buffered responses to this fraction (1/8) of
+	// Options.MemoryBytes.
+	responseMemoryDivisor = 8
 	// dialTimeout limits connection setup to upstreams and other instances, and
 	// the time to read the headers of a request to a control server.
 	dialTimeout = time.Second
@@ -165,10 +168,11 @@
 	if i.options.ControlAddr.IsValid() {
 		self.Control = i.options.ControlAddr.String()
 	}
-	client := &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         netopt.Dialer(dialTimeout).DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second,
-	}}
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: netopt.MaxControlHeadBytes,
+	}
+	client := &http.Client{Transport: netopt.LimitResponses(transport, maxStateBytes)}
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
@@ -181,7 +185,8 @@
 func (i *Instance) chain() chain.Handler {
 	deps := i.deps
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
-	dispatcher := dispatch.New(deps.Dialect, i.placer, retries, i.conns, i.options.Domain, deps.Log.Named("dispatch"), i.now)
+	dispatcher := dispatch.New(deps.Dialect, i.placer, retries, i.conns,
+		dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor}, deps.Log.Named("dispatch"), i.now)
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
 		accounting.New(deps.RequestMetrics, i.now),
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -41,6 +41,9 @@
 	leavingPeerExpiry = time.Second
 	// stateTimeout limits a State call to another instance.
 	stateTimeout = 700 * time.Millisecond
+	// maxStateBytes bounds the response to a State call. The tables of a large
+	// deployment have a few MB.
+	maxStateBytes = 16 << 20
 	// stateSourceBackoff is how long no state is requested from an instance after a
 	// failed State call. An instance that has just died can still look like the
 	// best source by its last digest.
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -199,7 +199,7 @@
 	if x.r.Outcome.ResponseStarted {
 		return placement.Failed, errors.Wrapf(errUpstreamStatus, "status %d for a resumed stream", decoded.Status)
 	}
-	body, err := readWhole(resp)
+	body, err := x.readWhole(resp)
 	if err != nil {
 		return placement.Failed, err
 	}
@@ -249,15 +249,18 @@
 	}
 }
 
-func readWhole(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+// readWhole reads the body of a response within the memory for responses.
+func (x *exchange) readWhole(resp *http.Response) ([]byte, error) {
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0 // a response to HEAD states the length of a body that it does not have
+	}
+	buffer, err := x.h.buffers.Read(resp.Body, length, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
+	x.buffers = append(x.buffers, buffer)
+	return buffer.Bytes, nil
 }
 
 // writeResponse writes a buffered response to the caller.
@@ -283,26 +286,33 @@
 // meanwhile; err is the error of the attempt.
 func (x *exchange) releaseConn(attempt *placement.Attempt, conn *httpconn.Conn, resp *http.Response, decoded call.Response, intact bool, err error) {
 	reusable := intact && !decoded.ConnectionClose && !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
-	if !reusable || (err != nil && !drainResponse(resp, err)) {
+	if !reusable || (err != nil && !drainResponse(conn, resp, err)) {
 		conn.Close()
 		return
 	}
 	x.h.conns.Put(attempt.Upstream.Addr, conn, decoded.KeepAlive)
 }
 
-// maxDrainBytes limits how much of the body of a refusal is read and discarded so
-// that its connection can be reused.
-const maxDrainBytes = 4 << 10
+const (
+	// maxDrainBytes limits how much of the body of a refusal is read and discarded so
+	// that its connection can be reused.
+	maxDrainBytes = 4 << 10
+	// drainTimeout limits the time for that. A new connection costs less than a
+	// retry that waits for an upstream in trouble.
+	drainTimeout = 50 * time.Millisecond
+)
 
 // drainResponse reads the rest of the response to a failed attempt and reports
-// whether it was read to its end.
-func drainResponse(resp *http.Response, err error) bool {
+// whether it was read to its end. It closes conn if that takes too long.
+func drainResponse(conn *httpconn.Conn, resp *http.Response, err error) bool {
 	if errors.Is(err, errUpstreamStatus) {
-		return true
+		return true // the body was read with the response
 	}
 	if !errors.Is(err, errRefused) || resp.ContentLength > maxDrainBytes {
 		return false
 	}
-	_, copyErr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
-	return copyErr == nil
+	timer := time.AfterFunc(drainTimeout, conn.Close)
+	defer timer.Stop()
+	n, copyErr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes+1))
+	return copyErr == nil && n <= maxDrainBytes
 }
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/httpconn"
+	"github.com/fescuestep/fescuestep/pkg/membudget"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
@@ -89,13 +90,20 @@
 	retries RetryBudget
 	conns   ConnPool
 	domain  string
+	buffers *membudget.Budget // holds responses that are read whole
 	log     hclog.Logger
 	now     func() time.Time
 }
 
-// New returns a handler for an instance in the failure domain.
-func New(dialect Dialect, placer Placer, retries RetryBudget, conns ConnPool, domain string, log hclog.Logger, now func() time.Time) *Handler {
-	return &Handler{dialect, placer, retries, conns, domain, log, now}
+// Options are the settings of a Handler.
+type Options struct {
+	Domain        string // failure domain of the instance
+	ResponseBytes int64  // memory for responses that are read whole, over all requests
+}
+
+// New returns a handler.
+func New(dialect Dialect, placer Placer, retries RetryBudget, conns ConnPool, o Options, log hclog.Logger, now func() time.Time) *Handler {
+	return &Handler{dialect, placer, retries, conns, o.Domain, membudget.New(o.ResponseBytes), log, now}
 }
 
 const (
@@ -136,8 +144,9 @@
 	mayHaveRun       bool            // an upstream may have run the request
 	mayHaveRunBefore bool            // mayHaveRun before the current attempt
 	errorResponse    *response       // last 5xx response, sent if no retry succeeds
-	waitedForPrefix  bool            // waitForPrefix has waited once
-	retryReserved    atomic.Bool     // the next retry was already taken from the budget
+	buffers          []*membudget.Buffer
+	waitedForPrefix  bool        // waitForPrefix has waited once
+	retryReserved    atomic.Bool // the next retry was already taken from the budget
 }
 
 // response is a buffered response of an upstream.
@@ -157,10 +166,17 @@
 	}
 	edge.Service = service.Name
 	x := &exchange{h: h, r: r, edge: edge, service: service, tried: map[string]bool{}, lastEventID: edge.Call.LastEventID}
+	defer x.releaseBuffers()
 	h.retries.RecordRequest(service.Name)
 	return x.run(ctx)
 }
 
+func (x *exchange) releaseBuffers() {
+	for _, buffer := range x.buffers {
+		buffer.Release()
+	}
+}
+
 // run makes attempts until one yields a final response or no retry is allowed.
 func (x *exchange) run(ctx context.Context) error {
 	unreachable := 0
--- /dev/null
+++ b/pkg/membudget/membudget_test.go
@@ -0,0 +1,71 @@
+package membudget
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// endless never ends and counts what was read of it.
+type endless struct{ read int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	e.read += len(p)
+	return len(p), nil
+}
+
+// TestEndlessDataIsBounded guards against a buffer that grows for as long as its
+// sender goes on.
+func TestEndlessDataIsBounded(t *testing.T) {
+	const limit = 1 << 20
+	b := New(16 << 20)
+	source := &endless{}
+	if _, err := b.Read(source, -1, limit); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("error %v, want ErrTooLarge", err)
+	}
+	if source.read > 2*limit {
+		t.Errorf("read %d bytes with a limit of %d", source.read, limit)
+	}
+	if b.Held() != 0 {
+		t.Errorf("%d bytes stay reserved after a failed read", b.Held())
+	}
+}
+
+// TestBuffersShareTheBudget guards against a process that is killed for its memory
+// because many requests hold a large body at the same time.
+func TestBuffersShareTheBudget(t *testing.T) {
+	b := New(100 << 10)
+	text := strings.Repeat("x", 60<<10)
+	first, err := b.Read(strings.NewReader(text), int64(len(text)), 1<<20)
+	if err != nil || string(first.Bytes) != text {
+		t.Fatalf("error %v", err)
+	}
+	for _, length := range []int64{int64(len(text)), -1} {
+		if _, err := b.Read(strings.NewReader(text), length, 1<<20); !errors.Is(err, ErrExhausted) {
+			t.Errorf("length %d: error %v, want ErrExhausted", length, err)
+		}
+	}
+	first.Release()
+	first.Release()
+	second, err := b.Read(strings.NewReader(text), -1, 1<<20)
+	if err != nil || string(second.Bytes) != text {
+		t.Fatalf("after the release: error %v", err)
+	}
+	second.Release()
+	if b.Held() != 0 {
+		t.Errorf("%d bytes stay reserved", b.Held())
+	}
+}
+
+// TestShortDataIsAnError guards against data that ends early and looks complete.
+func TestShortDataIsAnError(t *testing.T) {
+	b := New(1 << 20)
+	if _, err := b.Read(strings.NewReader("abc"), 4, 1<<20); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("error %v, want ErrUnexpectedEOF", err)
+	}
+	if b.Held() != 0 {
+		t.Errorf("%d bytes stay reserved", b.Held())
+	}
+}
