--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fescuestep/fescuestep/pkg/external"
+	"github.com/fescuestep/fescuestep/pkg/history"
 )
 
 // LeaseKey is the table row of the leader lease.
@@ -80,18 +81,29 @@
 	Txn  external.Txn
 }
 
+// eraTokenShift sets the tokens of different eras apart, see nextToken.
+const eraTokenShift = 32
+
 // Lease is one candidate's view of the leader lease. At most one table call is in
 // flight at a time.
+//
+// When the store comes back from an older copy, in a new era, the lease row is one of
+// the past: another instance may hold a lease that the copy lacks, and versions in
+// conditions may be given out twice. A candidate that sees a new era therefore drops
+// its lease, and nobody takes it over before every lease of the earlier era has ended.
 type Lease struct {
 	cfg  LeaseConfig
 	self string
 
-	loaded        bool // version and row were read
-	version       uint64
-	row           LeaseRow
-	versionSeenAt time.Duration // when version was first seen
-	readAt        time.Duration
-	rowErr        error // why the row last read is not valid, or nil
+	era       uint64        // of the store; 0 if it states none
+	eraSeenAt time.Duration // when era was first seen
+
+	loaded   bool // at and row were read in era
+	at       history.Position
+	row      LeaseRow
+	atSeenAt time.Duration // when at was first seen
+	readAt   time.Duration
+	rowErr   error // why the row last read is not valid, or nil
 
 	inFlight   bool
 	pending    LeaseRow
@@ -119,26 +131,59 @@
 	case l.rowErr == nil && l.heldBySelf() && now >= l.row.SentAt+l.cfg.RenewInterval:
 		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token, SentAt: now})
 	case l.rowErr == nil && l.canTakeOver(now):
-		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token + 1, SentAt: now})
+		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.nextToken(), SentAt: now})
 	case now >= l.readAt+l.cfg.ReadInterval && !l.heldBySelf():
 		return l.read()
 	}
 	return LeaseStep{}
 }
 
-func (l *Lease) heldBySelf() bool { return l.loaded && l.row.Holder == l.self && !l.row.Released }
+// ObserveEra records the era of the store as seen at now, in this or another call.
+func (l *Lease) ObserveEra(now time.Duration, era uint64) {
+	if era <= l.era {
+		return
+	}
+	l.era, l.eraSeenAt = era, now
+	l.loaded, l.row, l.rowErr = false, LeaseRow{}, nil
+}
+
+// heldBySelf reports whether the row is of this candidate. A row of an earlier era,
+// which a copy of the store brought back, counts as that of another.
+func (l *Lease) heldBySelf() bool {
+	return l.loaded && l.row.Holder == l.self && !l.row.Released && l.sentInEra(l.row)
+}
+
+func (l *Lease) sentInEra(row LeaseRow) bool { return l.era == 0 || row.SentAt >= l.eraSeenAt }
+
+// takeoverWait is how long after the last sign of a holder its commands may be in
+// flight.
+func (l *Lease) takeoverWait() time.Duration {
+	return l.cfg.TTL + l.cfg.CommandTimeout + l.cfg.MaxClockDrift
+}
 
 // canTakeOver reports whether the lease may be taken over: it was never held, it
 // was released, or its row has not changed for as long as commands of its holder
-// can be in flight.
+// can be in flight. In a new era a holder of the earlier one may act for as long.
 func (l *Lease) canTakeOver(now time.Duration) bool {
-	if l.heldBySelf() {
+	switch {
+	case l.heldBySelf():
 		return false
-	}
-	if l.version == 0 || l.row.Released {
+	case l.era > 0 && now < l.eraSeenAt+l.takeoverWait():
+		return false
+	case l.at.Version == 0 || l.row.Released:
 		return true
 	}
-	return now >= l.versionSeenAt+l.cfg.TTL+l.cfg.CommandTimeout+l.cfg.MaxClockDrift
+	return now >= l.atSeenAt+l.takeoverWait()
+}
+
+// nextToken returns a token that no takeover had before. The row does not tell enough
+// in a store that comes back from copies: its token may be lower than one in use. But
+// the takeovers of an era succeed each on a higher version of the row.
+func (l *Lease) nextToken() uint64 {
+	if l.era == 0 {
+		return l.row.Token + 1
+	}
+	return max(l.row.Token+1, l.era<<eraTokenShift+l.at.Version)
 }
 
 func (l *Lease) read() LeaseStep {
@@ -152,7 +197,7 @@
 	value, _ := json.Marshal(row)
 	return LeaseStep{Kind: LeaseCommit, Txn: external.Txn{
 		Token:      fmt.Sprintf("lease-%s-%016x", l.self, rng.Uint64()),
-		Conditions: []external.Condition{{Key: LeaseKey, Version: l.version}},
+		Conditions: []external.Condition{{Key: LeaseKey, Version: l.at.Version}},
 		Writes:     []external.Write{{Key: LeaseKey, Value: value}},
 	}}
 }
@@ -165,24 +210,34 @@
 		l.scheduleRetry(now, rng)
 		return
 	}
+	l.ObserveEra(now, row.Era)
+	if row.Era < l.era {
+		l.scheduleRetry(now, rng) // a late answer of an earlier era
+		return
+	}
 	l.readAt = now
 	l.mustReread, l.suspended = false, false
-	if l.loaded && row.Version == l.version {
+	at := history.Position{Era: row.Era, Version: row.Version}
+	if l.loaded && at == l.at {
 		return
 	}
 	l.loaded = true
-	l.version = row.Version
-	l.versionSeenAt = now
+	l.at = at
+	l.atSeenAt = now
 	l.row, l.rowErr = DecodeLease(row)
 }
 
-// CommitDone handles the result of a LeaseCommit. After a conflict or an unknown
-// outcome the row is read back.
-func (l *Lease) CommitDone(now time.Duration, rng *rand.Rand, version uint64, err error) {
+// CommitDone handles the result of a LeaseCommit that was applied at a position. After
+// a conflict or an unknown outcome the row is read back, and after a commit in another
+// era, whose condition meant a version of this one.
+func (l *Lease) CommitDone(now time.Duration, rng *rand.Rand, at history.Position, err error) {
 	l.inFlight = false
 	switch {
+	case err == nil && at.Era == l.era && l.sentInEra(l.pending):
+		l.at, l.row, l.atSeenAt = at, l.pending, now
 	case err == nil:
-		l.version, l.row, l.versionSeenAt = version, l.pending, now
+		l.ObserveEra(now, at.Era)
+		l.mustReread = true
 	case errors.Is(err, external.ErrUnavailable):
 		l.scheduleRetry(now, rng)
 	case errors.Is(err, external.ErrConflict):
--- a/pkg/control/lease_test.go
+++ b/pkg/control/lease_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/external"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/standin/table"
 )
 
@@ -19,7 +22,7 @@
 type simulation struct {
 	rng        *rand.Rand
 	now        time.Duration // reference time
-	table      *table.Store
+	store      leaseStore
 	events     []event
 	candidates []*candidate
 	commands   []commandWindow
@@ -27,6 +30,28 @@
 	uncovered int // commands to upstreams that ignore tokens and that may outlive the lease
 }
 
+// leaseStore executes the table calls of a simulation.
+type leaseStore interface {
+	read() (external.Row, error)
+	commit(txn external.Txn) (history.Position, error)
+}
+
+// tableStore is a table that never loses what it has acknowledged.
+type tableStore struct{ *table.Store }
+
+func (s tableStore) read() (external.Row, error) {
+	rows, err := s.Get(context.Background(), control.LeaseKey)
+	if err != nil {
+		return external.Row{}, err
+	}
+	return rows[0], nil
+}
+
+func (s tableStore) commit(txn external.Txn) (history.Position, error) {
+	version, err := s.Commit(context.Background(), txn)
+	return history.Position{Version: version}, err
+}
+
 type event struct {
 	at  time.Duration
 	run func()
@@ -45,6 +70,7 @@
 // commandWindow is the period in which a command with a token may be in flight.
 type commandWindow struct {
 	token    uint64
+	holder   *candidate
 	from, to time.Duration
 }
 
@@ -55,7 +81,7 @@
 const step = 10 * time.Millisecond
 
 func newSimulation(seed int64, candidates int) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(uint64(seed), 0)), table: table.NewStore(table.Options{})}
+	s := &simulation{rng: rand.New(rand.NewPCG(uint64(seed), 0)), store: tableStore{table.NewStore(table.Options{})}}
 	for i := range candidates {
 		s.candidates = append(s.candidates, &candidate{
 			lease:  control.NewLease(control.DefaultLeaseConfig(), fmt.Sprint("n", i)),
@@ -85,37 +111,33 @@
 		lost = 0
 	}
 	s.after(s.delay(), func() {
-		var rows []external.Row
-		var version uint64
+		var row external.Row
+		var at history.Position
 		err := error(external.ErrOutcomeUnknown)
 		switch {
 		case lost == 0:
 		case next.Kind == control.LeaseRead:
-			rows, err = s.table.Get(context.Background(), control.LeaseKey)
+			row, err = s.store.read()
 		default:
-			version, err = s.table.Commit(context.Background(), next.Txn)
+			at, err = s.store.commit(next.Txn)
 		}
 		if lost == 1 {
 			err = external.ErrOutcomeUnknown
 		}
-		s.after(s.delay(), func() { s.deliver(c, next, rows, version, err) })
+		s.after(s.delay(), func() { s.deliver(c, next, row, at, err) })
 	})
 }
 
 // deliver passes a result to the candidate as soon as it is not paused.
-func (s *simulation) deliver(c *candidate, next control.LeaseStep, rows []external.Row, version uint64, err error) {
+func (s *simulation) deliver(c *candidate, next control.LeaseStep, row external.Row, at history.Position, err error) {
 	if s.now < c.paused {
-		s.after(c.paused-s.now, func() { s.deliver(c, next, rows, version, err) })
+		s.after(c.paused-s.now, func() { s.deliver(c, next, row, at, err) })
 		return
 	}
 	if next.Kind == control.LeaseCommit {
-		c.lease.CommitDone(c.clock(s.now), s.rng, version, err)
+		c.lease.CommitDone(c.clock(s.now), s.rng, at, err)
 		return
 	}
-	var row external.Row
-	if err == nil {
-		row = rows[0]
-	}
 	c.lease.ReadDone(c.clock(s.now), s.rng, row, err)
 }
 
@@ -166,7 +188,7 @@
 		s.uncovered++
 	}
 	end := s.now + time.Duration(float64(timeout)/c.speed)
-	s.commands = append(s.commands, commandWindow{token, s.now, end})
+	s.commands = append(s.commands, commandWindow{token, c, s.now, end})
 }
 
 // TestLeaseExcludes guards against commands of two leaders in flight at the same
@@ -178,22 +200,9 @@
 		for s.now < 3*time.Minute {
 			s.advance()
 		}
-		takeovers := 0
-		for i := 1; i < len(s.commands); i++ {
-			before, command := s.commands[i-1], s.commands[i]
-			if command.token < before.token {
-				t.Fatalf("seed %d: token %d after %d at %v", seed, command.token, before.token, command.from)
-			}
-			if command.token == before.token {
-				continue
-			}
-			takeovers++
-			if command.from < before.to {
-				t.Fatalf("seed %d: command with token %d at %v overlaps one with token %d until %v", seed, command.token, command.from, before.token, before.to)
-			}
-		}
-		if s.uncovered > 0 {
-			t.Errorf("seed %d: %d commands outlive the lease", seed, s.uncovered)
+		takeovers, err := s.check()
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
 		}
 		if takeovers == 0 {
 			t.Errorf("seed %d: no takeover in 3 minutes, so the run does not test exclusion", seed)
@@ -201,6 +210,29 @@
 	}
 }
 
+// check returns an error if commands of two holders were in flight at the same time,
+// if a token decreased or had two holders, or if a command may outlive the lease.
+func (s *simulation) check() (takeovers int, err error) {
+	for i := 1; i < len(s.commands); i++ {
+		before, command := s.commands[i-1], s.commands[i]
+		switch {
+		case command.token < before.token:
+			return 0, errors.Newf("token %d after %d at %v", command.token, before.token, command.from)
+		case command.token == before.token && command.holder != before.holder:
+			return 0, errors.Newf("token %d has two holders at %v", command.token, command.from)
+		case command.token == before.token:
+			continue
+		case command.from < before.to:
+			return 0, errors.Newf("command with token %d at %v overlaps one with token %d until %v", command.token, command.from, before.token, before.to)
+		}
+		takeovers++
+	}
+	if s.uncovered > 0 {
+		return 0, errors.Newf("%d commands outlive the lease", s.uncovered)
+	}
+	return takeovers, nil
+}
+
 // TestLostAnswer guards against a leader that waits for its own lease to
 // expire because the answer to its commit was lost.
 func TestLostAnswer(t *testing.T) {
@@ -219,7 +251,7 @@
 	s := l.Next(0, rng, true)
 	store.Faults.Set(table.Faults{LoseAnswers: 1})
 	version, err := store.Commit(ctx, s.Txn)
-	l.CommitDone(time.Second, rng, version, err)
+	l.CommitDone(time.Second, rng, history.Position{Version: version}, err)
 	if _, _, ok := l.Held(time.Second); ok {
 		t.Error("held before the commit was read back")
 	}
@@ -273,7 +305,7 @@
 	if s := l.Next(0, rng, true); s.Kind != control.LeaseCommit {
 		t.Fatalf("step %v, want a commit", s.Kind)
 	}
-	l.CommitDone(0, rng, 4, nil)
+	l.CommitDone(0, rng, history.Position{Version: 4}, nil)
 	if token, _, ok := l.Held(0); !ok || token != 6 {
 		t.Errorf("token %d, held %v, want 6", token, ok)
 	}
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -16,6 +16,7 @@
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/external"
+	"github.com/fescuestep/fescuestep/pkg/history"
 )
 
 // Upstreams sends control commands; *engine.Client implements it.
@@ -200,7 +201,7 @@
 	case control.LeaseCommit:
 		c.call(func() func() {
 			version, err := c.o.Table.Commit(context.Background(), step.Txn)
-			return func() { c.lease.CommitDone(c.now(), c.o.Rand, version, err) }
+			return func() { c.lease.CommitDone(c.now(), c.o.Rand, history.Position{Version: version}, err) }
 		})
 	}
 }
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -25,6 +26,8 @@
 	loads   []pendingUpdate[*rpc.Load]
 	weights []pendingUpdate[*rpc.Weights]
 	placed  []pendingUpdate[*rpc.Placed]
+
+	departures []pendingUpdate[*rpc.Departure]
 }
 
 // pendingUpdate is an update that is still to be sent.
@@ -81,6 +84,14 @@
 	}
 }
 
+// requestFetch makes the instance check at once whether another one has newer state.
+func (p *peers) requestFetch() {
+	select {
+	case p.fetchNow <- struct{}{}:
+	default:
+	}
+}
+
 // announceState sends the new versions of the tables to the other instances if
 // they may fetch state from this one.
 func (p *peers) announceState() {
@@ -132,6 +143,15 @@
 	p.requestSend()
 }
 
+// announceDeparture tells the other instances that an upstream has stated that it
+// leaves.
+func (p *peers) announceDeparture(d fleet.Departure) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updates.departures = append(p.updates.departures, pendingUpdate[*rpc.Departure]{encodeDeparture(d), updateRepeats})
+	p.requestSend()
+}
+
 // send sends one digest to every known instance. A partial digest has no spent
 // tokens and only the work that has changed.
 func (p *peers) send(partial bool) {
@@ -152,8 +172,9 @@
 		spent = p.limiter.spent()
 		p.lastSentWork = work
 	}
-	versions := p.follower.Versions()
+	held := p.follower.Positions()
 	follows := p.follower.FollowsStore()
+	contents := p.follower.OperatorNumbers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastSequence++
@@ -161,8 +182,9 @@
 	d := &rpc.Digest{
 		Sender: p.self, Incarnation: p.incarnation, Sequence: p.lastSequence, Leaving: p.leaving, Follows: follows, Partial: partial,
 	}
-	for name, version := range versions {
-		d.Tables = append(d.Tables, &rpc.Table{Name: name, Version: version})
+	d.Tables = encodePositions(held)
+	if !partial {
+		d.Contents = encodeContents(contents)
 	}
 	for customer, tokens := range spent {
 		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.bucketLevel(customer)})
@@ -170,6 +192,7 @@
 	d.Loads = nextUpdates(&p.updates.loads)
 	d.Weights = nextUpdates(&p.updates.weights)
 	d.Placed = nextUpdates(&p.updates.placed)
+	d.Departures = nextUpdates(&p.updates.departures)
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.PrefillTokens)), Memory: uint32(max(0, w.KVTokens)),
@@ -274,11 +297,17 @@
 	if d.Leaving {
 		other.lastDigest.Work = nil
 	}
+	if !d.Partial {
+		other.contents = d.Contents
+	}
 	p.trackLeader(d, now)
 	placements := other.newPlacements(d)
 	p.mu.Unlock()
 	if firstContact {
 		p.requestSend() // the sender may not know this instance yet
+		if !p.introduced.Load() {
+			p.requestFetch()
+		}
 	}
 	if !d.Partial {
 		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
@@ -297,11 +326,11 @@
 			NewTokens: int(placed.Brings),
 		})
 	}
-	if !p.follower.FollowsStore() && hasNewerTable(d, p.follower.Versions()) {
-		select {
-		case p.fetchNow <- struct{}{}:
-		default:
-		}
+	if len(d.Departures) > 0 {
+		p.follower.Leave(decodeDepartures(d.Departures)...)
+	}
+	if !p.follower.FollowsStore() && hasNewerTable(d, p.follower.Positions()) {
+		p.requestFetch()
 	}
 }
 
@@ -321,15 +350,10 @@
 	return out
 }
 
-// levelSourceMinAge is how long before this instance another one must have started
-// for its bucket levels to be taken over. The levels of one that started at about
-// the same time are no better than none.
-const levelSourceMinAge = 3 * time.Second
-
 // seedBucketLevels takes over the bucket levels of customers from an instance that
-// has run for longer. Incarnations are start times in Unix nanoseconds.
+// has run for longer.
 func (p *peers) seedBucketLevels(d *rpc.Digest) {
-	if d.Incarnation+uint64(levelSourceMinAge) > p.incarnation {
+	if !p.startedBefore(d) {
 		return
 	}
 	for _, s := range d.Spent {
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -29,6 +29,7 @@
 
 type discardSink struct{}
 
+func (discardSink) EraChanged(uint64)                        {}
 func (discardSink) ConfigChanged(*routing.Snapshot)          {}
 func (discardSink) WeightsTargetChanged(state.WeightsTarget) {}
 func (discardSink) UpstreamsChanged(*fleet.View)             {}
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -97,6 +97,9 @@
 	peers    *peers
 	rollouts *rolloutController
 	draining atomic.Bool
+	eraSeen  atomic.Bool // an era of the store was seen
+
+	configuredAt atomic.Pointer[time.Time] // when the first configuration was adopted
 }
 
 const (
@@ -177,6 +180,7 @@
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
 	i.placer.onLongPrompt = i.peers.announcePlacement
+	i.placer.onLeaving = i.upstreamLeaves
 	return nil
 }
 
@@ -197,10 +201,32 @@
 	)
 }
 
+// upstreamLeaves records that an upstream stated in a response that it leaves, and
+// tells the other instances.
+func (i *Instance) upstreamLeaves(u *fleet.Upstream) {
+	d := fleet.Departure{ID: u.ID, StartTimeMS: u.StartTimeMS, Stated: true}
+	i.deps.Log.Info("upstream leaves", "upstream", u.ID, "service", u.Service)
+	i.follower.Leave(d)
+	i.peers.announceDeparture(d)
+}
+
+// EraChanged implements state.Sink. It drops the leader lease, and registers this
+// instance again if the store came back from an older copy.
+func (i *Instance) EraChanged(era uint64) {
+	i.rollouts.observeEra(era)
+	if i.eraSeen.Swap(true) {
+		i.deps.Log.Warn("store came back from an older copy", "era", era)
+		i.peers.storeRestored()
+	}
+	i.peers.announceState()
+}
+
 // ConfigChanged implements state.Sink. It applies rates, connection limits and
 // routes of the new configuration.
 func (i *Instance) ConfigChanged(s *routing.Snapshot) {
 	defer i.peers.announceState()
+	now := i.now()
+	i.configuredAt.CompareAndSwap(nil, &now)
 	i.limiter.configure(s)
 	for _, c := range s.Customers() {
 		i.deps.Log.Debug("customer limit", "config", s.Version, "customer", c.Name, "rate", c.Rate, "burst", c.Burst)
@@ -252,7 +278,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { i.follower.Run(background) })
 	wg.Go(func() { i.peers.run(background) })
-	wg.Go(func() { i.peers.register(background, i.deps.Store, i.options.InstanceTable) })
+	wg.Go(func() { i.peers.keepRegistered(background, i.deps.Store, i.options.InstanceTable) })
 	wg.Go(func() { i.rollouts.run(background, ctx.Done()) })
 	wg.Go(func() { i.conns.Run(background) })
 	acceptErr := make(chan error, 1)
@@ -302,10 +328,18 @@
 	return errors.Wrap(err, "requests were still running at the end of the shutdown")
 }
 
+// introductionTimeout is how long after its first state an instance waits for what
+// others know beyond the rows of the store.
+const introductionTimeout = 600 * time.Millisecond
+
 // ready reports whether the platform should send connections to this instance: it
-// has a configuration, has synchronized every table and is not shutting down.
+// has a configuration, has synchronized every table, was told by another instance
+// what the store may not know, and is not shutting down.
 func (i *Instance) ready() bool {
-	return !i.draining.Load() && i.snapshot.Load() != nil && i.follower.HasSynced()
+	if i.draining.Load() || i.snapshot.Load() == nil || !i.follower.HasSynced() {
+		return false
+	}
+	return i.peers.introduced.Load() || i.now().Sub(*i.configuredAt.Load()) > introductionTimeout
 }
 
 // controlServers starts the HTTP servers for readiness checks and metrics, and for
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -74,6 +74,7 @@
 	listedAt     time.Time      // when the address was first known
 	lastDigest   *rpc.Digest    // nil: none has arrived
 	backoffUntil time.Time      // no state is requested before, since a State call failed
+	contents     []*rpc.Content // of the operator's rows, from the last full digest
 
 	placedIncarnation uint64 // incarnation that lastPlacedSerial belongs to
 	lastPlacedSerial  uint64 // serial number of the last placement received
@@ -95,6 +96,9 @@
 	fetchNow    chan struct{} // signals that another instance has newer state
 	isRelay     atomic.Bool   // this instance follows the store and others may fetch state from it
 
+	introduced    atomic.Bool   // another instance has told what it knows beyond the rows of the store
+	registerAgain chan struct{} // requests to write the row of this instance again
+
 	mu               sync.Mutex
 	byName           map[string]*peer
 	seeds            []string
@@ -113,7 +117,7 @@
 func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
 		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f,
-		log: log, now: now, sendNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1),
+		log: log, now: now, sendNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
 		byName: map[string]*peer{}, loadingUntil: map[string]time.Time{}, lastSentWork: map[string]placement.Work{},
 	}
 }
@@ -215,6 +219,15 @@
 	p.seeds = seeds
 }
 
+// storeRestored makes this instance register again, since the store came back from an
+// older copy.
+func (p *peers) storeRestored() {
+	select {
+	case p.registerAgain <- struct{}{}:
+	default:
+	}
+}
+
 // setLeaving announces the shutdown of this instance in all further digests.
 func (p *peers) setLeaving() {
 	p.mu.Lock()
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -14,6 +14,7 @@
 type placer struct {
 	now          func() time.Time
 	onLongPrompt func(placement.Announcement) // called when a long prompt was sent to an engine and when the engine has computed it
+	onLeaving    func(*fleet.Upstream)        // called when an upstream first states that it leaves
 
 	mu       sync.Mutex
 	balancer *placement.Balancer
@@ -21,7 +22,7 @@
 }
 
 func newPlacer(balancer *placement.Balancer, now func() time.Time) *placer {
-	return &placer{now: now, balancer: balancer, view: fleet.NewView(nil), onLongPrompt: func(placement.Announcement) {}}
+	return &placer{now: now, balancer: balancer, view: fleet.NewView(nil), onLongPrompt: func(placement.Announcement) {}, onLeaving: func(*fleet.Upstream) {}}
 }
 
 // Pick chooses an upstream for a request. It returns the attempt and the expected
@@ -103,6 +104,26 @@
 	p.balancer.SetBusyUntil(id, p.now().Add(d))
 }
 
+// RecordLeaving records that an upstream stated that it leaves. The upstream gets no
+// new requests from when this returns.
+func (p *placer) RecordLeaving(u *fleet.Upstream) {
+	p.mu.Lock()
+	listed := p.view.ByID(u.ID)
+	known := listed == nil || listed.Draining || listed.StartTimeMS != u.StartTimeMS
+	p.mu.Unlock()
+	if !known {
+		p.onLeaving(u)
+	}
+}
+
+// Throttle sends no new requests to an upstream that asked for none for the duration
+// d. Unlike SetBusy it holds for this instance only and is never shortened.
+func (p *placer) Throttle(u *fleet.Upstream, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.Throttle(u, p.now().Add(d))
+}
+
 func (p *placer) setView(v *fleet.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/external"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/rollout"
 )
@@ -30,7 +31,7 @@
 // store, such as the leader lease.
 type LeaseStore interface {
 	Read(ctx context.Context, key string) (external.Row, error)
-	Commit(ctx context.Context, txn external.Txn) (uint64, error)
+	Commit(ctx context.Context, txn external.Txn) (history.Position, error)
 }
 
 const (
@@ -77,6 +78,13 @@
 // sinceStart converts a time to the clock of the lease, which begins at start.
 func (r *rolloutController) sinceStart(now time.Time) time.Duration { return now.Sub(r.start) }
 
+// observeEra drops the lease if the store came back from an older copy.
+func (r *rolloutController) observeEra(era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease.ObserveEra(r.sinceStart(r.now()), era)
+}
+
 // run performs rollouts until ctx ends. Once stopping is closed, it sends no more
 // load commands and releases the lease as soon as the outcome of those sent is known.
 func (r *rolloutController) run(ctx context.Context, stopping <-chan struct{}) {
@@ -222,10 +230,10 @@
 		}()
 	case control.LeaseCommit:
 		go func() {
-			version, err := r.leaseStore.Commit(ctx, step.Txn)
+			at, err := r.leaseStore.Commit(ctx, step.Txn)
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.lease.CommitDone(r.sinceStart(r.now()), r.rng, version, err)
+			r.lease.CommitDone(r.sinceStart(r.now()), r.rng, at, err)
 			r.logFailure("cannot write the leader lease", err)
 		}()
 	case control.LeaseIdle:
--- /dev/null
+++ b/pkg/edge/statecodec.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/history"
+	"github.com/fescuestep/fescuestep/pkg/state"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// encodePositions encodes the positions up to which tables are known, without rows.
+func encodePositions(held map[string]history.Position) []*rpc.Table {
+	var out []*rpc.Table
+	for name, at := range held {
+		out = append(out, &rpc.Table{Name: name, Era: at.Era, Version: at.Version})
+	}
+	return out
+}
+
+// encodeContents encodes how new the contents of the operator's rows are.
+func encodeContents(numbers map[string]uint64) []*rpc.Content {
+	var out []*rpc.Content
+	for key, number := range numbers {
+		out = append(out, &rpc.Content{Key: key, Number: number})
+	}
+	return out
+}
+
+func encodeUpdate(u state.TableUpdate) *rpc.Table {
+	out := &rpc.Table{Name: u.Name, Era: u.At.Era, Version: u.At.Version, Whole: u.Full}
+	for _, r := range u.Rows {
+		out.Rows = append(out.Rows, encodeRow(r))
+	}
+	return out
+}
+
+// decodeUpdates decodes updates that were asked for with the positions held.
+func decodeUpdates(tables []*rpc.Table, held map[string]history.Position) []state.TableUpdate {
+	var out []state.TableUpdate
+	for _, t := range tables {
+		u := state.TableUpdate{Name: t.Name, At: position(t), Full: t.Whole, From: held[t.Name]}
+		for _, r := range t.Rows {
+			u.Rows = append(u.Rows, decodeRow(t.Name, r))
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+func encodeRow(r state.Row) *rpc.Row {
+	return &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+}
+
+func decodeRow(table string, r *rpc.Row) state.Row {
+	return state.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
+}
+
+func encodeRetained(r state.Retained) *rpc.StateResponse {
+	out := &rpc.StateResponse{}
+	for _, row := range r.Operator {
+		out.Retained = append(out.Retained, encodeRow(row))
+	}
+	for _, d := range r.Departures {
+		out.Departures = append(out.Departures, encodeDeparture(d))
+	}
+	return out
+}
+
+func decodeRetained(resp *rpc.StateResponse) state.Retained {
+	var out state.Retained
+	for _, r := range resp.Retained {
+		out.Operator = append(out.Operator, decodeRow("", r))
+	}
+	out.Departures = decodeDepartures(resp.Departures)
+	return out
+}
+
+func encodeDeparture(d fleet.Departure) *rpc.Departure {
+	return &rpc.Departure{Upstream: d.ID, StartMs: d.StartTimeMS, Stated: d.Stated, Era: d.At.Era, Version: d.At.Version}
+}
+
+func decodeDepartures(list []*rpc.Departure) []fleet.Departure {
+	var out []fleet.Departure
+	for _, d := range list {
+		out = append(out, fleet.Departure{
+			ID: d.Upstream, StartTimeMS: d.StartMs, Stated: d.Stated, At: history.Position{Era: d.Era, Version: d.Version},
+		})
+	}
+	return out
+}
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
@@ -17,6 +19,7 @@
 func (p *peers) syncState(ctx context.Context) {
 	ticker := time.NewTicker(stateSyncInterval)
 	defer ticker.Stop()
+	lacking := 0 // number of ticks in a row in which another instance knew newer contents
 	for attempt := 0; ; attempt++ {
 		select {
 		case <-ctx.Done():
@@ -27,13 +30,81 @@
 		hasRelay := p.hasRelay()
 		p.isRelay.Store(!hasRelay)
 		p.follower.SetIdle(hasRelay)
-		if p.follower.FollowsStore() {
-			continue
+		addr := p.introducer()
+		if addr == "" && !p.follower.FollowsStore() {
+			addr = p.stateSource(attempt)
 		}
-		if addr := p.stateSource(attempt); addr != "" {
+		if addr != "" {
 			p.fetchState(ctx, addr)
+			continue
+		}
+		lacking = p.fetchLackingContents(ctx, lacking)
+	}
+}
+
+// introducer returns the control address of the instance that tells this one, once
+// after its start, what the store may not: which upstreams have stated that they leave,
+// and what a copy of the store lacks. It is "" if none is known yet, and after the
+// introduction. One that has run for longer than this instance is preferred.
+func (p *peers) introducer() string {
+	if p.introduced.Load() {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	best, bestOlder := "", false
+	for _, other := range p.byName {
+		if other.controlAddr == "" || other.lastDigest == nil || now.Before(other.backoffUntil) {
+			continue
+		}
+		older := p.startedBefore(other.lastDigest)
+		if best == "" || (older && !bestOlder) {
+			best, bestOlder = other.controlAddr, older // the order of the map is random
+		}
+	}
+	return best
+}
+
+// startedBefore reports whether the sender of a digest has run for longer than this
+// instance by elderMinAge. Incarnations are start times in Unix nanoseconds.
+func (p *peers) startedBefore(d *rpc.Digest) bool {
+	return d.GetIncarnation()+uint64(elderMinAge) <= p.incarnation
+}
+
+// fetchLackingContents fetches state from an instance that has known newer contents
+// of the operator's rows for several checks, although this instance follows the store:
+// the store has come back from an older copy. It returns the number of checks so far.
+func (p *peers) fetchLackingContents(ctx context.Context, checks int) int {
+	addr := p.contentSource()
+	switch {
+	case addr == "":
+		return 0
+	case checks < contentSourceChecks:
+		return checks + 1
+	}
+	p.fetchState(ctx, addr)
+	return 0
+}
+
+// contentSource returns the control address of an instance that knows newer contents
+// of the operator's rows than this one, or "".
+func (p *peers) contentSource() string {
+	known := p.follower.OperatorNumbers()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, other := range p.byName {
+		if other.controlAddr == "" || now.Before(other.backoffUntil) || now.Sub(other.heardAt) > relayTimeout {
+			continue
+		}
+		for _, c := range other.contents {
+			if c.Number > known[c.Key] {
+				return other.controlAddr
+			}
 		}
 	}
+	return ""
 }
 
 // hasRelay reports whether a relay follows the store on behalf of this instance: it
@@ -64,12 +135,12 @@
 // those of the same failure domain. If this instance has no table yet and no other
 // instance offers one, it returns a seed; attempt selects which.
 func (p *peers) stateSource(attempt int) string {
-	versions := p.follower.Versions()
+	held := p.follower.Positions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestRank := "", 0
 	for _, other := range p.byName {
-		if other.controlAddr == "" || !hasNewerTable(other.lastDigest, versions) || p.now().Sub(other.heardAt) > relayTimeout {
+		if other.controlAddr == "" || !hasNewerTable(other.lastDigest, held) || p.now().Sub(other.heardAt) > relayTimeout {
 			continue
 		}
 		if p.now().Before(other.backoffUntil) {
@@ -86,7 +157,7 @@
 			best, bestRank = other.controlAddr, rank
 		}
 	}
-	if best != "" || hasAnyTable(versions) || len(p.seeds) == 0 {
+	if best != "" || hasAnyTable(held) || len(p.seeds) == 0 {
 		return best
 	}
 	seed := p.seeds[attempt%len(p.seeds)]
@@ -110,19 +181,24 @@
 
 // hasNewerTable reports whether the sender of a digest has a newer version of any
 // table.
-func hasNewerTable(d *rpc.Digest, versions map[string]uint64) bool {
+func hasNewerTable(d *rpc.Digest, held map[string]history.Position) bool {
 	for _, t := range d.GetTables() {
-		if t.Version > versions[t.Name] {
+		if held[t.Name].Before(position(t)) {
 			return true
 		}
 	}
 	return false
 }
 
+// position returns the position of the store up to which a table is known.
+func position(t *rpc.Table) history.Position {
+	return history.Position{Era: t.GetEra(), Version: t.GetVersion()}
+}
+
 // hasAnyTable reports whether any table has been synchronized.
-func hasAnyTable(versions map[string]uint64) bool {
-	for _, version := range versions {
-		if version > 0 {
+func hasAnyTable(held map[string]history.Position) bool {
+	for _, at := range held {
+		if at.Version > 0 {
 			return true
 		}
 	}
@@ -134,49 +210,40 @@
 func (p *peers) fetchState(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	req := &rpc.StateRequest{}
-	for name, version := range p.follower.Versions() {
-		req.Held = append(req.Held, &rpc.Table{Name: name, Version: version})
-	}
-	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, req)
+	held := p.follower.Positions()
+	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{Held: encodePositions(held)})
 	if err != nil {
 		p.log.Info("cannot fetch state from an instance", "addr", addr, "error", err)
 		p.backOffStateSource(addr)
 		return
 	}
-	changes := make([]state.TableUpdate, 0, len(resp.Tables))
+	p.follower.Merge(decodeUpdates(resp.Tables, held))
+	p.follower.MergeRetained(decodeRetained(resp))
 	for _, t := range resp.Tables {
-		change := state.TableUpdate{Name: t.Name, Version: t.Version, Full: t.Whole}
-		for _, r := range t.Rows {
-			change.Rows = append(change.Rows, state.Row{Table: t.Name, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-		}
-		changes = append(changes, change)
-		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
+		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
 	}
-	p.follower.Merge(changes)
 	for _, instance := range resp.Instances {
 		p.addListed(instance)
 	}
+	p.introduced.Store(true)
 }
 
-// State returns the rows that the calling instance lacks. A caller that has no table
-// yet also gets the addresses of all known instances.
+// State returns the rows that the calling instance lacks, and what this instance knows
+// beyond the rows of the store. A caller that has no table yet also gets the addresses
+// of all known instances.
 func (p *peers) State(_ context.Context, req *rpc.StateRequest) (*rpc.StateResponse, error) {
-	heldVersions := map[string]uint64{}
+	held := map[string]history.Position{}
 	for _, t := range req.Held {
-		heldVersions[t.Name] = t.Version
+		held[t.Name] = position(t)
 	}
-	out := &rpc.StateResponse{Instances: []*rpc.Address{p.self}}
-	for _, change := range p.follower.ChangesSince(heldVersions) {
-		t := &rpc.Table{Name: change.Name, Version: change.Version, Whole: change.Full}
-		for _, r := range change.Rows {
-			t.Rows = append(t.Rows, &rpc.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
-		}
-		out.Tables = append(out.Tables, t)
+	out := encodeRetained(p.follower.Retained())
+	out.Instances = []*rpc.Address{p.self}
+	for _, update := range p.follower.ChangesSince(held) {
+		out.Tables = append(out.Tables, encodeUpdate(update))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !hasAnyTable(heldVersions) {
+	if !hasAnyTable(held) {
 		for _, other := range p.byName {
 			out.Instances = append(out.Instances, other.addr)
 		}
@@ -192,6 +259,21 @@
 	PutRow(ctx context.Context, table, key string, value []byte) error
 }
 
+// keepRegistered registers this instance at its start and again whenever the store has
+// come back from an older copy, which may lack its row, until ctx ends.
+func (p *peers) keepRegistered(ctx context.Context, registry InstanceRegistry, table string) {
+	for ctx.Err() == nil {
+		p.register(ctx, registry, table)
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.registerAgain:
+		}
+		// The delay keeps the writes of a large fleet within the store's rate.
+		sleep(ctx, rand.N(maxRegisterDelay))
+	}
+}
+
 // register writes this instance's address to the store and then reads the addresses
 // of the others once. Instances that start later are discovered by their digests.
 func (p *peers) register(ctx context.Context, registry InstanceRegistry, table string) {
@@ -217,8 +299,19 @@
 	}
 }
 
-// registerRetryDelay is the pause between attempts to register in the store.
-const registerRetryDelay = 500 * time.Millisecond
+const (
+	// elderMinAge is how long before this instance another one must have started to
+	// know more. One that started at about the same time knows no better.
+	elderMinAge = 3 * time.Second
+	// registerRetryDelay is the pause between attempts to register in the store.
+	registerRetryDelay = 500 * time.Millisecond
+	// maxRegisterDelay is the longest delay before an instance registers again.
+	maxRegisterDelay = 2 * time.Second
+	// contentSourceChecks is the number of checks for which another instance may know
+	// newer contents before they are fetched from it. The store usually tells them
+	// meanwhile.
+	contentSourceChecks = 3
+)
 
 // addListedRows records the instances that rows of the store list and announces this
 // one to them.
--- a/pkg/external/platform.go
+++ b/pkg/external/platform.go
@@ -21,12 +21,14 @@
 
 // Row is one row of the table. Version is the commit number of its last write,
 // unique and increasing over the whole table; Token is the token of that
-// transaction. A missing row has Version 0.
+// transaction. A missing row has Version 0. Era is that of the store that answered,
+// see history.Position; versions of different eras are not comparable.
 type Row struct {
 	Key     string
 	Value   []byte
 	Version uint64
 	Token   string
+	Era     uint64
 }
 
 // Condition requires a row to have the given version; 0 requires its absence.
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -229,6 +229,12 @@
 	if decoded.WeightsVersion > 0 && !decoded.Refused {
 		x.h.placer.RecordWeights(attempt.Upstream.ID, x.edge.Call.Model, decoded.WeightsVersion)
 	}
+	if decoded.Leaving {
+		x.h.placer.RecordLeaving(attempt.Upstream)
+	}
+	if decoded.RetryAfter > 0 {
+		x.h.placer.Throttle(attempt.Upstream, decoded.RetryAfter)
+	}
 }
 
 // recordRefusal records that the upstream attested that it did not run the
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -23,6 +23,7 @@
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/httpconn"
 	"github.com/fescuestep/fescuestep/pkg/membudget"
 	"github.com/fescuestep/fescuestep/pkg/placement"
@@ -63,6 +64,10 @@
 	RecordWeightsMismatch(id, model string, refused int)
 	// SetBusy sends no requests to an upstream for d.
 	SetBusy(id string, d time.Duration)
+	// Throttle sends no requests to an upstream that asked for none for d.
+	Throttle(u *fleet.Upstream, d time.Duration)
+	// RecordLeaving sends no more requests to an upstream that stated that it leaves.
+	RecordLeaving(u *fleet.Upstream)
 }
 
 // RetryBudget limits the retries of each service.
@@ -307,6 +312,9 @@
 	if x.mayHaveRun {
 		return code.New(code.UpstreamFailed, "the upstream failed after the request was sent").WithCause(last)
 	}
+	if pick == nil {
+		_, _, pick = x.h.placer.Pick(x.query()) // tells when another attempt is worthwhile
+	}
 	retryAfter := retryAfterRefusal
 	var none *placement.NoUpstreamError
 	if errors.As(pick, &none) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -5,6 +5,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/history"
 )
 
 // ReconnectGracePeriod is how long upstreams whose entries expired while the store
@@ -62,18 +64,28 @@
 	return v
 }
 
-// Registry tracks the listed upstreams and delays removals after the store was
-// unreachable. It is not safe for concurrent use.
+// Registry tracks the listed upstreams. It delays removals after the store was
+// unreachable, and keeps upstreams that leave out of use, whatever an older copy of
+// the store lists. It is not safe for concurrent use.
 type Registry struct {
-	upstreams        map[string]*Upstream
+	listed           map[string]entry     // by ID
 	pendingRemovals  map[string]time.Time // by ID: when upstreams without an entry are removed
+	departures       map[string]Departure // by ID: the last known one
 	storeUnreachable bool
-	reconnectedAt    time.Time // when the store last became reachable again
+	graceUntil       time.Time // until when removals are deferred
+	outdatedUntil    time.Time // until when entries may stem from a copy with which the store's era began
+}
+
+// entry is a listed upstream and the position at which it was written.
+type entry struct {
+	listed *Upstream
+	shown  *Upstream // listed, or a copy that is draining if the upstream has departed
+	at     history.Position
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{upstreams: map[string]*Upstream{}, pendingRemovals: map[string]time.Time{}}
+	return &Registry{listed: map[string]entry{}, pendingRemovals: map[string]time.Time{}, departures: map[string]Departure{}}
 }
 
 // MarkStoreUnreachable records that the store cannot be reached.
@@ -83,18 +95,40 @@
 // grace period for removals.
 func (r *Registry) MarkStoreReachable(now time.Time) {
 	if r.storeUnreachable {
-		r.reconnectedAt = now
+		r.graceUntil = now.Add(ReconnectGracePeriod)
 	}
 	r.storeUnreachable = false
 }
 
-// Put adds or replaces an upstream and cancels its pending removal. It reports
-// whether the view changes.
-func (r *Registry) Put(u *Upstream) bool {
+// MarkEraSeen records that an era of the store was seen for the first time. The store
+// may just have come back from an older copy, which lists upstreams that have left
+// since.
+func (r *Registry) MarkEraSeen(now time.Time) { r.outdatedUntil = now.Add(outdatedEntryPeriod) }
+
+// MarkStoreRestored records that the store came back from an older copy, in a new
+// era. The copy lacks upstreams that have started since; they write their entries
+// again.
+func (r *Registry) MarkStoreRestored(now time.Time) {
+	r.MarkEraSeen(now)
+	r.graceUntil = now.Add(ReconnectGracePeriod)
+}
+
+// Put adds or replaces an upstream that the store lists at a position, and cancels
+// its pending removal. It reports whether the view changes.
+func (r *Registry) Put(u *Upstream, at history.Position, now time.Time) bool {
 	delete(r.pendingRemovals, u.ID)
-	old := r.upstreams[u.ID]
-	r.upstreams[u.ID] = u
-	return old == nil || !equal(old, u)
+	e := entry{u, u, at}
+	switch {
+	case r.departed(e, now):
+		e.shown = u.asDraining()
+	case u.Draining:
+		r.recordListedDeparture(e.listed, at)
+	case !r.departures[u.ID].Stated:
+		delete(r.departures, u.ID) // it was listed again
+	}
+	old := r.listed[u.ID].shown
+	r.listed[u.ID] = e
+	return old == nil || !equal(old, e.shown)
 }
 
 func equal(a, b *Upstream) bool {
@@ -110,53 +144,38 @@
 	return true
 }
 
-// Remove removes an upstream and reports whether the view changes. Within
-// ReconnectGracePeriod after the store became reachable again, the removal is
-// deferred to the end of that period unless the upstream was draining.
-func (r *Registry) Remove(id string, now time.Time) bool {
-	u := r.upstreams[id]
-	if u == nil {
+// Remove removes an upstream whose entry was deleted at a position, and reports
+// whether the view changes. Within ReconnectGracePeriod after the store became
+// reachable again or came back from a copy, the removal is deferred to the end of
+// that period unless the upstream was draining.
+func (r *Registry) Remove(id string, at history.Position, now time.Time) bool {
+	e, ok := r.listed[id]
+	if !ok {
 		return false
 	}
-	end := r.reconnectedAt.Add(ReconnectGracePeriod)
-	if !u.Draining && !r.reconnectedAt.IsZero() && now.Before(end) {
+	if !e.shown.Draining && now.Before(r.graceUntil) {
 		if _, pending := r.pendingRemovals[id]; !pending {
-			r.pendingRemovals[id] = end
+			r.pendingRemovals[id] = r.graceUntil
 		}
 		return false
 	}
-	delete(r.upstreams, id)
+	r.recordListedDeparture(e.listed, at)
+	delete(r.listed, id)
 	delete(r.pendingRemovals, id)
 	return true
 }
 
-// Replace sets the full list of upstreams, for example when the store no longer
-// has the history of changes. Upstreams that are missing from it are removed as
-// by Remove. It reports whether the view changes.
-func (r *Registry) Replace(list []*Upstream, now time.Time) bool {
-	changed := false
-	seen := make(map[string]bool, len(list))
-	for _, u := range list {
-		seen[u.ID] = true
-		changed = r.Put(u) || changed
-	}
-	for id := range r.upstreams {
-		if !seen[id] {
-			changed = r.Remove(id, now) || changed
-		}
-	}
-	return changed
-}
-
 // Expire completes the deferred removals that are due, unless the store is
-// unreachable. It reports whether the view changes.
+// unreachable, and forgets departures that no longer matter. It reports whether the
+// view changes.
 func (r *Registry) Expire(now time.Time) bool {
-	changed := false
+	r.expireDepartures(now)
+	changed := r.showReturned(now)
 	for id, end := range r.pendingRemovals {
 		if r.storeUnreachable || now.Before(end) {
 			continue
 		}
-		delete(r.upstreams, id)
+		delete(r.listed, id)
 		delete(r.pendingRemovals, id)
 		changed = true
 	}
@@ -165,9 +184,9 @@
 
 // View returns a snapshot of the current upstreams.
 func (r *Registry) View() *View {
-	list := make([]*Upstream, 0, len(r.upstreams))
-	for _, u := range r.upstreams {
-		list = append(list, u)
+	list := make([]*Upstream, 0, len(r.listed))
+	for _, e := range r.listed {
+		list = append(list, e.shown)
 	}
 	return NewView(list)
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -3,12 +3,31 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/history"
 )
 
 var start = time.Unix(1000, 0)
 
 func testUpstream(id string) *Upstream { return &Upstream{ID: id, Service: "s", Addr: "10.0.0.1:80"} }
 
+// at returns a position of the first era.
+func at(version uint64) history.Position { return history.Position{Era: 1, Version: version} }
+
+// replace lists exactly the given upstreams, as a read of the whole table does.
+func replace(r *Registry, list []*Upstream, version uint64, now time.Time) {
+	seen := map[string]bool{}
+	for _, u := range list {
+		seen[u.ID] = true
+		r.Put(u, at(version), now)
+	}
+	for id := range r.listed {
+		if !seen[id] {
+			r.Remove(id, at(version), now)
+		}
+	}
+}
+
 func listed(r *Registry, id string) bool { return r.View().ByID(id) != nil }
 
 // TestLapsedEntryStaysShortly guards against removing every upstream when the store
@@ -16,11 +35,11 @@
 // against keeping an upstream that is gone.
 func TestLapsedEntryStaysShortly(t *testing.T) {
 	r := NewRegistry()
-	r.Replace([]*Upstream{testUpstream("a"), testUpstream("b")}, start)
+	replace(r, []*Upstream{testUpstream("a"), testUpstream("b")}, 1, start)
 	r.MarkStoreUnreachable()
 	now := start.Add(10 * time.Second)
 	r.MarkStoreReachable(now)
-	r.Replace([]*Upstream{testUpstream("a")}, now)
+	replace(r, []*Upstream{testUpstream("a")}, 2, now)
 	if !listed(r, "b") {
 		t.Fatal("an upstream whose entry expired during the outage is removed at once")
 	}
@@ -35,11 +54,11 @@
 
 func TestLapsedEntryThatReturnsStays(t *testing.T) {
 	r := NewRegistry()
-	r.Replace([]*Upstream{testUpstream("b")}, start)
+	replace(r, []*Upstream{testUpstream("b")}, 1, start)
 	r.MarkStoreUnreachable()
 	r.MarkStoreReachable(start)
-	r.Remove("b", start)
-	r.Put(testUpstream("b"))
+	r.Remove("b", at(2), start)
+	r.Put(testUpstream("b"), at(3), start)
 	r.Expire(start.Add(time.Minute))
 	if !listed(r, "b") {
 		t.Error("an upstream whose entry was written again is removed")
@@ -52,20 +71,20 @@
 	r := NewRegistry()
 	draining := testUpstream("d")
 	draining.Draining = true
-	r.Replace([]*Upstream{testUpstream("a"), draining}, start)
-	if !r.Remove("a", start) || listed(r, "a") {
+	replace(r, []*Upstream{testUpstream("a"), draining}, 1, start)
+	if !r.Remove("a", at(2), start) || listed(r, "a") {
 		t.Error("removal is deferred although the store was never unreachable")
 	}
 	r.MarkStoreUnreachable()
 	r.MarkStoreReachable(start)
-	if !r.Remove("d", start) || listed(r, "d") {
+	if !r.Remove("d", at(3), start) || listed(r, "d") {
 		t.Error("removal of a draining upstream is deferred")
 	}
 }
 
 func TestUnchangedEntryIsNoChange(t *testing.T) {
 	r := NewRegistry()
-	if !r.Put(testUpstream("a")) || r.Put(testUpstream("a")) {
+	if !r.Put(testUpstream("a"), at(1), start) || r.Put(testUpstream("a"), at(2), start) {
 		t.Error("an unchanged entry is reported as a change, or a new one is not")
 	}
 }
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -76,6 +76,7 @@
 	rng           *rand.Rand
 	view          *fleet.View
 	states        map[string]*upstreamState
+	throttles     map[string]throttle // by upstream ID
 	prefixes      *prefixIndex
 	targets       map[string][]targetVersion // by model, in ascending order
 	outlierConfig retry.OutlierConfig
@@ -121,6 +122,7 @@
 		cfg: cfg, rng: rng, meanSpeed: Speed(cfg.PrefillTokensPerMS),
 		view:          fleet.NewView(nil),
 		states:        map[string]*upstreamState{},
+		throttles:     map[string]throttle{},
 		prefixes:      newPrefixIndex(),
 		targets:       map[string][]targetVersion{},
 		outlierConfig: retry.OutlierConfig{ConsecutiveFailures: 3, BaseEjection: time.Second, MaxEjection: 4 * time.Second, SlowStartDuration: 0},
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -68,19 +68,19 @@
 type NoUpstreamError struct {
 	Listed          int           // upstreams of the service, including those that are draining
 	Draining        int           // upstreams that are draining
+	Busy            int           // upstreams that get no requests for now, see SetBusyUntil and Throttle
 	Tried           int           // upstreams that the request already tried
-	Busy            int           // upstreams that get no requests for now, see SetBusyUntil
 	WeightsExpiring int           // upstreams whose weights are replaced before the request would start
 	RetryAfter      time.Duration // time until an upstream is expected to accept requests
 }
 
 func (e *NoUpstreamError) Error() string {
-	return fmt.Sprintf("no upstream accepts the request: %d listed, %d draining, %d already tried, %d busy, %d with expiring weights",
-		e.Listed, e.Draining, e.Tried, e.Busy, e.WeightsExpiring)
+	return fmt.Sprintf("no upstream accepts the request: %d listed, %d draining, %d busy, %d already tried, %d with expiring weights",
+		e.Listed, e.Draining, e.Busy, e.Tried, e.WeightsExpiring)
 }
 
 // defaultRetryAfter is returned when it is unknown when an upstream accepts requests
-// again, and bounds the returned time otherwise.
+// again.
 const defaultRetryAfter = 300 * time.Millisecond
 
 // Pick chooses an upstream for a request and returns the attempt and its cost. Call
@@ -97,8 +97,7 @@
 	if u.Draining || (q.Exclude != nil && q.Exclude(u.ID)) {
 		return false
 	}
-	s := b.state(u)
-	return !now.Before(s.busyUntil)
+	return !now.Before(b.unavailableUntil(u, now))
 }
 
 // pickPlain chooses the upstream with the smallest share of its slots in use.
@@ -353,24 +352,30 @@
 }
 
 // noUpstreamError returns why no upstream accepts the request, and when one is expected
-// to.
+// to. That is known if all upstreams are busy until a known time.
 func (b *Balancer) noUpstreamError(now time.Time, q Query) *NoUpstreamError {
 	list := b.view.ByService(q.Service.Name)
-	out := &NoUpstreamError{Listed: len(list), RetryAfter: defaultRetryAfter}
+	out := &NoUpstreamError{Listed: len(list)}
+	var soonest time.Duration
 	for _, u := range list {
-		s := b.state(u)
+		wait := b.unavailableUntil(u, now).Sub(now)
 		switch {
 		case u.Draining:
 			out.Draining++
+		case wait > 0:
+			if out.Busy++; out.Busy == 1 || wait < soonest {
+				soonest = wait
+			}
 		case q.Exclude != nil && q.Exclude(u.ID):
 			out.Tried++
-		case now.Before(s.busyUntil):
-			out.Busy++
-			out.RetryAfter = min(out.RetryAfter, s.busyUntil.Sub(now))
 		default:
 			out.WeightsExpiring++
 		}
 	}
+	out.RetryAfter = defaultRetryAfter
+	if allBusy := out.Busy > 0 && out.Tried+out.WeightsExpiring == 0; allBusy || (out.Busy > 0 && soonest < defaultRetryAfter) {
+		out.RetryAfter = soonest
+	}
 	return out
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -25,14 +25,14 @@
 	Table   string
 	Key     string
 	Value   []byte
-	Version uint64 // version of the transaction that wrote it; increases across all tables
+	Version uint64 // version of the transaction that wrote it; increases across all tables of an era
 	Deleted bool   // never set in results of Store.Rows
 }
 
 // Page is the result of a read.
 type Page struct {
-	Rows    []Row
-	Version uint64 // newest version of the store
+	Rows []Row
+	At   history.Position // newest position of the store
 }
 
 // Store reads tables.
@@ -72,6 +72,8 @@
 
 // Sink receives changes. Its methods are not called concurrently.
 type Sink interface {
+	// EraChanged is called when a new era of the store is seen, and for the first one.
+	EraChanged(era uint64)
 	ConfigChanged(s *routing.Snapshot)
 	WeightsTargetChanged(w WeightsTarget)
 	UpstreamsChanged(v *fleet.View)
@@ -90,29 +92,15 @@
 	tables           map[string]*table // by name
 	idle             bool              // other instances follow the store for this one
 	idleChanged      chan struct{}     // closed when idle changes
+	era              uint64            // newest era that was seen in any table
+	eraKnown         bool
 	config           *routing.Snapshot
+	operator         map[string]operatorRecord // by key: newest content that was adopted
 	upstreams        *fleet.Registry
 	rejected         map[string]uint64 // version of rows that could not be decoded, by table and key
 	unavailableSince time.Time         // when the store last became unavailable for a table; initially the start
 }
 
-// table is the local copy of one table.
-type table struct {
-	rows        map[string]Row // by key, including deleted rows
-	version     uint64         // version of the store up to which the rows are complete
-	fullVersion uint64         // version of the last full update; earlier deletions are unknown
-	healthy     bool           // the last call to the store for this table succeeded
-	loaded      bool           // an update was applied at least once
-}
-
-// TableUpdate is a whole table or the changes in it, as sent between instances.
-type TableUpdate struct {
-	Name    string
-	Version uint64 // version of the store up to which the rows are complete
-	Full    bool   // the whole table: rows that are not listed do not exist
-	Rows    []Row  // ordered by version
-}
-
 // New returns a follower that starts to follow the store when Run is called.
 func New(store Store, decoder Decoder, sink Sink, log hclog.Logger, now func() time.Time) *Follower {
 	operatorName, upstreamsName := decoder.Tables()
@@ -120,14 +108,13 @@
 		store: store, decoder: decoder, sink: sink, log: log, now: now,
 		tables:           map[string]*table{operatorName: newTable(), upstreamsName: newTable()},
 		idleChanged:      make(chan struct{}),
+		operator:         map[string]operatorRecord{},
 		upstreams:        fleet.NewRegistry(),
 		rejected:         map[string]uint64{},
 		unavailableSince: now(),
 	}
 }
 
-func newTable() *table { return &table{rows: map[string]Row{}} }
-
 const (
 	// operatorBatchDelay and upstreamBatchDelay are the times to wait after changes
 	// before the next call, so that one call returns all changes made meanwhile.
@@ -141,6 +128,9 @@
 	// minRetryDelay and maxRetryDelay bound the exponential delay after failed calls.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// eraRetryDelay is the pause after an answer of another era. It bounds the calls
+	// while late answers of an earlier era arrive.
+	eraRetryDelay = 50 * time.Millisecond
 	// expireInterval is the time between checks for upstreams whose grace period
 	// has passed.
 	expireInterval = 250 * time.Millisecond
@@ -167,7 +157,7 @@
 		if active == nil {
 			return
 		}
-		page, err := f.fetch(active, name, incremental)
+		update, err := f.fetch(active, name, incremental)
 		becameIdle := active.Err() != nil
 		cancel()
 		switch {
@@ -187,8 +177,13 @@
 		}
 		retryDelay = minRetryDelay
 		f.storeAnswered(name)
-		f.apply(TableUpdate{Name: name, Version: page.Version, Full: !incremental, Rows: page.Rows})
-		if incremental && len(page.Rows) > 0 {
+		if !f.apply(update) {
+			f.log.Warn("answer is of another era of the store; reading the whole table", "table", name, "era", update.At.Era)
+			sleep(ctx, eraRetryDelay)
+			incremental = false
+			continue
+		}
+		if incremental && len(update.Rows) > 0 {
 			sleep(ctx, f.batchDelay(name))
 		}
 		incremental = true
@@ -245,14 +240,22 @@
 
 // fetch waits for changes of a table if incremental is set, and reads the whole table
 // otherwise.
-func (f *Follower) fetch(ctx context.Context, name string, incremental bool) (Page, error) {
+func (f *Follower) fetch(ctx context.Context, name string, incremental bool) (TableUpdate, error) {
 	if !incremental {
-		return f.store.Rows(ctx, name)
+		page, err := f.store.Rows(ctx, name)
+		return TableUpdate{Name: name, At: page.At, Full: true, Rows: page.Rows}, err
 	}
 	f.mu.Lock()
-	version := f.tables[name].version
+	t := f.tables[name]
+	from, wait := t.at, feedTimeout
+	if !t.healthy {
+		// The store may have come back in a new era. A feed from a version of the
+		// earlier one misses its changes, so the era must be known at once.
+		wait = 0
+	}
 	f.mu.Unlock()
-	return f.store.Feed(ctx, name, version, feedTimeout)
+	page, err := f.store.Feed(ctx, name, from.Version, wait)
+	return TableUpdate{Name: name, At: page.At, From: from, Rows: page.Rows}, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -333,154 +336,3 @@
 	}
 	return true
 }
-
-// Versions returns, by table, the version of the store up to which it is complete.
-func (f *Follower) Versions() map[string]uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[string]uint64, len(f.tables))
-	for name, t := range f.tables {
-		out[name] = t.version
-	}
-	return out
-}
-
-// ChangesSince returns the updates that are missing at another instance whose tables
-// are complete up to the given versions.
-func (f *Follower) ChangesSince(versions map[string]uint64) []TableUpdate {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []TableUpdate
-	for name, t := range f.tables {
-		after := versions[name]
-		if t.version <= after {
-			continue
-		}
-		update := TableUpdate{Name: name, Version: t.version, Full: after < t.fullVersion}
-		for _, row := range t.rows {
-			if row.Version > after || (update.Full && !row.Deleted) {
-				update.Rows = append(update.Rows, row)
-			}
-		}
-		sort.Slice(update.Rows, func(i, j int) bool { return update.Rows[i].Version < update.Rows[j].Version })
-		out = append(out, update)
-	}
-	return out
-}
-
-// Merge applies updates received from another instance.
-func (f *Follower) Merge(updates []TableUpdate) {
-	for _, update := range updates {
-		f.apply(update)
-	}
-}
-
-// apply applies an update. Rows that are not newer than the local ones are ignored.
-func (f *Follower) apply(update TableUpdate) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	t := f.tables[update.Name]
-	if t == nil {
-		return
-	}
-	t.loaded = true
-	rows := update.Rows
-	if update.Full {
-		rows = append(rows, t.impliedDeletions(update)...)
-		if update.Version >= t.version {
-			t.fullVersion = update.Version
-		}
-	}
-	_, upstreamsName := f.decoder.Tables()
-	changed := false
-	for _, row := range rows {
-		row.Table = update.Name
-		local, ok := t.rows[row.Key]
-		if ok && (row.Version < local.Version || (row.Version == local.Version && row.Deleted == local.Deleted)) {
-			continue
-		}
-		if update.Name == upstreamsName {
-			changed = f.applyUpstream(row) || changed
-		} else {
-			f.applyOperator(row, !update.Full)
-		}
-		if row.Deleted {
-			row.Value = nil
-		}
-		t.rows[row.Key] = row
-		t.version = max(t.version, row.Version)
-	}
-	t.version = max(t.version, update.Version)
-	if changed {
-		f.sink.UpstreamsChanged(f.upstreams.View())
-	}
-}
-
-// impliedDeletions returns deletions of the local rows that a full update does not
-// list.
-func (t *table) impliedDeletions(full TableUpdate) []Row {
-	listed := make(map[string]bool, len(full.Rows))
-	for _, row := range full.Rows {
-		listed[row.Key] = true
-	}
-	var out []Row
-	for key, row := range t.rows {
-		if !row.Deleted && !listed[key] && row.Version <= full.Version {
-			out = append(out, Row{Key: key, Version: full.Version, Deleted: true})
-		}
-	}
-	return out
-}
-
-// applyUpstream applies a row of the table of upstreams. An upstream whose row
-// cannot be decoded is removed as if its row were deleted.
-func (f *Follower) applyUpstream(row Row) (changed bool) {
-	if row.Deleted {
-		return f.upstreams.Remove(row.Key, f.now())
-	}
-	u, err := f.decoder.DecodeUpstream(row)
-	if err != nil {
-		f.logRejected(row, err)
-		return f.upstreams.Remove(row.Key, f.now())
-	}
-	return f.upstreams.Put(u)
-}
-
-// applyOperator applies a row of the operator's table. recent says that it was
-// received as a change, so that it was written just now.
-func (f *Follower) applyOperator(row Row, recent bool) {
-	decoded, err := f.decoder.DecodeOperator(row)
-	if err != nil {
-		f.logRejected(row, err)
-		return
-	}
-	switch {
-	case decoded.Config != nil:
-		f.adoptConfig(decoded.Config)
-	case decoded.Weights != nil:
-		decoded.Weights.Recent = recent
-		f.log.Info("weights target changed", "model", decoded.Weights.Model, "version", decoded.Weights.Version, "recent", recent)
-		f.sink.WeightsTargetChanged(*decoded.Weights)
-	}
-}
-
-// adoptConfig ignores versions that are not higher than the current one, so that the
-// configuration never reverts while the process runs.
-func (f *Follower) adoptConfig(s *routing.Snapshot) {
-	if f.config != nil && s.Version <= f.config.Version {
-		return
-	}
-	f.config = s
-	f.log.Info("configuration adopted", "version", s.Version)
-	f.sink.ConfigChanged(s)
-}
-
-// logRejected logs a row that cannot be decoded, once per version.
-func (f *Follower) logRejected(row Row, err error) {
-	id := row.Table + "/" + row.Key
-	if f.rejected[id] == row.Version {
-		return
-	}
-	f.rejected[id] = row.Version
-	f.log.Warn("row rejected", "table", row.Table, "key", row.Key, "version", row.Version, "error", err)
-}
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -28,6 +29,7 @@
 	rows      map[string]Row // by table and key
 	history   []Row
 	version   uint64
+	era       uint64
 	compacted uint64        // Feed after an earlier version returns ErrHistoryLost
 	changed   chan struct{} // closed at the next change
 	down      bool          // all calls fail
@@ -70,7 +72,7 @@
 	if s.down {
 		return Page{}, errDown
 	}
-	out := Page{Version: s.version}
+	out := Page{At: history.Position{Era: s.era, Version: s.version}}
 	for _, row := range s.rows {
 		if row.Table == table && !row.Deleted {
 			out.Rows = append(out.Rows, row)
@@ -87,13 +89,13 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		out := Page{Version: s.version}
+		out := Page{At: history.Position{Era: s.era, Version: s.version}}
 		for _, row := range s.history {
 			if row.Table == table && row.Version > after {
 				out.Rows = append(out.Rows, row)
 			}
 		}
-		changed, down, lost := s.changed, s.down, after < s.compacted
+		changed, down, lost := s.changed, s.down, after < s.compacted || after > s.version
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -147,6 +149,13 @@
 	versions []uint64
 	targets  []WeightsTarget
 	view     *fleet.View
+	eras     []uint64
+}
+
+func (s *fakeSink) EraChanged(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eras = append(s.eras, era)
 }
 
 func (s *fakeSink) ConfigChanged(c *routing.Snapshot) {
@@ -288,12 +297,12 @@
 		time.Sleep(10 * time.Millisecond)
 		sink := &fakeSink{}
 		to := New(none, fakeDecoder{}, sink, hclog.NewNullLogger(), time.Now)
-		to.Merge(from.ChangesSince(to.Versions()))
+		to.Merge(from.ChangesSince(to.Positions()))
 		checkSink(t, sink, 1, 2)
 		store.put(upstreamTable, "a", "", true)
 		store.put(operatorTable, "config", "config 2", false)
 		time.Sleep(600 * time.Millisecond)
-		changes := from.ChangesSince(to.Versions())
+		changes := from.ChangesSince(to.Positions())
 		for _, change := range changes {
 			if change.Full || len(change.Rows) != 1 {
 				t.Errorf("%s: want an update with one changed row, got %+v", change.Name, change)
@@ -303,7 +312,7 @@
 		checkSink(t, sink, 2, 1)
 		to.Merge(changes) // repeated
 		checkSink(t, sink, 2, 1)
-		if rest := from.ChangesSince(to.Versions()); len(rest) != 0 {
+		if rest := from.ChangesSince(to.Positions()); len(rest) != 0 {
 			t.Errorf("still missing %+v", rest)
 		}
 	})
@@ -320,7 +329,7 @@
 	to := New(none, fakeDecoder{}, sink, hclog.NewNullLogger(), time.Now)
 	runFollower(t, store, func(from *Follower, _ *fakeSink) {
 		time.Sleep(10 * time.Millisecond)
-		to.Merge(from.ChangesSince(to.Versions()))
+		to.Merge(from.ChangesSince(to.Positions()))
 	})
 	checkSink(t, sink, 1, 1)
 	store = newFakeStore()
@@ -328,7 +337,7 @@
 	store.put(operatorTable, "config", "config 1", false)
 	runFollower(t, store, func(from *Follower, _ *fakeSink) {
 		time.Sleep(10 * time.Millisecond)
-		to.Merge(from.ChangesSince(to.Versions()))
+		to.Merge(from.ChangesSince(to.Positions()))
 	})
 	checkSink(t, sink, 1, 0)
 }
@@ -390,11 +399,11 @@
 // it has the table of upstreams.
 func TestHasSyncedOnlyWithAllTables(t *testing.T) {
 	f := New(newFakeStore(), fakeDecoder{}, &fakeSink{}, hclog.NewNullLogger(), time.Now)
-	f.Merge([]TableUpdate{{Name: operatorTable, Version: 1, Full: true, Rows: []Row{{Key: "config", Version: 1, Value: []byte("config 1")}}}})
+	f.Merge([]TableUpdate{{Name: operatorTable, At: history.Position{Version: 1}, Full: true, Rows: []Row{{Key: "config", Version: 1, Value: []byte("config 1")}}}})
 	if f.HasSynced() {
 		t.Error("synced without the table of upstreams")
 	}
-	f.Merge([]TableUpdate{{Name: upstreamTable, Version: 1, Full: true}})
+	f.Merge([]TableUpdate{{Name: upstreamTable, At: history.Position{Version: 1}, Full: true}})
 	if !f.HasSynced() {
 		t.Error("not synced after updates of all tables")
 	}
