pkg/edge: answer connections that are accepted while limits change or the instance stops

Cause: a connection between Accept and its server was closed without an answer when the servers shut down meanwhile; net/http closes connections whose first request it reads after Shutdown has begun; a connection that was delivered to a server just replaced by new limits was closed. Change: the stop drains the accept queue for 50 ms, waits until the first requests on accepted connections have reached the handler (at most 0.5 s), and shuts down then; a connection goes to the next server if limits replace its own. Shown: TestStopAnswersWhatWasAccepted got no answer before (failed first), and passes 200 times with -race; TestNewLimitsCloseNoConnection did not hit the race on the old code and stays as a guard.

--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -320,10 +320,9 @@
 	i.peers.setLeaving()
 	time.Sleep(min(drainDuration, i.options.ShutdownGrace/3))
 	i.listener.refuseNew()
-	_ = callers.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.options.ShutdownGrace-shutdownReserve))
 	defer cancel()
-	err := i.listener.shutdown(ctx)
+	err := i.listener.stop(ctx, callers)
 	i.deps.Log.Info("stopped", "after", i.now().Sub(began).String(), "error", err)
 	return errors.Wrap(err, "requests were still running at the end of the shutdown")
 }
--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -38,6 +39,9 @@
 	refusing atomic.Bool  // new requests are refused
 	running  atomic.Int64 // requests in flight
 
+	accepting chan struct{} // closed when accept has returned
+	fresh     sync.Map      // accepted connections (net.Conn) whose first request has not reached the handler
+
 	mu      sync.Mutex
 	limits  routing.Limits
 	current *connListener  // receives newly accepted connections
@@ -46,7 +50,7 @@
 }
 
 func newListener(handler chain.Handler, encoder RefusalEncoder, log hclog.Logger, now func() time.Time) *listener {
-	l := &listener{handler: handler, refusalEncoder: encoder, log: log, now: now}
+	l := &listener{handler: handler, refusalEncoder: encoder, log: log, now: now, accepting: make(chan struct{})}
 	l.setLimits(routing.DefaultLimits())
 	return l
 }
@@ -63,6 +67,8 @@
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		ConnContext:       withConn,
+		ConnState:         l.trackConn,
 		ErrorLog:          l.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	next := newConnListener()
@@ -79,11 +85,13 @@
 	}
 }
 
-// accept passes connections to the current server until ln is closed.
+// accept passes connections to the current server until ln is closed or its deadline
+// has passed. It is called once.
 func (l *listener) accept(ln net.Listener) error {
+	defer close(l.accepting)
 	for {
 		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
@@ -93,15 +101,44 @@
 			time.Sleep(socketRetryDelay)
 			continue
 		}
+		if !l.deliver(conn) {
+			_ = conn.Close()
+		}
+	}
+}
+
+// deliver passes a connection to the current server. If new limits replace that server
+// meanwhile, the next one gets it. It returns false after the shutdown.
+func (l *listener) deliver(conn net.Conn) bool {
+	for {
 		l.mu.Lock()
-		current := l.current
+		current, closed := l.current, l.closed
 		l.mu.Unlock()
-		if !current.deliver(conn) {
-			_ = conn.Close()
+		l.fresh.Store(conn, true)
+		if current.deliver(conn) {
+			return true
+		}
+		if closed {
+			l.fresh.Delete(conn)
+			return false
 		}
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// trackConn forgets connections that end before their first request.
+func (l *listener) trackConn(conn net.Conn, state http.ConnState) {
+	if state == http.StateClosed {
+		l.fresh.Delete(conn)
+	}
+}
+
 // shutdownRetryAfter is the retry delay given to callers that an instance refuses
 // during shutdown. It is short since other instances accept the request at once.
 const shutdownRetryAfter = 20 * time.Millisecond
@@ -116,6 +153,53 @@
 // refuseNew makes the listener refuse all further requests.
 func (l *listener) refuseNew() { l.refusing.Store(true) }
 
+const (
+	// acceptGrace is how long connections are still accepted that callers opened
+	// before the shutdown, so that they get an answer.
+	acceptGrace = 50 * time.Millisecond
+	// freshGrace is how long the shutdown waits for the first request of a connection.
+	freshGrace = 500 * time.Millisecond
+	// freshPollInterval is the time between checks for such connections.
+	freshPollInterval = 5 * time.Millisecond
+)
+
+// stop stops accepting connections, and shuts down when the first requests on those
+// that were accepted have reached the handler: net/http closes connections without an
+// answer whose request it has not read when the shutdown begins.
+func (l *listener) stop(ctx context.Context, callers net.Listener) error {
+	if timed, ok := callers.(interface{ SetDeadline(time.Time) error }); ok {
+		// The kernel would reset connections that wait to be accepted.
+		_ = timed.SetDeadline(time.Now().Add(acceptGrace))
+	} else {
+		_ = callers.Close()
+	}
+	select {
+	case <-l.accepting:
+	case <-ctx.Done():
+	}
+	_ = callers.Close()
+	l.awaitFirstRequests(ctx)
+	return l.shutdown(ctx)
+}
+
+// awaitFirstRequests waits, at most freshGrace, until no connection is fresh.
+func (l *listener) awaitFirstRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, freshGrace)
+	defer cancel()
+	for l.hasFresh() && ctx.Err() == nil {
+		sleep(ctx, freshPollInterval)
+	}
+}
+
+func (l *listener) hasFresh() bool {
+	found := false
+	l.fresh.Range(func(any, any) bool {
+		found = true
+		return false
+	})
+	return found
+}
+
 // shutdown closes idle connections and waits for running requests. If ctx ends
 // first, it closes the remaining connections and returns the error of ctx.
 func (l *listener) shutdown(ctx context.Context) error {
@@ -136,6 +220,7 @@
 func (l *listener) serve(w http.ResponseWriter, req *http.Request) {
 	l.running.Add(1)
 	defer l.running.Add(-1)
+	l.fresh.Delete(req.Context().Value(connKey{}))
 	r := &chain.Request{HTTP: req, Writer: w, ReceivedAt: l.now()}
 	if l.draining.Load() {
 		w.Header().Set("Connection", "close")
