Choose among fewer engines the older the knowledge of others' work is

Cause: all instances see the same engine as the best one until they learn of each other's requests. With 65 instances that takes 65 ms and more, in which the fleet places 20 requests and more; all of them went to the same few engines. Also the work of others was summed only when an instance sent a digest of its own. Change: a request chooses among the owners of its prompt, the engines that keep it and a sample of the others, whose size follows from the rate of requests and the age of what is known; the work of others is summed every 25 ms (or 0.25 ms per instance); partial digests name their sender and leave out what has not changed. The emulator models the exchange of many instances.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -75,6 +76,13 @@
 	return p.leaderActiveAt
 }
 
+// requestIntroduction makes the sending goroutine send a full digest, which states the
+// address of this instance, to instances that may not know it.
+func (p *peers) requestIntroduction() {
+	p.sendFull.Store(true)
+	p.requestSend()
+}
+
 // requestSend makes the sending goroutine send a partial digest without waiting for
 // the next full one.
 func (p *peers) requestSend() {
@@ -182,10 +190,15 @@
 	d := &rpc.Digest{
 		Sender: p.self, Incarnation: p.incarnation, Sequence: p.lastSequence, Leaving: p.leaving, Follows: follows, Partial: partial,
 	}
-	d.Tables = encodePositions(held)
-	if !partial {
+	if partial {
+		d.Sender = &rpc.Address{Name: p.self.Name}
+	} else {
 		d.Contents = encodeContents(contents)
 	}
+	if !partial || !maps.Equal(held, p.lastSentPositions) {
+		d.Tables = encodePositions(held)
+		p.lastSentPositions = held
+	}
 	for customer, tokens := range spent {
 		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.bucketLevel(customer)})
 	}
@@ -277,7 +290,7 @@
 // newer than the last from its sender.
 func (p *peers) applyDigest(d *rpc.Digest) {
 	p.mu.Lock()
-	other := p.add(d.GetSender())
+	other := p.senderOf(d)
 	if other == nil {
 		p.mu.Unlock()
 		return
@@ -291,6 +304,9 @@
 	firstContact := other.heardAt.IsZero()
 	if d.Partial && last != nil && last.Incarnation == d.Incarnation {
 		d.Work = applyWorkChanges(last.Work, d.Work)
+		if len(d.Tables) == 0 {
+			d.Tables = last.Tables
+		}
 	}
 	other.heardAt, other.lastDigest = now, d
 	name := d.Sender.Name
@@ -304,7 +320,7 @@
 	placements := other.newPlacements(d)
 	p.mu.Unlock()
 	if firstContact {
-		p.requestSend() // the sender may not know this instance yet
+		p.requestIntroduction()
 		if !p.introduced.Load() {
 			p.requestFetch()
 		}
@@ -334,6 +350,15 @@
 	}
 }
 
+// senderOf returns the entry of a digest's sender, or nil if it is not known. Partial
+// digests name it only. The caller holds mu.
+func (p *peers) senderOf(d *rpc.Digest) *peer {
+	if d.Partial && d.GetSender().GetDigests() == "" {
+		return p.byName[d.GetSender().GetName()]
+	}
+	return p.add(d.GetSender())
+}
+
 // newPlacements returns the placements in a digest that no earlier digest of the
 // sender's process contained.
 func (p *peer) newPlacements(d *rpc.Digest) []*rpc.Placed {
@@ -388,10 +413,13 @@
 	now := p.now()
 	maxAge := workMaxIntervals * max(digestInterval, digestIntervalPerPeer*time.Duration(len(p.byName)))
 	total := map[string]placement.Work{}
+	var ages, live time.Duration
 	for _, other := range p.byName {
 		if other.lastDigest == nil || now.Sub(other.heardAt) > maxAge {
 			continue
 		}
+		ages += now.Sub(other.heardAt)
+		live++
 		for _, w := range other.lastDigest.Work {
 			sum := total[w.Upstream]
 			sum.Requests += int(w.Requests)
@@ -401,6 +429,6 @@
 		}
 	}
 	p.mu.Unlock()
-	p.placer.setPeerWork(total)
+	p.placer.setPeerWork(total, ages/max(1, live))
 	p.placer.setInstanceCount(p.instanceCount())
 }
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/state"
@@ -71,6 +72,38 @@
 	}
 }
 
+// TestPartialDigestsNameTheSender guards against partial digests that repeat what full
+// ones state, and against a receiver that forgets the sender's address and tables.
+func TestPartialDigestsNameTheSender(t *testing.T) {
+	from, to := newTestPeers(), newTestPeers()
+	from.self.Name = "other"
+	from.follower.Merge([]state.TableUpdate{{Name: "servers", At: history.Position{Version: 7}, Full: true}})
+	send := func(partial bool) int {
+		raw, _ := from.nextDigest(partial)
+		d := &rpc.Digest{}
+		if err := proto.Unmarshal(raw, d); err != nil {
+			t.Fatal(err)
+		}
+		to.applyDigest(d)
+		return len(raw)
+	}
+	if send(true); to.peerCount() != 0 {
+		t.Fatal("a partial digest introduces its sender")
+	}
+	full := send(false)
+	if partial := send(true); partial*3 > full {
+		t.Errorf("a partial digest has %d bytes, a full one %d", partial, full)
+	}
+	other := to.byName["other"]
+	if other == nil || other.controlAddr != from.self.Control || !hasNewerTable(other.lastDigest, to.follower.Positions()) {
+		t.Errorf("after a partial digest: %+v", other)
+	}
+	from.follower.Merge([]state.TableUpdate{{Name: "servers", At: history.Position{Version: 9}, Full: true}})
+	if send(true); other.lastDigest.Tables[0].Version != 9 && other.lastDigest.Tables[1].Version != 9 {
+		t.Error("a partial digest does not tell a new version of a table")
+	}
+}
+
 // TestUnresponsiveStateSourceIsSkipped guards against an instance that keeps
 // requesting state from an instance that has died while others have the same state.
 func TestUnresponsiveStateSourceIsSkipped(t *testing.T) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
@@ -29,6 +30,11 @@
 	// capacity of slow links.
 	updateDelay        = 4 * time.Millisecond
 	updateDelayPerPeer = time.Millisecond
+	// sumInterval is the minimum time between two sums of the work of the other
+	// instances, and sumIntervalPerPeer the minimum per known instance; the larger of
+	// the two applies.
+	sumInterval        = 25 * time.Millisecond
+	sumIntervalPerPeer = 250 * time.Microsecond
 	// workMaxIntervals is how long after its arrival the work in a digest counts,
 	// in full digest intervals.
 	workMaxIntervals = 5
@@ -93,6 +99,7 @@
 	log         hclog.Logger
 	now         func() time.Time
 	sendNow     chan struct{} // requests a partial digest
+	sendFull    atomic.Bool   // the next digest must be a full one
 	fetchNow    chan struct{} // signals that another instance has newer state
 	isRelay     atomic.Bool   // this instance follows the store and others may fetch state from it
 
@@ -111,7 +118,8 @@
 	leader         string    // name of the instance that last sent load commands
 	leaderActiveAt time.Time // arrival of its last digest with loading engines; zero: it is shutting down
 
-	lastSentWork map[string]placement.Work // by upstream, as last announced; used only by the sending goroutine
+	lastSentWork      map[string]placement.Work   // by upstream, as last announced; used only by the sending goroutine
+	lastSentPositions map[string]history.Position // by table, as last announced
 }
 
 func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
@@ -128,6 +136,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.receive(ctx) })
 	wg.Go(func() { p.syncState(ctx) })
+	wg.Go(func() { p.keepPeerWork(ctx) })
 	// The offset spreads the digests of instances that start together.
 	timer := time.NewTimer(time.Duration(p.incarnation % uint64(digestInterval)))
 	defer timer.Stop()
@@ -142,9 +151,16 @@
 			timer.Reset(p.fullDigestInterval())
 		case <-p.sendNow:
 			sleep(ctx, max(updateDelay, updateDelayPerPeer*time.Duration(p.peerCount())))
-			p.send(true)
+			p.send(!p.sendFull.Swap(false))
 		}
+	}
+}
+
+// keepPeerWork passes the work of the other instances to the placer until ctx ends.
+func (p *peers) keepPeerWork(ctx context.Context) {
+	for ctx.Err() == nil {
 		p.sumPeerWork()
+		sleep(ctx, max(sumInterval, sumIntervalPerPeer*time.Duration(p.peerCount())))
 	}
 }
 
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -149,10 +149,10 @@
 	p.balancer.SetInstanceCount(n)
 }
 
-func (p *placer) setPeerWork(work map[string]placement.Work) {
+func (p *placer) setPeerWork(work map[string]placement.Work, age time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.balancer.SetPeerWork(work, p.now())
+	p.balancer.SetPeerWork(work, age, p.now())
 }
 
 func (p *placer) ownWork() map[string]placement.Work {
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -324,7 +324,7 @@
 		}
 		p.addListed(addr)
 	}
-	p.requestSend()
+	p.requestIntroduction()
 }
 
 // sleep waits for the duration d or until ctx ends.
--- a/pkg/load/emulator/deployments.go
+++ b/pkg/load/emulator/deployments.go
@@ -38,6 +38,40 @@
 	return d
 }
 
+// Grown returns a deployment of many engines: 60 with small tokens, on which each
+// running request makes a step longer, in 3 failure domains, and prompts with much that
+// is their own. What instances know of each other is older the more of them there are.
+func Grown(load float64, instances int) *Deployment {
+	d := &Deployment{
+		Engine: Spec{
+			Slots: 64, Chunk: 1024, KVTokens: 236_934, TokenBytes: 18_432, LinkMbps: 550_000,
+			Step: 2890 * time.Microsecond, StepPerRequest: 101 * time.Microsecond, TokensPerMS: 55, PairTime: 165 * time.Microsecond,
+		},
+		Domains: 3, Instances: instances, StoreMbps: 52_000, StoreKV: 1_057_136,
+		Classes: []Class{
+			{
+				Name: "long", PerSecond: 94.3 * load, Target: time.Second, Priority: 1, Output: 48,
+				Shared: []Level{{Things: 1, Size: Size{Mean: 512, Spread: 0.4, Most: 1_280}}, {Things: 396, Size: Size{Mean: 4_870, Spread: 0.7, Most: 14_600}}},
+				Own:    Size{Mean: 6_610, Spread: 0.7, Most: 39_000},
+			},
+			{
+				Name: "short", PerSecond: 189 * load, Target: 500 * time.Millisecond, Output: 3,
+				Shared: []Level{{Things: 16, Size: Size{Mean: 341, Spread: 0.4, Most: 851}}, {Things: 792, Size: Size{Mean: 227, Spread: 0.7, Most: 681}}},
+				Own:    Size{Mean: 1_800, Spread: 0.7, Most: 10_000},
+			},
+		},
+		Exchange: Exchange{
+			News:     time.Duration(instances) * time.Millisecond,
+			Interval: max(digestInterval, time.Duration(instances)*10*time.Millisecond),
+			Refresh:  25 * time.Millisecond,
+		},
+	}
+	for range 60 {
+		d.Slowness = append(d.Slowness, 1)
+	}
+	return d
+}
+
 // Rate returns the requests a second of all classes.
 func (d *Deployment) Rate() float64 {
 	total := 0.0
--- a/pkg/load/emulator/emulator.go
+++ b/pkg/load/emulator/emulator.go
@@ -52,6 +52,15 @@
 	StoreMbps float64 // link of the store of KV cache; 0: there is none
 	StoreKV   int     // room of the store in tokens
 	Classes   []Class
+	Exchange  Exchange
+}
+
+// Exchange tells how instances learn of each other's work. The zero value is that of
+// a few instances: every piece of news tells the work of all.
+type Exchange struct {
+	News     time.Duration // delay of a partial digest
+	Interval time.Duration // between the full digests of an instance
+	Refresh  time.Duration // between two sums of what the others have told
 }
 
 // arrival is one request of the load.
@@ -150,7 +159,7 @@
 	sent(now time.Duration, a *arrival, ticket any)
 	first(now time.Duration, a *arrival, ticket any, saved bool)
 	ended(now time.Duration, a *arrival, ticket any)
-	tick(now time.Duration) // every digestInterval
+	start(end time.Duration) // schedules the exchange between instances
 }
 
 const (
@@ -193,9 +202,7 @@
 		a := &arrivals[i]
 		r.events.after(a.at, func(now time.Duration) { r.place(now, a, false) })
 	}
-	for at := digestInterval; at < length+drainTime; at += digestInterval {
-		r.events.after(at, r.policy.tick)
-	}
+	r.policy.start(length + drainTime)
 	for len(r.events.list) > 0 {
 		e := heap.Pop(&r.events).(event)
 		e.run(e.at)
@@ -203,6 +210,13 @@
 	return r.result
 }
 
+// every calls f at each interval until end.
+func (r *run) every(first, interval, end time.Duration, f func(now time.Duration)) {
+	for at := first; at < end; at += interval {
+		r.events.after(at, f)
+	}
+}
+
 func (r *run) place(now time.Duration, a *arrival, again bool) {
 	choice, ticket := r.policy.choose(now, a, again)
 	switch {
--- a/pkg/load/emulator/emulator_test.go
+++ b/pkg/load/emulator/emulator_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// TestManyInstancesServeAsFew guards against instances that all choose the same engine
+// because what they know of each other is old: many of them must serve 0.95 of what a
+// few serve on the same load. The load is a fifth above the usual one, as when a fifth
+// of the engines are down.
+func TestManyInstancesServeAsFew(t *testing.T) {
+	few := play(t, Grown(1.2, 6), 20*time.Second, Fescuestep)[Fescuestep]
+	many := play(t, Grown(1.2, 65), 20*time.Second, Fescuestep)[Fescuestep]
+	for i, c := range many.Classes {
+		if want := few.Classes[i].InTime * 95 / 100; c.InTime < want {
+			t.Errorf("%s: %d of %d in time with 65 instances, want %d", c.Name, c.InTime, c.Requests, want)
+		}
+	}
+}
+
 // againstInstantCounts guards against a placement that loses by what it knows
 // late, or by its affinity, more than it gains.
 func againstInstantCounts(t *testing.T, load string) {
--- a/pkg/load/emulator/policy.go
+++ b/pkg/load/emulator/policy.go
@@ -46,13 +46,14 @@
 // counts sends a request where the fewest run, as far as its instance knows: its
 // own requests now, and those of the others at the last digest.
 type counts struct {
+	r    *run
 	own  [][]int // by instance and engine
 	told []int   // of all instances at the last digest, by engine
 	mine [][]int // part of told by instance
 }
 
 func newCounts(r *run) *counts {
-	c := &counts{told: make([]int, len(r.engines))}
+	c := &counts{r: r, told: make([]int, len(r.engines))}
 	for range r.d.Instances {
 		c.own = append(c.own, make([]int, len(r.engines)))
 		c.mine = append(c.mine, make([]int, len(r.engines)))
@@ -75,6 +76,11 @@
 func (c *counts) first(time.Duration, *arrival, any, bool)      {}
 func (c *counts) ended(_ time.Duration, a *arrival, ticket any) { c.own[a.instance][ticket.(int)]-- }
 
+func (c *counts) start(end time.Duration) {
+	interval := max(digestInterval, c.r.d.Exchange.Interval)
+	c.r.every(interval, interval, end, c.tick)
+}
+
 func (c *counts) tick(time.Duration) {
 	clear(c.told)
 	for i, own := range c.own {
@@ -117,6 +123,8 @@
 	service *routing.Service
 	store   *routing.KVStore
 	addrs   map[string]int // engines by address
+
+	exchange *exchange // nil: every piece of news tells the work of all
 }
 
 // epoch is the time of a run's start; books want absolute times.
@@ -147,6 +155,9 @@
 		book.SetInstanceCount(d.Instances)
 		b.list = append(b.list, book)
 	}
+	if d.Exchange != (Exchange{}) {
+		b.exchange = newExchange(r, b.list)
+	}
 	return b
 }
 
@@ -201,11 +212,15 @@
 
 // tell brings a piece of news, and the work that changed, to the other instances.
 func (b *books) tell(now time.Duration, from int, placed placement.Announcement) {
+	if b.exchange != nil {
+		b.exchange.tell(now, from, placed)
+		return
+	}
 	b.r.events.after(now+newsDelay, func(now time.Duration) {
 		for i, book := range b.list {
 			if i != from {
 				book.ApplyAnnouncement(placed, epoch.Add(now))
-				book.SetPeerWork(b.others(i), epoch.Add(now))
+				book.SetPeerWork(b.others(i), 0, epoch.Add(now))
 			}
 		}
 	})
@@ -219,20 +234,26 @@
 			continue
 		}
 		for id, w := range book.OwnWork() {
-			sum := total[id]
-			sum.Requests += w.Requests
-			sum.PrefillTokens += w.PrefillTokens
-			sum.KVTokens += w.KVTokens
-			total[id] = sum
+			total[id] = sum(total[id], w)
 		}
 	}
 	return total
 }
 
-func (b *books) tick(now time.Duration) {
-	for i, book := range b.list {
-		book.SetPeerWork(b.others(i), epoch.Add(now))
+func sum(a, b placement.Work) placement.Work {
+	return placement.Work{Requests: a.Requests + b.Requests, PrefillTokens: a.PrefillTokens + b.PrefillTokens, KVTokens: a.KVTokens + b.KVTokens}
+}
+
+func (b *books) start(end time.Duration) {
+	if b.exchange != nil {
+		b.exchange.start(end)
+		return
 	}
+	b.r.every(digestInterval, digestInterval, end, func(now time.Duration) {
+		for i, book := range b.list {
+			book.SetPeerWork(b.others(i), 0, epoch.Add(now))
+		}
+	})
 }
 
 // quantile returns the p-quantile of durations, 0 if there are none.
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -185,26 +185,53 @@
 func (b *Balancer) pickEngine(now time.Time, q Query) (*Attempt, time.Duration, error) {
 	p := newPrompt(q)
 	owners := b.owners(p)
+	engines := b.view.ByService(q.Service.Name)
+	sampled := b.sample(engines, b.candidateCount(len(engines), now))
+	b.picks.add(now)
+	best := b.bestEngine(now, engines, p, owners, sampled)
+	if best.upstream == nil && sampled != nil {
+		best = b.bestEngine(now, engines, p, owners, nil)
+	}
+	if best.upstream == nil {
+		return nil, 0, b.noUpstreamError(now, q)
+	}
+	return b.newAttempt(now, best, p), best.cost, nil
+}
+
+// bestEngine returns the estimate of the engine with the lowest cost among those that
+// are sampled (nil: all), the owners of the prompt and those that have it cached.
+func (b *Balancer) bestEngine(now time.Time, engines []*fleet.Upstream, p *prompt, owners *owners, sampled map[string]bool) estimate {
 	var best estimate
-	for _, u := range b.view.ByService(q.Service.Name) {
-		if !b.acceptsWork(now, u, q) {
+	for _, u := range engines {
+		rank := owners.rank(u)
+		if sampled != nil && !sampled[u.ID] && rank == maxOwnerRank && !b.hasCached(now, u, p) {
+			continue
+		}
+		if !b.acceptsWork(now, u, p.Query) {
 			continue
 		}
 		e := b.estimate(now, u, p)
-		if !b.weightsAllowed(now.Add(waitSafetyFactor*e.cost), u, q.Model) {
+		if !b.weightsAllowed(now.Add(waitSafetyFactor*e.cost), u, p.Model) {
 			continue
 		}
 		if p.sharedTokens >= minSharedTokens && max(e.cachedTokens, e.cachedAfterFetch) < p.sharedTokens {
-			e.cost += ownerRankCost * time.Duration(owners.rank(u))
+			e.cost += ownerRankCost * time.Duration(rank)
 		}
 		if best.upstream == nil || e.cost < best.cost {
 			best = e
 		}
 	}
-	if best.upstream == nil {
-		return nil, 0, b.noUpstreamError(now, q)
+	return best
+}
+
+// hasCached reports whether an engine is expected to have cached all shared parts of a
+// prompt that has an owner.
+func (b *Balancer) hasCached(now time.Time, u *fleet.Upstream, p *prompt) bool {
+	if p.sharedTokens < minSharedTokens {
+		return false
 	}
-	return b.newAttempt(now, best, p), best.cost, nil
+	keys := b.lookup(p, b.WeightsVersion(u, p.Model), now).keys
+	return b.prefixes.hasCopy(keys[p.sharedParts-1], u.ID, now)
 }
 
 // newAttempt returns the attempt on the engine of an estimate.
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -403,3 +403,36 @@
 		})
 	}
 }
+
+// TestFewerCandidatesTheOlderTheKnowledge guards against instances that all choose the
+// same engine, and against a choice among few where everything is known.
+func TestFewerCandidatesTheOlderTheKnowledge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	count := func(instances int, age time.Duration, perSecond int) int {
+		b := newTestBalancer(60, 1)
+		b.SetInstanceCount(instances)
+		b.SetPeerWork(nil, age, now)
+		for i := range 10 * perSecond {
+			b.picks.add(now.Add(time.Duration(i) * time.Second / time.Duration(perSecond)))
+		}
+		return b.candidateCount(60, now.Add(10*time.Second))
+	}
+	for _, c := range []struct {
+		instances int
+		age       time.Duration
+		perSecond int
+		low, high int
+	}{
+		{1, time.Second, 100, 60, 60},           // nobody else places requests
+		{6, 2 * time.Millisecond, 50, 60, 60},   // half a request is unknown
+		{65, 0, 5, 60, 60},                      // everything is known
+		{65, 100 * time.Millisecond, 5, 1, 3},   // 32 requests are unknown
+		{65, 10 * time.Millisecond, 5, 15, 25},  // 3 requests are unknown
+		{295, 500 * time.Millisecond, 10, 2, 2}, // more requests than engines
+		{65, 100 * time.Millisecond, 1, 8, 12},  // 6 requests are unknown
+	} {
+		if got := count(c.instances, c.age, c.perSecond); got < c.low || got > c.high {
+			t.Errorf("%d instances, knowledge %v old, %d requests a second: %d candidates, want %d to %d", c.instances, c.age, c.perSecond, got, c.low, c.high)
+		}
+	}
+}
