--- a/pkg/fleet/departures.go
+++ b/pkg/fleet/departures.go
@@ -17,6 +17,9 @@
 	// departureMemory is how long a departure is remembered while the upstream is not
 	// listed. No copy of the store is as old.
 	departureMemory = 5 * time.Minute
+	// unknownProcessMemory is how long a departure is remembered of a process whose
+	// start time is not known: the next one with its ID looks the same.
+	unknownProcessMemory = 30 * time.Second
 )
 
 // Departure is the knowledge that an upstream leaves or has left.
@@ -102,15 +105,19 @@
 }
 
 // expireDepartures forgets departures of upstreams that have not been listed for
-// departureMemory.
+// departureMemory, and those of unknown processes.
 func (r *Registry) expireDepartures(now time.Time) {
 	for id, d := range r.departures {
-		if _, listed := r.listed[id]; listed || d.knownAt.IsZero() {
+		_, listed := r.listed[id]
+		memory := departureMemory
+		if d.StartTimeMS == 0 {
+			listed, memory = false, unknownProcessMemory
+		}
+		switch {
+		case listed || d.knownAt.IsZero():
 			d.knownAt = now
 			r.departures[id] = d
-			continue
-		}
-		if now.Sub(d.knownAt) > departureMemory {
+		case now.Sub(d.knownAt) > memory:
 			delete(r.departures, id)
 		}
 	}
--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -142,3 +142,18 @@
 		t.Error("never forgotten")
 	}
 }
+
+// TestUnknownProcessIsNotShutOut guards against an upstream that gets no requests for
+// good because an earlier process with its ID left, and neither states its start time.
+func TestUnknownProcessIsNotShutOut(t *testing.T) {
+	r := NewRegistry()
+	r.Put(process("a", 0), at(1), start)
+	r.Leave(Departure{ID: "a", Stated: true}, start)
+	r.Expire(start.Add(unknownProcessMemory))
+	if available(r, "a") {
+		t.Error("available too early")
+	}
+	if r.Expire(start.Add(unknownProcessMemory + time.Second)); !available(r, "a") {
+		t.Error("shut out for good")
+	}
+}
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/routing"
+	"github.com/fescuestep/fescuestep/platform/standin"
 )
 
 // fault is one trouble: begin starts it, end heals it.
@@ -27,7 +30,7 @@
 	u := servers[rng.IntN(len(servers))]
 	lasts := time.Duration(300+rng.IntN(2500)) * time.Millisecond
 	m := []mode{delay, silence, oneWay, refuse}[rng.IntN(4)]
-	switch rng.IntN(12) {
+	switch rng.IntN(16) {
 	case 0:
 		return fault{"kill " + p.name, false, func() { p.signal(syscall.SIGKILL); <-p.end() }, func() { s.restart(p) }, lasts}
 	case 1:
@@ -48,10 +51,48 @@
 		return fault{"store loses answers", false, func() { s.store.DropResponses(3) }, nothing, 0}
 	case 10:
 		return fault{"weights named", true, s.nameWeights, nothing, 0}
+	case 11:
+		return s.storeRestored(lasts)
+	case 12:
+		return fault{u.ID + " leaves", true, func() { u.SetLeaving(true) }, u.restart, lasts}
+	case 13:
+		return fault{u.ID + " wants no requests", false, func() { u.SetRetryAfter(lasts) }, func() { u.SetRetryAfter(0) }, lasts}
+	case 14:
+		return fault{u.ID + " sends bytes without end", false, func() { u.SetHandler(noise) }, func() { u.SetHandler(nil) }, lasts}
 	}
 	return fault{"configuration changed", true, func() { s.mustApply(func(c *routing.Config) { c.Customers[0].Priority++ }) }, nothing, 0}
 }
 
+// storeRestored is a fault at whose end the store comes back from the copy that was
+// taken at its begin. The operator and the servers write again what it lacks.
+func (s *system) storeRestored(lasts time.Duration) fault {
+	var old standin.Copy
+	end := func() {
+		s.store.Restore(old)
+		time.Sleep(rewriteDelay)
+		s.writeAgain()
+	}
+	return fault{"store back from a copy", false, func() { old = s.store.Copy() }, end, lasts}
+}
+
+// rewriteDelay is how long the store lacks what the operator and the servers had
+// written since the copy.
+const rewriteDelay = 300 * time.Millisecond
+
+// noise answers with a head that does not end until the connection is closed.
+func noise(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection was closed
+	}
+	defer func() { _ = conn.Close() }()
+	line := []byte("X-Noise: " + strings.Repeat("n", 1<<10) + "\r\n")
+	_, err = conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	for err == nil {
+		_, err = conn.Write(line)
+	}
+}
+
 func (s *system) mustApply(change func(*routing.Config)) {
 	if err := s.apply(change); err != nil {
 		panic(err) // the configuration is the soak's own
--- a/pkg/soak/system.go
+++ b/pkg/soak/system.go
@@ -164,6 +164,11 @@
 	defer s.mu.Unlock()
 	change(&s.config)
 	s.config.Version += 2
+	return s.writeConfig()
+}
+
+// writeConfig writes the configuration. The caller holds mu.
+func (s *system) writeConfig() error {
 	raw, err := platform.EncodeConfig(s.config)
 	if err != nil {
 		return err
@@ -180,9 +185,38 @@
 	for _, e := range s.engines {
 		e.AllowVersion(s.version)
 	}
+	s.writeWeights()
+}
+
+// writeWeights writes the named version of the weights. The caller holds mu.
+func (s *system) writeWeights() {
 	s.store.Put(platform.TableOperator, "version/"+model, []byte(fmt.Sprintf(`{"model":%q,"version":%d}`, model, s.version)))
 }
 
+// writeAgain writes everything that the operator and the servers have in the store.
+func (s *system) writeAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.writeConfig(); err != nil {
+		panic(err) // it was written before
+	}
+	if s.version > 1 {
+		s.writeWeights()
+	}
+	for _, u := range append(append([]*upstream(nil), s.engines...), s.services...) {
+		u.Register()
+	}
+}
+
+// restart ends the leaving of a server: its entry goes, and it is listed again as the
+// next process with its ID.
+func (u *upstream) restart() {
+	u.Unregister()
+	time.Sleep(rewriteDelay)
+	u.SetLeaving(false)
+	u.Register()
+}
+
 // start starts the process of an instance.
 func (s *system) start(p *process) error {
 	p.mu.Lock()
