pkg/placement: measure the speed of engines on undisturbed prompts only

Change: a sample counts only if no other prompt began at the engine meanwhile and nothing was fetched; slower samples weigh less in the mean of all engines.

--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -50,16 +50,18 @@
 
 // upstreamState is what this instance knows about one upstream beyond its listing.
 type upstreamState struct {
-	own          Work // of requests of this instance
-	peers        Work // of requests of the other instances
-	backlog      backlog
-	speed        speedEstimate
-	weights      map[string]observedVersion // by model
-	reportedLoad call.Load
-	reportedAt   time.Time
-	health       retry.OutlierState
-	busyUntil    time.Time // gets no new requests before, for example while it loads weights
-	startTimeMS  int64
+	own     Work // of requests of this instance
+	peers   Work // of requests of the other instances
+	backlog backlog
+	speed   speedEstimate
+
+	prefillBegins uint64                     // number of times that prompts to compute were added to own or peers
+	weights       map[string]observedVersion // by model
+	reportedLoad  call.Load
+	reportedAt    time.Time
+	health        retry.OutlierState
+	busyUntil     time.Time // gets no new requests before, for example while it loads weights
+	startTimeMS   int64
 }
 
 // observedVersion is a version of a model's weights that was reported for an upstream
@@ -348,6 +350,9 @@
 
 func (b *Balancer) setPeerWork(s *upstreamState, work Work, now time.Time) {
 	b.advanceBacklog(s, now)
+	if work.PrefillTokens > s.peers.PrefillTokens {
+		s.prefillBegins++
+	}
 	s.backlog.tokens += float64(max(0, work.PrefillTokens-s.peers.PrefillTokens))
 	s.peers = work
 	b.advanceBacklog(s, now)
@@ -371,7 +376,8 @@
 	newTokens      float64 // tokens that are new to the upstream
 	newStoreTokens float64 // tokens that are new to the store
 
-	idleAtSend     bool // no other prompt was pending at the upstream when it was sent
+	idleAtSend     bool   // no other prompt was pending at the upstream when it was sent
+	prefillBegins  uint64 // of the upstream just after it was sent
 	sentAt         time.Time
 	work           Work
 	pendingPrefill int // prompt tokens still counted in the upstream's work
@@ -403,6 +409,8 @@
 	s.own.add(a.work)
 	s.backlog.tokens += float64(a.work.PrefillTokens)
 	a.pendingPrefill = a.work.PrefillTokens
+	s.prefillBegins++
+	a.prefillBegins = s.prefillBegins
 	b.prefixes.recordInsert(a.Upstream.ID, a.newTokens*b.requestWeight(a.IsLong()))
 	b.prefixes.addCopies(a.keys, a.Upstream.ID, now, now.Add(a.ExpectedTTFT))
 }
@@ -440,9 +448,10 @@
 // was saved in the store. It returns the measured prefill speed, or 0 if the attempt
 // gives no measurement.
 func (b *Balancer) FirstToken(a *Attempt, saved bool, now time.Time) Speed {
-	sample := a.measuredSpeed(now)
+	s := b.states[a.Upstream.ID]
+	sample := b.measuredSpeed(a, s, now)
 	b.prefixes.markComputed(a.keys, a.Upstream.ID, now)
-	if s := b.states[a.Upstream.ID]; s != nil {
+	if s != nil {
 		b.recordSpeed(s, sample, now)
 		s.own.PrefillTokens -= a.pendingPrefill
 		b.advanceBacklog(s, now)
@@ -481,7 +490,11 @@
 	if u == nil {
 		return
 	}
-	b.recordSpeed(b.state(u), n.Speed, now)
+	s := b.state(u)
+	b.recordSpeed(s, n.Speed, now)
+	if n.ReadyIn > 0 {
+		s.prefillBegins++
+	}
 	b.prefixes.recordInsert(n.Upstream, float64(max(0, n.NewTokens)))
 	b.prefixes.addCopies(n.Keys, n.Upstream, now, now.Add(n.ReadyIn))
 	if n.ReadyIn <= 0 {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -436,3 +436,34 @@
 		}
 	}
 }
+
+// TestSpeedCountsUndisturbedPromptsOnly guards against an engine that counts as slow
+// because a prompt shared it with others that were not known when it was sent, or
+// waited for a transfer.
+func TestSpeedCountsUndisturbedPromptsOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, disturb := range map[string]func(b *Balancer, a *Attempt){
+		"own prompt": func(b *Balancer, a *Attempt) { b.Begin(mustPick(t, b, now, longQuery("other")), now) },
+		"peers' work": func(b *Balancer, a *Attempt) {
+			b.SetPeerWork(map[string]Work{a.Upstream.ID: {PrefillTokens: 5000}}, 0, now)
+		},
+		"announcement": func(b *Balancer, a *Attempt) {
+			b.ApplyAnnouncement(Announcement{Upstream: a.Upstream.ID, ReadyIn: time.Second}, now)
+		},
+		"transfer": func(_ *Balancer, a *Attempt) { a.CachedAfterFetch = a.CachedTokens + 100 },
+	} {
+		b := newTestBalancer(1, 1)
+		a := mustPick(t, b, now, longQuery("a"))
+		b.Begin(a, now)
+		disturb(b, a)
+		if speed := b.FirstToken(a, false, now.Add(10*time.Second)); speed != 0 {
+			t.Errorf("%s: measured %v tokens per millisecond", name, speed)
+		}
+	}
+	b := newTestBalancer(1, 1)
+	a := mustPick(t, b, now, longQuery("a"))
+	b.Begin(a, now)
+	if speed := b.FirstToken(a, false, now.Add(time.Second)); speed == 0 {
+		t.Error("nothing measured without a disturbance")
+	}
+}
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -11,9 +11,9 @@
 	minSampleTokens = 4096
 	// minSpeed and maxSpeed bound the measured speeds, in tokens per millisecond.
 	minSpeed, maxSpeed = 2, 2000
-	// meanSampleWeight is the weight of a new sample in the moving average over all
-	// engines.
-	meanSampleWeight = 0.1
+	// meanFasterWeight and meanSlowerWeight are the weights of a sample in the moving
+	// average over all engines, by whether it is faster or slower than the average.
+	meanFasterWeight, meanSlowerWeight = 0.1, 0.03
 	// fasterSampleWeight and slowerSampleWeight are the weights of a sample in the speed
 	// of one engine, by whether it is faster or slower than the current estimate. Slower
 	// samples count less because the prompt may have waited for work that is unknown to
@@ -62,10 +62,15 @@
 }
 
 // measuredSpeed returns the prefill speed of the engine in an attempt whose first token
-// arrives now, or 0 if the prompt was too short or other prompts were pending.
-func (a *Attempt) measuredSpeed(now time.Time) Speed {
+// arrives now, or 0 if the prompt was too short or took time that is not known: other
+// prompts were pending or came meanwhile, or the engine fetched KV cache.
+func (b *Balancer) measuredSpeed(a *Attempt, s *upstreamState, now time.Time) Speed {
 	elapsedMS := float64(now.Sub(a.sentAt)) / float64(time.Millisecond)
-	if !a.idleAtSend || a.work.PrefillTokens < minSampleTokens || elapsedMS <= 0 {
+	fetched := a.CachedAfterFetch > a.CachedTokens
+	if s == nil || !a.idleAtSend || fetched || a.work.PrefillTokens < minSampleTokens || elapsedMS <= 0 {
+		return 0
+	}
+	if s.prefillBegins != a.prefillBegins {
 		return 0
 	}
 	return Speed(float64(a.work.PrefillTokens) / elapsedMS)
@@ -77,7 +82,11 @@
 		return
 	}
 	sample = min(max(sample, minSpeed), maxSpeed)
-	b.meanSpeed += meanSampleWeight * (sample - b.meanSpeed)
+	weight := Speed(meanFasterWeight)
+	if sample < b.meanSpeed {
+		weight = meanSlowerWeight
+	}
+	b.meanSpeed += weight * (sample - b.meanSpeed)
 	s.speed.addSample(sample, now)
 }
 
