Remove the divided cache index, which was never enabled

No row of docs/guarantees.md named them. The page of capacity is written again from the slopes that remain; the other slopes are unchanged.

--- a/pkg/capacity/shards.go
+++ b/pkg/capacity/faults.go
@@ -1,40 +1,5 @@
 package capacity
 
-// messagesAtSize is the number of messages with block events that an instance
-// sends a second at 700 instances with a pause of one second: bounded by the
-// chains per second, see docs/measurements-shards.md.
-const messagesAtSize = 79.0
-
-// Planned is the cost of the divided index for one instance, computed from the
-// measured cost of its messages, events and lookups.
-type Planned struct {
-	Follow  float64 // bytes per second to read the events of its engines, as JSON
-	Forward float64 // bytes per second to and from owners
-	Lookups float64 // bytes per second asked and answered
-	Total   float64 // bytes per second
-	Core    float64 // percent of a core
-	State   float64 // bytes
-}
-
-// plan computes the divided index at a size.
-func plan(s Size, r *reader) Planned {
-	events := s.Events / s.Instances
-	requests := s.Requests / s.Instances
-	p := Planned{
-		Follow:  events * r.get("upstreams.BenchmarkPoll/events=32:body-B/op") / 32,
-		Forward: messagesAtSize * r.get("peer.BenchmarkCall/forward=16:wire-B/op") * sides,
-		Lookups: requests * r.get("peer.BenchmarkCall/lookup=8:wire-B/op") * sides,
-		State: s.Blocks / s.Instances *
-			(r.get("shard.BenchmarkLookup:owner-B/block") + r.get("shard.BenchmarkLookup:follower-B/block")),
-	}
-	p.Total = p.Follow + p.Forward + p.Lookups
-	p.Core = core(events, r.get("shard.BenchmarkEvent/owners=700:ns/op")) +
-		core(events, r.get("upstreams.BenchmarkPoll/events=32:cpu-ns/op")/32/sides) +
-		core(messagesAtSize, r.get("peer.BenchmarkCall/forward=16:cpu-ns/op")) +
-		core(requests, r.get("peer.BenchmarkCall/lookup=8:cpu-ns/op")+r.get("shard.BenchmarkLookup:ns/op"))
-	return p
-}
-
 // Fault is what one kind of failure costs at a size.
 type Fault struct {
 	Name      string
--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -27,8 +27,6 @@
 type page struct {
 	Commit string
 	Fleets []fleet
-	Plan   Planned
-	Sum    Row // control at two years with the planned index
 	Slopes []slope
 	Edge   []edgeFleet
 }
@@ -46,11 +44,6 @@
 		rows := Rows(size, r)
 		p.Fleets = append(p.Fleets, fleet{size, rows, total(rows, nil), faults(size)})
 	}
-	p.Plan = plan(TwoYears(), r)
-	p.Sum = total(p.Fleets[1].Rows, []string{"cache index", "load reports"})
-	p.Sum.Bytes += p.Plan.Total
-	p.Sum.Core += p.Plan.Core
-	p.Sum.State += p.Plan.State
 	if len(r.missing) > 0 {
 		return "", errors.Wrapf(ErrMissingSlopes, "%s", strings.Join(r.missing, ", "))
 	}
--- a/pkg/capacity/rows.go
+++ b/pkg/capacity/rows.go
@@ -118,7 +118,7 @@
 		Core:      core(s.Events, r.get("cacheindex.BenchmarkEvent/engines=2800:ns/op")+decode),
 		Bytes:     s.Events * perEvent,
 		Control:   true,
-		Mechanism: "every instance follows every engine; to be divided, see below",
+		Mechanism: "every instance follows every engine, see below",
 	}
 }
 
--- a/pkg/controller/cluster_test.go
+++ b/pkg/controller/cluster_test.go
@@ -15,10 +15,8 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
-	"github.com/fescuestep/fescuestep/pkg/controller/shards"
 	"github.com/fescuestep/fescuestep/pkg/external"
 	"github.com/fescuestep/fescuestep/pkg/peer"
-	"github.com/fescuestep/fescuestep/pkg/shard"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -31,7 +29,6 @@
 	net   *fakeNet
 	list  *fakeList
 	nodes []*node
-	fleet *fakeEngines // nil without engines
 }
 
 type node struct {
@@ -40,7 +37,6 @@
 	sync    *configsync.Controller
 	members *members.Controller
 	limiter *quotasync.Limiter
-	shards  *shards.Controller // nil unless the cluster has engines
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	starts  int
@@ -127,13 +123,8 @@
 	n.sync = configsync.New(configsync.Options{Self: n.self, Table: table, Peers: peers, List: n.c.list, Rand: rand.New(rand.NewPCG(seed, 1)), ChangeRows: changeRows})
 	n.members = members.New(members.Options{Self: n.self, Sync: n.sync, Peers: peers, List: n.c.list})
 	n.limiter = quotasync.New(quotasync.Options{Self: n.self, State: n.sync, Peers: peers})
-	services := peer.Services{Syncer: n.sync, Joiner: n.members, QuotaGranter: n.limiter, Sharder: peer.Unsharded{}}
+	services := peer.Services{Syncer: n.sync, Joiner: n.members, QuotaGranter: n.limiter}
 	runs := []func(context.Context) error{n.sync.Run, n.members.Run, n.limiter.Run}
-	if n.c.fleet != nil {
-		n.shards = shards.New(shards.Options{Self: n.self, Snapshot: n.sync.Snapshot, Listed: n.c.list.now, Peers: peers, Client: n.c.fleet, Pace: shard.DefaultPace, Needed: n.c.fleet.needed, Seed: seed})
-		services.Sharder = n.shards
-		runs = append(runs, n.shards.Run)
-	}
 	n.c.net.mu.Lock()
 	n.c.net.nodes[n.self.PeerAddr] = services
 	n.c.net.mu.Unlock()
--- a/pkg/controller/fakes_test.go
+++ b/pkg/controller/fakes_test.go
@@ -262,15 +262,3 @@
 		return n.Return
 	}, r)
 }
-
-func (p *fakePeer) Forward(ctx context.Context, r *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-	return call(ctx, p, func(n rpc.Peer) func(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-		return n.Forward
-	}, r)
-}
-
-func (p *fakePeer) Lookup(ctx context.Context, r *rpc.LookupRequest) (*rpc.LookupResponse, error) {
-	return call(ctx, p, func(n rpc.Peer) func(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error) {
-		return n.Lookup
-	}, r)
-}
--- a/pkg/controller/upstreams/upstreams.go
+++ b/pkg/controller/upstreams/upstreams.go
@@ -39,11 +39,8 @@
 	Pools    Pools
 	Client   Client
 	Snapshot func() *config.Snapshot
-	// Divided reports whether other instances follow most engines, so that this
-	// controller reads plain services only. Nil means never.
-	Divided func() bool
-	Seed    uint64 // of the order of polls; differs between instances
-	Log     hclog.Logger
+	Seed     uint64 // of the order of polls; differs between instances
+	Log      hclog.Logger
 }
 
 // Periods and bounds. A dead upstream must get no new work 2 s after the first
@@ -153,9 +150,6 @@
 }
 
 func (c *Controller) engines() []poll.Target {
-	if c.divided() {
-		return nil
-	}
 	return c.targets(func(k config.Kind) bool { return k == config.Model })
 }
 
@@ -163,8 +157,6 @@
 	return c.targets(func(k config.Kind) bool { return k == config.Service })
 }
 
-func (c *Controller) divided() bool { return c.o.Divided != nil && c.o.Divided() }
-
 func (c *Controller) pollReport(ctx context.Context, t poll.Target) {
 	report, err := c.o.Client.Load(ctx, t.Addr)
 	if err != nil {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -20,7 +20,6 @@
 	"github.com/fescuestep/fescuestep/pkg/controller/orders"
 	"github.com/fescuestep/fescuestep/pkg/controller/quotasync"
 	"github.com/fescuestep/fescuestep/pkg/controller/rollout"
-	"github.com/fescuestep/fescuestep/pkg/controller/shards"
 	"github.com/fescuestep/fescuestep/pkg/controller/upstreams"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/external"
@@ -39,11 +38,6 @@
 type Options struct {
 	Policy string // of endpoint choice; empty for the product's
 	Log    hclog.Logger
-	// Shard decides from the number of engines whether the cache index is
-	// divided, as shard.Needed does; nil keeps a whole index on every instance.
-	// The command does not set it: docs/measurements-shards.md says what is
-	// missing.
-	Shard func(engines int) bool
 }
 
 // Instance is one router instance.
@@ -61,13 +55,11 @@
 	engines *engine.Client
 	peers   *peer.Client
 
-	metrics *metrics.Metrics
-	sync    *configsync.Controller
-	members *members.Controller
-	limiter *quotasync.Limiter
-	pools   *upstream.Pools
-	shards  *shards.Controller
-	// upstreams reads the platform's list for itself and shards.
+	metrics   *metrics.Metrics
+	sync      *configsync.Controller
+	members   *members.Controller
+	limiter   *quotasync.Limiter
+	pools     *upstream.Pools
 	upstreams *upstreams.Controller
 	feed      *collect.Feed // to pools
 	orders    *orders.Service
@@ -148,10 +140,6 @@
 		Log:   i.log.Named("quota"),
 	})
 	pools := upstream.Options{Seed: seed, Policy: o.Policy, KV: i.engines, Load: i.engines}
-	if o.Shard != nil {
-		i.shards = i.newShards(peers, o.Shard, seed)
-		pools.Finder = i.shards
-	}
 	if i.record != nil {
 		pools.Record = i.record.recorder
 	}
@@ -162,7 +150,6 @@
 		Pools:    i.feed,
 		Client:   i.engines,
 		Snapshot: i.sync.Snapshot,
-		Divided:  i.divided,
 		Seed:     seed,
 		Log:      i.log.Named("upstreams"),
 	})
@@ -199,7 +186,6 @@
 			i.members,
 			i.limiter,
 			i.upstreams,
-			background(i.runShards),
 			i.rollout,
 			background(i.servePeers),
 			background(i.serveAdmin),
--- a/pkg/instance/services.go
+++ b/pkg/instance/services.go
@@ -62,7 +62,7 @@
 
 // peerService joins the parts that answer the peer service.
 func (i *Instance) servePeers(ctx context.Context) error {
-	services := peer.Services{Syncer: i.sync, Joiner: i.members, QuotaGranter: i.limiter, Sharder: i.sharder()}
+	services := peer.Services{Syncer: i.sync, Joiner: i.members, QuotaGranter: i.limiter}
 	server := peer.NewServer(services, string(i.settings.PeerCredential), i.tls.peers)
 	server.ErrorLog = i.connectionLog()
 	return serveUntil(ctx, server, func() error { return peer.Serve(server, i.listeners.peers) })
--- a/pkg/metrics/collect/peers.go
+++ b/pkg/metrics/collect/peers.go
@@ -67,15 +67,3 @@
 	resp, err := p.next.Return(ctx, req)
 	return counted(p.m, metrics.Return, resp, err)
 }
-
-// Forward implements rpc.Peer.
-func (p onePeer) Forward(ctx context.Context, req *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-	resp, err := p.next.Forward(ctx, req)
-	return counted(p.m, metrics.Forward, resp, err)
-}
-
-// Lookup implements rpc.Peer.
-func (p onePeer) Lookup(ctx context.Context, req *rpc.LookupRequest) (*rpc.LookupResponse, error) {
-	resp, err := p.next.Lookup(ctx, req)
-	return counted(p.m, metrics.Lookup, resp, err)
-}
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -46,40 +46,6 @@
 	return &rpc.ReturnResponse{At: 1 << 45}, nil
 }
 
-// benchBlocks is the number of blocks in a chain and in a lookup.
-const benchBlocks = 8
-
-func (stubPeer) Forward(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-	return &rpc.ForwardResponse{}, nil
-}
-
-func (stubPeer) Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error) {
-	h := &rpc.Holders{Owned: true}
-	for range benchBlocks {
-		h.Holders = append(h.Holders, &rpc.Holder{
-			Engine: "plume-rennes-03", Incarnation: benchIncarnation, Weights: "plume-7", Levels: benchBlocks, Expect: 7.5,
-			AgeMs: 400, Load: &rpc.EngineLoad{AgeMs: 450, Running: 12, Waiting: 1, QueuedTokens: 14000}, Since: 1 << 20, Source: 9,
-		})
-	}
-	return &rpc.LookupResponse{Prompts: []*rpc.Holders{h}}, nil
-}
-
-// forward calls Forward with one stored and one removed chain, as in most
-// messages of a large fleet.
-func forward(ctx context.Context, p rpc.Peer) error {
-	chain := make([]uint64, benchBlocks)
-	_, err := p.Forward(ctx, &rpc.ForwardRequest{Follower: 1 << 60, Sequence: 1 << 20, Acknowledged: 1<<20 - 1, Engines: []*rpc.EngineUpdate{{
-		Source: 9, Load: &rpc.EngineLoad{AgeMs: 80, Running: 12, QueuedTokens: 14000},
-		Parts: []*rpc.PartUpdate{{Partition: 4000, Stored: chain, Removed: chain}},
-	}}})
-	return err
-}
-
-func lookup(ctx context.Context, p rpc.Peer) error {
-	_, err := p.Lookup(ctx, &rpc.LookupRequest{Prompts: []*rpc.Prompt{{Blocks: make([]uint64, benchBlocks), Pool: "plume"}}})
-	return err
-}
-
 // BenchmarkCall measures one call between two instances over HTTP/2 on
 // loopback: CPU time of client and server together, as they share the process,
 // and bytes on the wire in both directions.
@@ -116,8 +82,6 @@
 		{"acquire=1", acquire(1)},
 		{"acquire=10", acquire(10)},
 		{"return", returnTokens},
-		{"forward=16", forward},
-		{"lookup=8", lookup},
 	} {
 		b.Run(c.name, func(b *testing.B) { benchCall(b, c.call) })
 	}
@@ -128,7 +92,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	server := peer.NewServer(peer.Services{Syncer: stubPeer{}, QuotaGranter: stubPeer{}, Sharder: stubPeer{}}, "credential", nil)
+	server := peer.NewServer(peer.Services{Syncer: stubPeer{}, QuotaGranter: stubPeer{}}, "credential", nil)
 	go func() { _ = peer.Serve(server, ln) }()
 	defer func() { _ = server.Close() }()
 	var counter peer.Counter
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/twitchtv/twirp"
 
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
@@ -35,33 +34,11 @@
 	Return(context.Context, *rpc.ReturnRequest) (*rpc.ReturnResponse, error)
 }
 
-// Sharder handles the calls to the sharded cache index.
-type Sharder interface {
-	Forward(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error)
-	Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error)
-}
-
-// Unsharded is the Sharder of an instance that keeps the whole cache index.
-type Unsharded struct{}
-
-// Forward returns a Twirp error with code Unimplemented.
-func (Unsharded) Forward(context.Context, *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-	return nil, errUnsharded
-}
-
-// Lookup returns a Twirp error with code Unimplemented.
-func (Unsharded) Lookup(context.Context, *rpc.LookupRequest) (*rpc.LookupResponse, error) {
-	return nil, errUnsharded
-}
-
-var errUnsharded = twirp.NewError(twirp.Unimplemented, "the cache index is not sharded")
-
 // Services combines the handlers that implement the peer service.
 type Services struct {
 	Syncer
 	Joiner
 	QuotaGranter
-	Sharder
 }
 
 // readHeaderTimeout closes connections that do not send complete request
--- a/pkg/pick/leastttft.go
+++ b/pkg/pick/leastttft.go
@@ -157,12 +157,7 @@
 		}
 		return
 	}
-	held := 0
-	if r.Sharded {
-		held = p.addHolders(now, r, s)
-	} else {
-		held = p.addMatches(now, r, s, rng)
-	}
+	held := p.addMatches(now, r, s, rng)
 	if held < len(r.Blocks) {
 		target := mix64(uint64(r.Blocks[held])) % uint64(len(s.longLaneUpstreams))
 		p.addCandidate(now, r, s, s.longLaneUpstreams[target])
@@ -170,9 +165,6 @@
 			p.candidates[i].coldHashTarget = p.candidates[i].upstream == s.longLaneUpstreams[target]
 		}
 	}
-	if r.Sharded && len(r.Holders) > 0 {
-		return // Holders includes engines with little load; the loads of other engines are unknown here
-	}
 	for range randomSamples {
 		p.addCandidate(now, r, s, s.list[rng.IntN(len(s.list))])
 	}
@@ -204,7 +196,7 @@
 }
 
 func (p *LeastTTFT) newCandidate(now time.Time, r *Request, s *Store, u *Upstream) candidate {
-	held, expected := s.cachedPrefix(now, r, u)
+	held, expected := s.Index.CachedPrefix(u.IndexHandle, s.IndexTime(now), r.Blocks)
 	return candidate{upstream: u, heldBlocks: held, expectedBlocks: expected}
 }
 
--- a/pkg/pick/policy.go
+++ b/pkg/pick/policy.go
@@ -18,11 +18,6 @@
 	Domain       string        // failure domain of this instance
 	Exclude      []string      // IDs of upstreams that must not be chosen
 	MaxQueueWait time.Duration // lowers Limits.MaxQueueWait for this request; 0 for no change
-	// Sharded selects Holders instead of the index of the store. Holders is the
-	// answer of the instance that owns the prompt's first block in the sharded
-	// index, and empty if that instance did not answer.
-	Sharded bool
-	Holders []Holder
 }
 
 // uncached returns the prompt tokens to prefill if the given number of leading
--- a/pkg/pick/upstream.go
+++ b/pkg/pick/upstream.go
@@ -44,7 +44,6 @@
 	Addr           string
 	Domain         string
 	Incarnation    string
-	Epoch          Epoch  // of Incarnation, if reported by an owner of the sharded index
 	WeightsVersion string // last reported weights version
 	IndexHandle    cacheindex.EngineHandle
 	Outlier        retry.OutlierState
--- a/pkg/upstream/coalesce.go
+++ b/pkg/upstream/coalesce.go
@@ -80,7 +80,7 @@
 // cachedPrefixBlocks returns the number of leading blocks that an engine or the
 // KV store holds.
 func (s *Scheduler) cachedPrefixBlocks(now time.Time, q *Query) int {
-	blocks, n := q.Blocks, s.store.LongestPrefix(s.pickRequest(q))
+	blocks, n := q.Blocks, s.store.Index.LongestPrefix(q.Blocks)
 	for n < len(blocks) && s.store.KVBlocks.Has(blocks[n], s.store.IndexTime(now)) {
 		n++
 	}
--- a/pkg/upstream/pools.go
+++ b/pkg/upstream/pools.go
@@ -21,9 +21,6 @@
 	// KV transfers blocks between engines and the KV stores of pools that name
 	// one. If nil, nothing is imported or exported.
 	KV KVClient
-	// Finder looks up holders in the sharded cache index. If nil, this
-	// instance's own index is used.
-	Finder HolderFinder
 	// Load reads load reports before long prefills. If nil, upstreams are not
 	// probed.
 	Load LoadClient
@@ -118,7 +115,6 @@
 		return nil, code.New(code.NoUpstream, "pool %s is not configured", q.Pool).
 			WithRun(code.NotRun).WithRetryAfter(minRetryAfter)
 	}
-	p.findHolders(ctx, pl, &q)
 	decided := make(chan struct{})
 	var w *Waiter
 	pl.withLock(func(now time.Time, s *Scheduler) {
--- a/pkg/upstream/record.go
+++ b/pkg/upstream/record.go
@@ -7,7 +7,6 @@
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/engine"
 	"github.com/fescuestep/fescuestep/pkg/external"
-	"github.com/fescuestep/fescuestep/pkg/pick"
 )
 
 // EntryKind is the kind of an input or output of a pool's Scheduler.
@@ -69,8 +68,6 @@
 	Blocks     []block.Hash  `json:"blocks,omitempty"`
 	Deadline   time.Duration `json:"deadline,omitempty"` // ns after the submission, 0 for none
 	Exclude    []string      `json:"exclude,omitempty"`
-	Sharded    bool          `json:"sharded,omitempty"`
-	Holders    []pick.Holder `json:"holders,omitempty"`
 	Moves      int           `json:"moves,omitempty"`
 }
 
@@ -79,7 +76,6 @@
 	q := Query{
 		Pool: pool, Customer: r.Customer, Weight: r.Weight, FromDomain: r.FromDomain, Priority: r.Priority,
 		Tokens: r.Tokens, MaxOutput: r.MaxOutput, Blocks: r.Blocks, Exclude: r.Exclude, Moves: r.Moves,
-		Sharded: r.Sharded, Holders: r.Holders,
 	}
 	if r.Deadline != 0 {
 		q.Deadline = now.Add(r.Deadline)
@@ -91,7 +87,6 @@
 	r := &RecordedQuery{
 		Customer: q.Customer, Weight: q.Weight, FromDomain: q.FromDomain, Priority: q.Priority,
 		Tokens: q.Tokens, MaxOutput: q.MaxOutput, Blocks: q.Blocks, Exclude: q.Exclude, Moves: q.Moves,
-		Sharded: q.Sharded, Holders: q.Holders,
 	}
 	if !q.Deadline.IsZero() {
 		r.Deadline = q.Deadline.Sub(now)
--- a/pkg/upstream/scheduler.go
+++ b/pkg/upstream/scheduler.go
@@ -147,7 +147,6 @@
 func (s *Scheduler) Submit(now time.Time, q *Query, decided func(*Waiter)) *Waiter {
 	w := &Waiter{query: *q, decided: decided}
 	s.rec.addSubmit(now, w)
-	s.applyHolders(now, q.Holders)
 	w.item = fair.Item[*Waiter]{
 		Customer: q.Customer,
 		Weight:   q.Weight,
@@ -251,8 +250,6 @@
 		Blocks:      q.Blocks,
 		Domain:      q.FromDomain,
 		Exclude:     q.Exclude,
-		Sharded:     q.Sharded,
-		Holders:     q.Holders,
 	}
 	if s.customers.overShare(q.Customer) {
 		s.scratchRequest.MaxQueueWait = overShareMaxQueue
@@ -318,7 +315,7 @@
 	u := g.inFlight.Upstream
 	u.OnFirstToken(g.inFlight)
 	u.Outlier.RecordSuccess()
-	if !u.Removed && !g.query.Sharded {
+	if !u.Removed {
 		s.store.Index.Touch(s.store.IndexTime(now), u.IndexHandle, g.incarnation, g.query.Blocks)
 	}
 	s.exportComputedBlocks(now, g, cachedTokens)
--- a/pkg/upstream/transfer.go
+++ b/pkg/upstream/transfer.go
@@ -72,7 +72,7 @@
 func (s *Scheduler) FinishImport(now time.Time, g *Grant, t Transfer, transferred int) {
 	s.rec.addGrant(now, g, Entry{Kind: EntryImported, Transfer: &t, Blocks: transferred})
 	g.inFlight.MarkSent(now)
-	if u := s.store.Get(t.UpstreamID); u != nil && !g.query.Sharded {
+	if u := s.store.Get(t.UpstreamID); u != nil {
 		s.store.Index.Touch(s.store.IndexTime(now), u.IndexHandle, t.Incarnation, t.Blocks[:transferred])
 	}
 	if s.store.KVBlocks != nil && transferred < len(t.Blocks) {
--- a/pkg/upstream/upstream.go
+++ b/pkg/upstream/upstream.go
@@ -23,11 +23,7 @@
 	Blocks         []block.Hash // hashes of the prompt blocks; nil for service pools
 	Deadline       time.Time    // zero if there is none
 	Exclude        []string     // upstream IDs already tried
-	// Sharded says that Holders replaces the cache index of this instance.
-	// Acquire sets both.
-	Sharded bool
-	Holders []pick.Holder
-	Moves   int // times this request was withdrawn from an engine's queue
+	Moves          int          // times this request was withdrawn from an engine's queue
 }
 
 // Result is how a request ended on an upstream.
