pkg/edge: tell all work although the spending of many customers fills the datagram

Cause: a digest above 1,400 bytes left work out until it fitted, and told the others so that they forgot the rest; with 40 customers nothing was left. Change: work that does not fit follows in partial digests. Shown: TestLargeDigestTellsAllWork: work at 1 of 120 upstreams arrived before, all of it now.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -163,15 +163,18 @@
 // send sends one digest to every known instance. A partial digest has no spent
 // tokens and only the work that has changed.
 func (p *peers) send(partial bool) {
-	raw, targets := p.nextDigest(partial)
-	for _, target := range targets {
-		// An error is ignored: the next digest makes up for a lost one.
-		_, _ = p.conn.WriteToUDPAddrPort(raw, target)
+	datagrams, targets := p.nextDigest(partial)
+	for _, raw := range datagrams {
+		for _, target := range targets {
+			// An error is ignored: the next digest makes up for a lost one.
+			_, _ = p.conn.WriteToUDPAddrPort(raw, target)
+		}
 	}
 }
 
-// nextDigest returns the next digest, encoded, and the addresses to send it to.
-func (p *peers) nextDigest(partial bool) ([]byte, []netip.AddrPort) {
+// nextDigest returns the next digest, encoded as one datagram or more, and the
+// addresses to send it to.
+func (p *peers) nextDigest(partial bool) ([][]byte, []netip.AddrPort) {
 	work := p.placer.ownWork()
 	var spent map[string]float64
 	if partial {
@@ -227,9 +230,29 @@
 	return changed
 }
 
-// encodeDigest encodes a digest. It drops work entries until the digest fits into a
+// encodeDigest encodes a digest. Work that does not fit into its datagram follows in
+// partial digests. The caller holds mu.
+func (p *peers) encodeDigest(d *rpc.Digest) [][]byte {
+	var out [][]byte
+	for {
+		work := d.Work
+		raw := p.encodeDatagram(d)
+		out = append(out, raw)
+		work = work[len(d.Work):]
+		if len(work) == 0 || raw == nil {
+			return out
+		}
+		p.lastSequence++
+		d = &rpc.Digest{
+			Sender: &rpc.Address{Name: p.self.Name}, Incarnation: d.Incarnation, Sequence: p.lastSequence,
+			Leaving: d.Leaving, Follows: d.Follows, Partial: true, Work: work,
+		}
+	}
+}
+
+// encodeDatagram encodes a digest. It drops work entries until the digest fits into a
 // datagram.
-func (p *peers) encodeDigest(d *rpc.Digest) []byte {
+func (p *peers) encodeDatagram(d *rpc.Digest) []byte {
 	for {
 		raw, err := proto.Marshal(d)
 		if err != nil {
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/placement"
@@ -72,6 +73,58 @@
 	}
 }
 
+// transfer sends the next digest from one instance to another and returns its size.
+func transfer(t *testing.T, from, to *peers, partial bool) int {
+	t.Helper()
+	size := 0
+	datagrams, _ := from.nextDigest(partial)
+	for _, raw := range datagrams {
+		d := &rpc.Digest{}
+		if err := proto.Unmarshal(raw, d); err != nil {
+			t.Fatal(err)
+		}
+		to.applyDigest(d)
+		size += len(raw)
+	}
+	return size
+}
+
+// TestLargeDigestTellsAllWork guards against work that is left out, and forgotten by
+// the receiver, because the spending of many customers fills the datagram.
+func TestLargeDigestTellsAllWork(t *testing.T) {
+	from, to := newTestPeers(), newTestPeers()
+	from.self.Name = "other"
+	var listed []*fleet.Upstream
+	for i := range 120 {
+		listed = append(listed, &fleet.Upstream{ID: fmt.Sprintf("i-%010d", i), Service: "llm"})
+	}
+	for _, p := range []*peers{from, to} {
+		p.placer.setView(fleet.NewView(listed))
+	}
+	var customers []routing.Customer
+	for i := range 40 {
+		customers = append(customers, routing.Customer{Name: fmt.Sprintf("customer-%d", i), Rate: 100, Burst: 1e6})
+	}
+	from.limiter.configure(routing.New(routing.Config{Customers: customers}))
+	for i := range listed {
+		from.limiter.seedBucketLevel(customers[i%40].Name, 1e6)
+		if _, err := from.limiter.Take(t.Context(), &config.Customer{ID: customers[i%40].Name}, 10); err != nil {
+			t.Fatal(err)
+		}
+		attempt, _, err := from.placer.Pick(placement.Query{Service: &routing.Service{Name: "llm"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		from.placer.Begin(attempt)
+	}
+	for _, partial := range []bool{false, false, true} {
+		want := len(from.placer.ownWork())
+		if transfer(t, from, to, partial); len(to.byName["other"].lastDigest.Work) != want {
+			t.Errorf("partial %v: work at %d upstreams arrived, want %d", partial, len(to.byName["other"].lastDigest.Work), want)
+		}
+	}
+}
+
 // TestPartialDigestsNameTheSender guards against partial digests that repeat what full
 // ones state, and against a receiver that forgets the sender's address and tables.
 func TestPartialDigestsNameTheSender(t *testing.T) {
@@ -79,13 +132,7 @@
 	from.self.Name = "other"
 	from.follower.Merge([]state.TableUpdate{{Name: "servers", At: history.Position{Version: 7}, Full: true}})
 	send := func(partial bool) int {
-		raw, _ := from.nextDigest(partial)
-		d := &rpc.Digest{}
-		if err := proto.Unmarshal(raw, d); err != nil {
-			t.Fatal(err)
-		}
-		to.applyDigest(d)
-		return len(raw)
+		return transfer(t, from, to, partial)
 	}
 	if send(true); to.peerCount() != 0 {
 		t.Fatal("a partial digest introduces its sender")
@@ -156,7 +203,8 @@
 	}
 	sent, largest := 0, 0
 	for range 10 {
-		raw, _ := p.nextDigest(true)
+		datagrams, _ := p.nextDigest(true)
+		raw := datagrams[0]
 		d := &rpc.Digest{}
 		if err := proto.Unmarshal(raw, d); err != nil {
 			t.Fatal(err)
