pkg/edge: tell the end of work in partial digests

Cause: a partial digest listed work that had changed, but not work that had ended; it counted at the others until the next full digest, 0.65 s later with 65 instances and 3 s with 295. Shown: TestPartialDigestTellsEndedWork failed first.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -218,7 +218,7 @@
 }
 
 // changedWork returns the work that differs from what was last sent, and records it
-// as sent.
+// as sent. Work that has ended is listed as none.
 func (p *peers) changedWork(work map[string]placement.Work) map[string]placement.Work {
 	changed := map[string]placement.Work{}
 	for id, w := range work {
@@ -227,6 +227,12 @@
 			p.lastSentWork[id] = w
 		}
 	}
+	for id := range p.lastSentWork {
+		if _, ok := work[id]; !ok {
+			changed[id] = placement.Work{}
+			delete(p.lastSentWork, id)
+		}
+	}
 	return changed
 }
 
@@ -418,9 +424,12 @@
 	return totals
 }
 
-// applyWorkChanges returns work with the entries in changes added or replaced.
+// applyWorkChanges returns work with the entries in changes added, replaced or, if
+// they state none, removed.
 func applyWorkChanges(work, changes []*rpc.Work) []*rpc.Work {
-	out := changes
+	out := slices.DeleteFunc(slices.Clone(changes), func(w *rpc.Work) bool {
+		return w.Requests == 0 && w.Prefill == 0 && w.Memory == 0
+	})
 	for _, w := range work {
 		if !slices.ContainsFunc(changes, func(c *rpc.Work) bool { return c.Upstream == w.Upstream }) {
 			out = append(out, w)
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+// TestPartialDigestTellsEndedWork guards against work that counts at the others until
+// the next full digest, seconds later in a large fleet, although it has ended.
+func TestPartialDigestTellsEndedWork(t *testing.T) {
+	from, to := newTestPeers(), newTestPeers()
+	from.self.Name = "other"
+	attempt, _, err := from.placer.Pick(placement.Query{Service: &routing.Service{Name: "llm"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	from.placer.Begin(attempt)
+	transfer(t, from, to, false)
+	if len(to.byName["other"].lastDigest.Work) != 1 {
+		t.Fatal("the work did not arrive")
+	}
+	from.placer.Done(attempt, placement.OK)
+	transfer(t, from, to, true)
+	if work := to.byName["other"].lastDigest.Work; len(work) != 0 {
+		t.Errorf("after its end the work is %v", work)
+	}
+}
+
 // TestPartialDigestsNameTheSender guards against partial digests that repeat what full
 // ones state, and against a receiver that forgets the sender's address and tables.
 func TestPartialDigestsNameTheSender(t *testing.T) {
