--- a/pkg/edge/endless_test.go
+++ b/pkg/edge/endless_test.go
@@ -143,3 +143,74 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// streamWith answers with the head of a stream and then what write writes.
+func streamWith(write func(r *http.Request, out *bufio.Writer) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		hijack(w, func(out *bufio.Writer) error {
+			_, _ = out.WriteString(head(r) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			return write(r, out)
+		})
+	}
+}
+
+// TestSlowStreamIsWhole guards against a stream that is cut because its events come
+// slowly, in pieces, although it is sound.
+func TestSlowStreamIsWhole(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	instance := fleet.startInstance("n1")
+	fleet.engines[0].SetHandler(streamWith(func(r *http.Request, out *bufio.Writer) error {
+		id := r.Header.Get("Request-Id")
+		for i := 1; i <= 3; i++ {
+			event := standin.Event(id, i)
+			for _, piece := range []string{event[:5], event[5:]} {
+				_, _ = out.WriteString(chunk(piece))
+				_ = out.Flush()
+				time.Sleep(600 * time.Millisecond)
+			}
+		}
+		_, _ = out.WriteString("0\r\n\r\n")
+		return out.Flush()
+	}))
+	for _, path := range []string{"/long/", "/short/"} {
+		if id, got := instance.prompt(path, keyBig); got.err != nil || got.body != streamBody(id, 3) {
+			t.Errorf("%s: got %+v", path, got)
+		}
+	}
+}
+
+// TestStalledStreamEnds guards against a caller, a connection and a slot that are held
+// without end by an upstream that sends a byte now and then: inside an event, between
+// events, and in a head.
+func TestStalledStreamEnds(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	instance := fleet.startInstance("n1")
+	trickle := func(piece string) func(*http.Request, *bufio.Writer) error {
+		return func(_ *http.Request, out *bufio.Writer) error {
+			for range 1000 {
+				_, _ = out.WriteString(piece)
+				if err := out.Flush(); err != nil {
+					return err
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return nil
+		}
+	}
+	for name, handler := range map[string]http.HandlerFunc{
+		"event":    streamWith(trickle(chunk("x"))),
+		"comments": streamWith(trickle(chunk(":\n\n"))),
+		"head": func(w http.ResponseWriter, r *http.Request) {
+			hijack(w, func(out *bufio.Writer) error { return trickle("H")(r, out) })
+		},
+	} {
+		fleet.engines[0].SetHandler(handler)
+		for _, limit := range []string{"1000", ""} { // the caller's time limit, or the route's of 5 s
+			began := time.Now()
+			_, got := instance.request(http.MethodPost, "/long/", keyBig, "x", "Model-Name", "m", "Token-Count", "3,2", "Deadline-Ms", limit)
+			if took := time.Since(began); got.err == nil && got.status == http.StatusOK || took > 9*time.Second {
+				t.Errorf("%s, limit %q: status %d, error %v after %v", name, limit, got.status, got.err, took)
+			}
+		}
+	}
+}
