hostroute: bound requests without any timeout by a minute

Cause: with neither a route's timeout nor the caller's the deadline was the time of arrival, so that every such request was refused. Shown: TestRequestWithoutTimeout got 503 before.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -327,6 +327,18 @@
 	})
 }
 
+// TestRequestWithoutTimeout guards against refusing every request for which neither the
+// route nor the caller states a timeout.
+func TestRequestWithoutTimeout(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	fleet.config.Routes[2].Timeout = 0
+	fleet.applyConfig()
+	instance := fleet.startInstance("n1")
+	if _, got := instance.request(http.MethodPost, "/orders/", keyBig, "x", "Deadline-Ms", ""); got.status != 200 {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // TestLeavingUpstreamGetsNothing guards against new requests to an upstream that is
 // draining.
 func TestLeavingUpstreamGetsNothing(t *testing.T) {
--- a/pkg/filter/hostroute/hostroute.go
+++ b/pkg/filter/hostroute/hostroute.go
@@ -72,6 +72,10 @@
 	return path
 }
 
+// defaultTimeout bounds requests for which neither the route nor the caller states a
+// timeout, so that an upstream that stalls does not hold them without end.
+const defaultTimeout = time.Minute
+
 // requestTimeout returns the shorter of the route's timeout and the caller's; 0
 // of either means none.
 func requestTimeout(e *chain.Edge) time.Duration {
@@ -79,5 +83,8 @@
 	if e.Call.Timeout > 0 && (timeout <= 0 || e.Call.Timeout < timeout) {
 		return e.Call.Timeout
 	}
+	if timeout <= 0 {
+		return defaultTimeout
+	}
 	return timeout
 }
