--- a/pkg/capacity/edge.go
+++ b/pkg/capacity/edge.go
@@ -88,7 +88,7 @@
 	perInstance := s.Long / s.Instances
 	return EdgeRow{
 		Role: "choice of engines for long prompts", Core: 100 * perInstance * s.PickTime,
-		Mechanism: "every engine of the service is estimated",
+		Mechanism: "at most, when every engine of the service is estimated; owners, holders and a sample of them in a large fleet",
 	}
 }
 
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -84,6 +84,9 @@
 		return checks + 1
 	}
 	p.fetchState(ctx, addr)
+	if p.contentSource() == addr {
+		p.backOffStateSource(addr) // its contents could not be adopted
+	}
 	return 0
 }
 
