pkg/edge: tell what the store lacks only to instances that ask for it

Cause: each State response carried the newest contents of the operator's rows, the whole configuration among them, and every departure; instances ask for state several times a second. Shown: TestStateTellsTheWholeOnlyIfAsked failed before.

--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -172,6 +172,19 @@
 	}
 }
 
+// TestStateTellsTheWholeOnlyIfAsked guards against a whole configuration in each of the
+// responses with which instances follow small changes.
+func TestStateTellsTheWholeOnlyIfAsked(t *testing.T) {
+	p := newTestPeers()
+	p.follower.Leave(fleet.Departure{ID: "e1", Stated: true})
+	for _, asked := range []bool{false, true} {
+		resp, err := p.State(t.Context(), &rpc.StateRequest{Retained: asked})
+		if err != nil || (len(resp.Departures) > 0) != asked {
+			t.Errorf("asked %v: %d departures, error %v", asked, len(resp.Departures), err)
+		}
+	}
+}
+
 // TestUnresponsiveStateSourceIsSkipped guards against an instance that keeps
 // requesting state from an instance that has died while others have the same state.
 func TestUnresponsiveStateSourceIsSkipped(t *testing.T) {
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -54,15 +54,14 @@
 	return state.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted}
 }
 
-func encodeRetained(r state.Retained) *rpc.StateResponse {
-	out := &rpc.StateResponse{}
+// addRetained adds what is known beyond the rows of the store to a response.
+func addRetained(out *rpc.StateResponse, r state.Retained) {
 	for _, row := range r.Operator {
 		out.Retained = append(out.Retained, encodeRow(row))
 	}
 	for _, d := range r.Departures {
 		out.Departures = append(out.Departures, encodeDeparture(d))
 	}
-	return out
 }
 
 func decodeRetained(resp *rpc.StateResponse) state.Retained {
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -35,7 +35,7 @@
 			addr = p.stateSource(attempt)
 		}
 		if addr != "" {
-			p.fetchState(ctx, addr)
+			p.fetchState(ctx, addr, !p.introduced.Load())
 			continue
 		}
 		lacking = p.fetchLackingContents(ctx, lacking)
@@ -83,7 +83,7 @@
 	case checks < contentSourceChecks:
 		return checks + 1
 	}
-	p.fetchState(ctx, addr)
+	p.fetchState(ctx, addr, true)
 	if p.contentSource() == addr {
 		p.backOffStateSource(addr) // its contents could not be adopted
 	}
@@ -209,12 +209,13 @@
 }
 
 // fetchState fetches the state that this instance lacks from the instance at a
-// control address.
-func (p *peers) fetchState(ctx context.Context, addr string) {
+// control address. retained asks for what that one knows beyond the rows of the store,
+// which is much more than the usual changes.
+func (p *peers) fetchState(ctx context.Context, addr string, retained bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	held := p.follower.Positions()
-	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{Held: encodePositions(held)})
+	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{Held: encodePositions(held), Retained: retained})
 	if err != nil {
 		p.log.Info("cannot fetch state from an instance", "addr", addr, "error", err)
 		p.backOffStateSource(addr)
@@ -228,19 +229,23 @@
 	for _, instance := range resp.Instances {
 		p.addListed(instance)
 	}
-	p.introduced.Store(true)
+	if retained {
+		p.introduced.Store(true)
+	}
 }
 
-// State returns the rows that the calling instance lacks, and what this instance knows
-// beyond the rows of the store. A caller that has no table yet also gets the addresses
+// State returns the rows that the calling instance lacks and, if it asks for that, what
+// this instance knows beyond the rows of the store. A caller that has no table yet also gets the addresses
 // of all known instances.
 func (p *peers) State(_ context.Context, req *rpc.StateRequest) (*rpc.StateResponse, error) {
 	held := map[string]history.Position{}
 	for _, t := range req.Held {
 		held[t.Name] = position(t)
 	}
-	out := encodeRetained(p.follower.Retained())
-	out.Instances = []*rpc.Address{p.self}
+	out := &rpc.StateResponse{Instances: []*rpc.Address{p.self}}
+	if req.Retained {
+		addRetained(out, p.follower.Retained())
+	}
 	for _, update := range p.follower.ChangesSince(held) {
 		out.Tables = append(out.Tables, encodeUpdate(update))
 	}
