pkg/placement: count the tokens of prompts that are sent, not of each choice

A request that waits for its prefix, or is refused and asks when to come back, chooses again; each choice counted as work that others do not know of.

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -68,7 +68,7 @@
 
 func (l *headLimiter) unlimit() { l.limited = false }
 
-// Read implements io.Reader. It returns ErrHeadTooLarge when the limit is used up.
+// Read returns ErrHeadTooLarge when the limit is used up.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.limited {
 		return l.source.Read(p)
--- a/pkg/netopt/response.go
+++ b/pkg/netopt/response.go
@@ -25,7 +25,7 @@
 	limit int64
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip sends a request and limits the body of its response.
 func (t limitedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.next.RoundTrip(req)
 	if err != nil {
@@ -40,7 +40,7 @@
 	remaining int64
 }
 
-// Read implements io.Reader.
+// Read returns ErrResponseTooLarge once more than the limit was sent.
 func (b *limitedBody) Read(p []byte) (int, error) {
 	if b.remaining < 0 {
 		return 0, ErrResponseTooLarge
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -59,6 +59,7 @@
 	a.pendingPrefill = a.work.PrefillTokens
 	s.prefillBegins++
 	a.prefillBegins = s.prefillBegins
+	b.recordPlaced(a, now)
 	b.prefixes.recordInsert(a.Upstream.ID, a.newTokens*b.requestWeight(a.IsLong()))
 	b.prefixes.addCopies(a.keys, a.Upstream.ID, now, now.Add(a.ExpectedTTFT))
 }
--- a/pkg/placement/candidates.go
+++ b/pkg/placement/candidates.go
@@ -43,8 +43,9 @@
 	Others    time.Duration // mean, of the rest
 }
 
-// recordPick counts the tokens of a picked attempt, by whether it will be announced.
-func (b *Balancer) recordPick(a *Attempt, now time.Time) {
+// recordPlaced counts the tokens of an attempt that is sent, by whether it is
+// announced.
+func (b *Balancer) recordPlaced(a *Attempt, now time.Time) {
 	rate := &b.otherTokens
 	if a.IsLong() {
 		rate = &b.announcedTokens
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -194,9 +194,7 @@
 	if best.upstream == nil {
 		return nil, 0, b.noUpstreamError(now, q)
 	}
-	attempt := b.newAttempt(now, best, p)
-	b.recordPick(attempt, now)
-	return attempt, best.cost, nil
+	return b.newAttempt(now, best, p), best.cost, nil
 }
 
 // bestEngine returns the estimate of the engine with the lowest cost among those that
