pkg/state: log which upstream leaves, is removed, or is removed later

Change: one line per row that takes an upstream out of use, with the version of the row, and with the time for which the removal is deferred.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -182,6 +182,33 @@
 	return changed
 }
 
+// Availability says whether an upstream is used for new requests.
+type Availability int
+
+// States of an upstream.
+const (
+	Absent Availability = iota
+	Leaving
+	InUse
+	RemovalDeferred // in use although its entry was deleted
+)
+
+// Availability returns the state of an upstream and, for RemovalDeferred, when it is
+// removed at the earliest.
+func (r *Registry) Availability(id string) (state Availability, until time.Time) {
+	e, ok := r.listed[id]
+	end, pending := r.pendingRemovals[id]
+	switch {
+	case !ok:
+		return Absent, time.Time{}
+	case e.shown.Draining:
+		return Leaving, time.Time{}
+	case pending:
+		return RemovalDeferred, end
+	}
+	return InUse, time.Time{}
+}
+
 // View returns a snapshot of the current upstreams.
 func (r *Registry) View() *View {
 	list := make([]*Upstream, 0, len(r.listed))
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -79,6 +79,7 @@
 // applyUpstream applies a row of the table of upstreams. An upstream whose row
 // cannot be decoded is removed as if its row were deleted.
 func (f *Follower) applyUpstream(row Row, at history.Position) (changed bool) {
+	defer f.logDeparture(row.Key, at)
 	if row.Deleted {
 		return f.upstreams.Remove(row.Key, at, f.now())
 	}
@@ -90,6 +91,19 @@
 	return f.upstreams.Put(u, at, f.now())
 }
 
+// logDeparture logs what the row at a position says of an upstream unless it is in use.
+func (f *Follower) logDeparture(id string, at history.Position) {
+	availability, until := f.upstreams.Availability(id)
+	switch availability {
+	case fleet.Absent:
+		f.log.Info("upstream removed", "upstream", id, "version", at.Version)
+	case fleet.Leaving:
+		f.log.Info("upstream leaves", "upstream", id, "version", at.Version)
+	case fleet.RemovalDeferred:
+		f.log.Info("removal of an upstream deferred", "upstream", id, "version", at.Version, "for", until.Sub(f.now()).String())
+	}
+}
+
 // applyOperator applies a row of the operator's table unless its content is older
 // than what was adopted, so that neither the configuration nor a version of weights
 // reverts while the process runs. recent says that it was received as a change, so
