--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -188,8 +188,14 @@
 	return config, upstreams
 }
 
+// testStore is a store that tests change.
+type testStore interface {
+	Store
+	update(change func())
+}
+
 // runFollower runs a follower of the store in virtual time.
-func runFollower(t *testing.T, store *fakeStore, test func(f *Follower, sink *fakeSink)) {
+func runFollower(t *testing.T, store testStore, test func(f *Follower, sink *fakeSink)) {
 	synctest.Test(t, func(t *testing.T) {
 		store.update(func() {}) // the channel must be created inside the synctest bubble
 		sink := &fakeSink{}
