pkg/fleet: begin the grace for missing entries with the first answer of the store

Cause: after an outage, removals are deferred by 2.3 s, longer than the 2.0 s for which a server that leaves serves on. That period began with this instance's own trouble instead of the store's: a call for the operator's table that failed late opened it again at the next answer for the list of upstreams, up to 2.5 s later; a long poll whose connection had gone silent opened it although the store was up. An instance that became idle after a failed call never completed a removal. Change: an outage is decided in one place from all calls. Only a call that asked for an immediate answer, and began after the last answer for any table, is a sign of one; a long poll that fails is followed at once by such a call. An instance that leaves the store to others waits for no answer.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -9,8 +9,8 @@
 	"github.com/fescuestep/fescuestep/pkg/history"
 )
 
-// ReconnectGracePeriod is how long upstreams whose entries expired while the store
-// was unreachable stay listed after it is reachable again. A live upstream
+// ReconnectGracePeriod is how long upstreams whose entries expired during an outage of
+// the store stay listed after its first answer. A live upstream
 // rewrites its entry within about two seconds.
 const ReconnectGracePeriod = 2300 * time.Millisecond
 
@@ -68,12 +68,11 @@
 // unreachable, and keeps upstreams that leave out of use, whatever an older copy of
 // the store lists. It is not safe for concurrent use.
 type Registry struct {
-	listed           map[string]entry     // by ID
-	pendingRemovals  map[string]time.Time // by ID: when upstreams without an entry are removed
-	departures       map[string]Departure // by ID: the last known one
-	storeUnreachable bool
-	graceUntil       time.Time // until when removals are deferred
-	outdatedUntil    time.Time // until when entries may stem from a copy with which the store's era began
+	listed          map[string]entry     // by ID
+	pendingRemovals map[string]time.Time // by ID: when upstreams without an entry are removed
+	departures      map[string]Departure // by ID: the last known one
+	outage          outage
+	outdatedUntil   time.Time // until when entries may stem from a copy with which the store's era began
 }
 
 // entry is a listed upstream and the position at which it was written.
@@ -88,17 +87,17 @@
 	return &Registry{listed: map[string]entry{}, pendingRemovals: map[string]time.Time{}, departures: map[string]Departure{}}
 }
 
-// MarkStoreUnreachable records that the store cannot be reached.
-func (r *Registry) MarkStoreUnreachable() { r.storeUnreachable = true }
+// StoreCallFailed records that a call to the store, begun at a time, got no answer. A
+// call that waits for changes does not count: its connection may be the only fault.
+func (r *Registry) StoreCallFailed(began time.Time) { r.outage.callFailed(began) }
 
-// MarkStoreReachable records that the store answers. After an outage it starts the
-// grace period for removals.
-func (r *Registry) MarkStoreReachable(now time.Time) {
-	if r.storeUnreachable {
-		r.graceUntil = now.Add(ReconnectGracePeriod)
-	}
-	r.storeUnreachable = false
-}
+// StoreAnswered records that the store answered a call for any table. After an outage
+// it starts the grace period for removals.
+func (r *Registry) StoreAnswered(now time.Time) { r.outage.answered(now) }
+
+// StoreLeftToOthers records that other instances follow the store for this one, so that
+// deferred removals do not wait for an answer of the store.
+func (r *Registry) StoreLeftToOthers() { r.outage.leftToOthers() }
 
 // MarkEraSeen records that an era of the store was seen for the first time. The store
 // may just have come back from an older copy, which lists upstreams that have left
@@ -110,7 +109,7 @@
 // again.
 func (r *Registry) MarkStoreRestored(now time.Time) {
 	r.MarkEraSeen(now)
-	r.graceUntil = now.Add(ReconnectGracePeriod)
+	r.outage.graceUntil = now.Add(ReconnectGracePeriod)
 }
 
 // Put adds or replaces an upstream that the store lists at a position, and cancels
@@ -145,17 +144,17 @@
 }
 
 // Remove removes an upstream whose entry was deleted at a position, and reports
-// whether the view changes. Within ReconnectGracePeriod after the store became
-// reachable again or came back from a copy, the removal is deferred to the end of
+// whether the view changes. Within ReconnectGracePeriod after the first answer that
+// followed an outage of the store, or after it came back from a copy, the removal is deferred to the end of
 // that period unless the upstream was draining.
 func (r *Registry) Remove(id string, at history.Position, now time.Time) bool {
 	e, ok := r.listed[id]
 	if !ok {
 		return false
 	}
-	if !e.shown.Draining && now.Before(r.graceUntil) {
+	if !e.shown.Draining && now.Before(r.outage.graceUntil) {
 		if _, pending := r.pendingRemovals[id]; !pending {
-			r.pendingRemovals[id] = r.graceUntil
+			r.pendingRemovals[id] = r.outage.graceUntil
 		}
 		return false
 	}
@@ -172,7 +171,7 @@
 	r.expireDepartures(now)
 	changed := r.showReturned(now)
 	for id, end := range r.pendingRemovals {
-		if r.storeUnreachable || now.Before(end) {
+		if r.outage.ongoing || now.Before(end) {
 			continue
 		}
 		delete(r.listed, id)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -36,9 +36,9 @@
 func TestLapsedEntryStaysShortly(t *testing.T) {
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a"), testUpstream("b")}, 1, start)
-	r.MarkStoreUnreachable()
+	r.StoreCallFailed(start)
 	now := start.Add(10 * time.Second)
-	r.MarkStoreReachable(now)
+	r.StoreAnswered(now)
 	replace(r, []*Upstream{testUpstream("a")}, 2, now)
 	if !listed(r, "b") {
 		t.Fatal("an upstream whose entry expired during the outage is removed at once")
@@ -55,8 +55,8 @@
 func TestLapsedEntryThatReturnsStays(t *testing.T) {
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("b")}, 1, start)
-	r.MarkStoreUnreachable()
-	r.MarkStoreReachable(start)
+	r.StoreCallFailed(start)
+	r.StoreAnswered(start)
 	r.Remove("b", at(2), start)
 	r.Put(testUpstream("b"), at(3), start)
 	r.Expire(start.Add(time.Minute))
@@ -75,8 +75,8 @@
 	if !r.Remove("a", at(2), start) || listed(r, "a") {
 		t.Error("removal is deferred although the store was never unreachable")
 	}
-	r.MarkStoreUnreachable()
-	r.MarkStoreReachable(start)
+	r.StoreCallFailed(start)
+	r.StoreAnswered(start)
 	if !r.Remove("d", at(3), start) || listed(r, "d") {
 		t.Error("removal of a draining upstream is deferred")
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -157,7 +157,8 @@
 		if active == nil {
 			return
 		}
-		update, err := f.fetch(active, name, incremental)
+		began, wait := f.now(), f.feedWait(name, incremental)
+		update, err := f.fetch(active, name, incremental, wait)
 		becameIdle := active.Err() != nil
 		cancel()
 		switch {
@@ -169,8 +170,12 @@
 			f.log.Warn("store no longer has the requested changes; reading the whole table", "table", name)
 			incremental = false
 			continue
+		case err != nil && wait > 0:
+			f.storeFailed(name, err) // the next call, without a wait, shows whether the store is away
+			continue
 		case err != nil:
 			f.storeFailed(name, err)
+			f.storeAway(began)
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -233,26 +238,35 @@
 		return
 	}
 	f.idle = idle
+	if idle {
+		f.upstreams.StoreLeftToOthers()
+	}
 	close(f.idleChanged)
 	f.idleChanged = make(chan struct{})
 	f.log.Info("changed whether this instance follows the store", "self", !idle)
 }
 
+// feedWait returns how long the next call for a table waits for changes. After a failed
+// call it does not wait: the store may have come back in a new era, and a feed from a
+// version of the earlier one misses its changes.
+func (f *Follower) feedWait(name string, incremental bool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if incremental && f.tables[name].healthy {
+		return feedTimeout
+	}
+	return 0
+}
+
 // fetch waits for changes of a table if incremental is set, and reads the whole table
 // otherwise.
-func (f *Follower) fetch(ctx context.Context, name string, incremental bool) (TableUpdate, error) {
+func (f *Follower) fetch(ctx context.Context, name string, incremental bool, wait time.Duration) (TableUpdate, error) {
 	if !incremental {
 		page, err := f.store.Rows(ctx, name)
 		return TableUpdate{Name: name, At: page.At, Full: true, Rows: page.Rows}, err
 	}
 	f.mu.Lock()
-	t := f.tables[name]
-	from, wait := t.at, feedTimeout
-	if !t.healthy {
-		// The store may have come back in a new era. A feed from a version of the
-		// earlier one misses its changes, so the era must be known at once.
-		wait = 0
-	}
+	from := f.tables[name].at
 	f.mu.Unlock()
 	page, err := f.store.Feed(ctx, name, from.Version, wait)
 	return TableUpdate{Name: name, At: page.At, From: from, Rows: page.Rows}, err
@@ -295,7 +309,14 @@
 		f.unavailableSince = f.now()
 	}
 	t.healthy = false
-	f.upstreams.MarkStoreUnreachable()
+}
+
+// storeAway records that a call that began at a time and asked for an immediate answer
+// failed.
+func (f *Follower) storeAway(began time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams.StoreCallFailed(began)
 }
 
 // storeAnswered records a successful call to the store for a table.
@@ -307,9 +328,7 @@
 		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
 	}
 	t.healthy = true
-	if _, upstreamsName := f.decoder.Tables(); name == upstreamsName {
-		f.upstreams.MarkStoreReachable(f.now())
-	}
+	f.upstreams.StoreAnswered(f.now())
 }
 
 // FollowsStore reports whether this instance follows the store itself and its last
