pkg/filter/dispatch: log the shared parts and the progress of failed attempts

Change: failed attempts are logged with the IDs of the shared parts, the status that had arrived and whether the caller had got a part of the answer.

--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -346,7 +346,19 @@
 
 func (x *exchange) logAttempt(attempt *placement.Attempt, result placement.Result, err error) {
 	x.h.log.Info("attempt failed", "request", x.r.ID, "upstream", attempt.Upstream.ID, "addr", attempt.Upstream.Addr,
-		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun, "error", err)
+		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun,
+		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", x.sharedPartIDs(), "error", err)
+}
+
+// sharedPartIDs returns the IDs of all parts of the prompt but the last, which belongs
+// to the request or its session.
+func (x *exchange) sharedPartIDs() []string {
+	parts := x.edge.Call.PromptParts
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
 }
 
 // firstByteTimer closes the connection of an attempt unless it is stopped before
