--- /dev/null
+++ b/pkg/edge/crash_test.go
@@ -0,0 +1,143 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fescuestep/fescuestep/platform/standin"
+)
+
+const (
+	crashPart = "dead"
+	// crashesCounted is the number of crashes under one part from which the rule counts.
+	crashesCounted = 5
+	// mayReachLater is how many requests with the part may still reach upstreams later.
+	mayReachLater = 3
+	// settleTime is how long after the last counted crash the rule binds.
+	settleTime = 3 * time.Second
+)
+
+// crashFleet is a fleet whose engines end at prompts with crashPart.
+type crashFleet struct {
+	*testFleet
+	instances []*testInstance
+	prompts   int
+}
+
+func newCrashFleet(t *testing.T, engines, instances int) *crashFleet {
+	fleet := &crashFleet{testFleet: newTestFleet(t, 0)}
+	for i := range engines {
+		fleet.engines = append(fleet.engines, fleet.startUpstream(standin.Options{
+			ID: fmt.Sprintf("c%d", i), Service: "llm", Zone: "z1", Model: "m", EventsPerStream: 5,
+			CrashPart: crashPart, RestartTime: time.Second,
+		}))
+	}
+	for i := range instances {
+		fleet.startNext(i)
+	}
+	return fleet
+}
+
+func (fleet *crashFleet) startNext(i int) {
+	var seeds []string
+	if i > 0 {
+		seeds = []string{fleet.instances[0].options.ControlAddr.String()}
+	}
+	fleet.instances = append(fleet.instances, fleet.startInstance(fmt.Sprintf("n%d", i), seeds...))
+}
+
+// send sends a prompt of its own last part, with the shared parts, to the next instance.
+func (fleet *crashFleet) send(path string, shared ...string) reply {
+	fleet.prompts++
+	instance := fleet.instances[fleet.prompts%len(fleet.instances)]
+	parts := append(shared, fmt.Sprintf("own%d", fleet.prompts))
+	prefix := strings.Join(parts, ":100,") + ":100"
+	_, got := instance.request(http.MethodPost, path, keySmall, "prompt", "Model-Name", "m", "Token-Count", "2,1", "Prompt-Prefix", prefix)
+	return got
+}
+
+func (fleet *crashFleet) crashes() int {
+	n := 0
+	for _, e := range fleet.engines {
+		n += e.Crashes()
+	}
+	return n
+}
+
+// reached returns how many requests with crashPart have reached engines.
+func (fleet *crashFleet) reached() int {
+	n := 0
+	for _, e := range fleet.engines {
+		for _, a := range e.ReceivedRequests() {
+			if strings.Contains(a.Header.Get("Prompt-Prefix"), crashPart) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// provoke sends prompts with crashPart between sound ones until crashesCounted engines
+// have ended or none ends any more.
+func (fleet *crashFleet) provoke(path string) {
+	for range 40 {
+		fleet.send(path, "first", crashPart)
+		fleet.send(path, "first")
+		if fleet.crashes() >= crashesCounted {
+			break
+		}
+	}
+	time.Sleep(settleTime)
+}
+
+// TestCrashingPartReachesFewEngines guards against one part of prompts that ends engine after engine.
+func TestCrashingPartReachesFewEngines(t *testing.T) {
+	for _, path := range []string{"/long/", "/short/"} {
+		fleet := newCrashFleet(t, 8, 3)
+		fleet.provoke(path)
+		before := fleet.reached()
+		for range 30 {
+			if got := fleet.send(path, "first", crashPart); got.status == http.StatusOK && got.err == nil {
+				t.Errorf("%s: a prompt with the part was answered: %+v", path, got)
+			}
+		}
+		if n := fleet.reached() - before; n > mayReachLater {
+			t.Errorf("%s: %d prompts with the part reached engines later, want at most %d; %d crashes in all", path, n, mayReachLater, fleet.crashes())
+		}
+	}
+}
+
+// TestSoundPromptsBesideCrashingPart guards against refusing sound prompts that share the caller and other parts.
+func TestSoundPromptsBesideCrashingPart(t *testing.T) {
+	fleet := newCrashFleet(t, 8, 3)
+	fleet.provoke("/long/")
+	time.Sleep(settleTime)
+	served := 0
+	for range 40 {
+		fleet.send("/long/", "first", crashPart)
+		if got := fleet.send("/long/", "first"); got.status == http.StatusOK && got.err == nil {
+			served++
+		}
+	}
+	if served < 20 {
+		t.Errorf("%d of 40 sound prompts served, want half at least", served)
+	}
+}
+
+// TestStartedInstanceKnowsCrashingPart guards against an instance that starts later and ends engines again.
+func TestStartedInstanceKnowsCrashingPart(t *testing.T) {
+	fleet := newCrashFleet(t, 8, 2)
+	fleet.provoke("/long/")
+	before := fleet.reached()
+	fleet.startNext(2)
+	fleet.instances = fleet.instances[2:]
+	for range 10 {
+		fleet.send("/long/", "first", crashPart)
+	}
+	if n := fleet.reached() - before; n > mayReachLater {
+		t.Errorf("%d prompts with the part reached engines through the new instance", n)
+	}
+}
