pkg/quarantine: refuse prompts with a part that ends engines

Cause: no instance connected the ends of engines with what they began to answer. Each sent every prompt with the part to the next engine, and once more after the first had ended. Change: a connection that breaks before or just after the first event, to an upstream that accepts no other, is a crash. Instances tell each other crashes with the shared parts of the prompt. Three processes that ended at a part, with no answer to a prompt with it in between, quarantine it at all instances; an answered prompt clears its parts. What is refused has not run. One prompt is tried after a minute, then after twice as long. Instances that start ask for what the others know.

--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -53,6 +53,7 @@
 	StreamTruncated     Code = 5004
 	AnswerMismatch      Code = 5005
 	UpstreamTimeout     Code = 5006
+	PromptQuarantined   Code = 5007
 	NotFresh            Code = 6001
 	ShuttingDown        Code = 6002
 	Internal            Code = 6003
@@ -97,6 +98,7 @@
 	{StreamTruncated, "stream_truncated", http.StatusBadGateway, "upstream_error", Ran, "The stream ended without its end marker and could not be resumed."},
 	{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, "upstream_error", MayHaveRun, "The upstream answered for another request."},
 	{UpstreamTimeout, "upstream_timeout", http.StatusGatewayTimeout, "upstream_error", MayHaveRun, "The upstream did not answer before the deadline."},
+	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, "upstream_error", NotRun, "The prompt has a part under which several upstreams have ended."},
 	{NotFresh, "not_fresh", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance cannot confirm that its keys and configuration are current."},
 	{ShuttingDown, "shutting_down", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance is shutting down and takes no new work."},
 	{Internal, "internal", http.StatusInternalServerError, "server_error", MayHaveRun, "Unexpected failure in the router."},
--- /dev/null
+++ b/pkg/edge/crashes.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/xxh3"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
+)
+
+// crashes wraps a quarantine.Tracker for concurrent use and tells the other instances
+// what it records. It implements dispatch.CrashTracker.
+type crashes struct {
+	log        hclog.Logger
+	now        func() time.Time
+	onCrash    func(quarantine.Crash)     // called when this instance is the first to see a crash
+	onAnswered func([]quarantine.Part)    // called when parts are not suspected any more
+	tries      func(quarantine.Part) bool // reports whether this instance tries the prompts with a part
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+}
+
+func newCrashes(log hclog.Logger, now func() time.Time) *crashes {
+	return &crashes{
+		log: log, now: now, tracker: quarantine.NewTracker(),
+		onCrash: func(quarantine.Crash) {}, onAnswered: func([]quarantine.Part) {},
+		tries: func(quarantine.Part) bool { return true },
+	}
+}
+
+func partsOf(model string, parts []call.PromptPart) []quarantine.Part {
+	out := make([]quarantine.Part, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, quarantine.PartOf(model, part.ID))
+	}
+	return out
+}
+
+// processOf identifies the process of an upstream.
+func processOf(u *fleet.Upstream) quarantine.Process {
+	return quarantine.Process(xxh3.HashString(u.ID + "/" + strconv.FormatInt(u.StartTimeMS, 10)))
+}
+
+// Refused returns how long prompts with one of the parts are still refused; 0 if this one
+// is sent.
+func (c *crashes) Refused(model string, parts []call.PromptPart) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(parts) == 0 || c.tracker.Idle() {
+		return 0
+	}
+	return c.tracker.Refused(partsOf(model, parts), c.now(), c.tries)
+}
+
+// Crashed records that an upstream ended while it began to answer a prompt. The prompt
+// may be sent to another upstream unless one of its parts is suspected.
+func (c *crashes) Crashed(u *fleet.Upstream, model string, parts []call.PromptPart) (maySend bool) {
+	crash := quarantine.Crash{Process: processOf(u), Parts: partsOf(model, parts), At: c.now()}
+	isNew := c.record(crash)
+	c.log.Info("upstream ended while it began to answer a prompt", "upstream", u.ID, "model", model, "parts", ids(parts), "hashes", hexParts(crash.Parts))
+	if isNew {
+		c.onCrash(crash)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.tracker.Suspected(crash.Parts)
+}
+
+// record records a crash that this or another instance has seen.
+func (c *crashes) record(crash quarantine.Crash) (isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isNew, added := c.tracker.RecordCrash(crash, c.now())
+	if len(added) > 0 {
+		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hashes", hexParts(added))
+	}
+	return isNew
+}
+
+// Answered records that a prompt was answered.
+func (c *crashes) Answered(model string, parts []call.PromptPart) {
+	c.mu.Lock()
+	if c.tracker.Idle() {
+		c.mu.Unlock()
+		return
+	}
+	cleared := c.tracker.RecordAnswer(partsOf(model, parts), c.now())
+	c.mu.Unlock()
+	if len(cleared) > 0 {
+		c.log.Info("parts are not suspected any more, since a prompt with them was answered", "hashes", hexParts(cleared))
+		c.onAnswered(cleared)
+	}
+}
+
+// clear records that another instance saw an answer to a prompt with parts.
+func (c *crashes) clear(parts []quarantine.Part) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.RecordAnswer(parts, c.now())
+}
+
+// adopt takes over quarantines of another instance. Parts that were answered just now
+// are told to it.
+func (c *crashes) adopt(quarantines []quarantine.Quarantine) {
+	var answered []quarantine.Part
+	c.mu.Lock()
+	for _, q := range quarantines {
+		if !c.tracker.Adopt(q, c.now()) {
+			answered = append(answered, q.Part)
+		}
+	}
+	c.mu.Unlock()
+	if len(answered) > 0 {
+		c.onAnswered(answered)
+	}
+}
+
+// retained returns what an instance that starts must know: crashes and quarantines.
+func (c *crashes) retained() ([]quarantine.Crash, []quarantine.Quarantine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Crashes(), c.tracker.Quarantines(c.now())
+}
+
+// quarantines returns the parts whose prompts are refused.
+func (c *crashes) quarantines() []quarantine.Quarantine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Quarantines(c.now())
+}
+
+func ids(parts []call.PromptPart) []string {
+	out := make([]string, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, part.ID)
+	}
+	return out
+}
+
+func hexParts(parts []quarantine.Part) []string {
+	out := make([]string, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, strconv.FormatUint(uint64(part), 16))
+	}
+	return out
+}
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -29,6 +30,9 @@
 	placed  []pendingUpdate[*rpc.Placed]
 
 	departures []pendingUpdate[*rpc.Departure]
+
+	crashes  []pendingUpdate[*rpc.Crash]
+	answered []pendingUpdate[uint64] // parts of prompts
 }
 
 // pendingUpdate is an update that is still to be sent.
@@ -160,6 +164,28 @@
 	p.requestSend()
 }
 
+// announceCrash tells the other instances that an upstream ended while it began to
+// answer a prompt.
+func (p *peers) announceCrash(c quarantine.Crash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.updates.crashes) >= maxPendingCrashes {
+		return // the others learn enough from those that are pending
+	}
+	p.updates.crashes = append(p.updates.crashes, pendingUpdate[*rpc.Crash]{encodeCrash(c, p.now()), updateRepeats})
+	p.requestSend()
+}
+
+// announceAnswered tells the other instances that prompts with parts were answered.
+func (p *peers) announceAnswered(parts []quarantine.Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range encodeParts(parts) {
+		p.updates.answered = append(p.updates.answered, pendingUpdate[uint64]{part, updateRepeats})
+	}
+	p.requestSend()
+}
+
 // send sends one digest to every known instance. A partial digest has no spent
 // tokens and only the work that has changed.
 func (p *peers) send(partial bool) {
@@ -186,6 +212,7 @@
 	held := p.follower.Positions()
 	follows := p.follower.FollowsStore()
 	contents := p.follower.OperatorNumbers()
+	quarantines := p.crashes.quarantines()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastSequence++
@@ -197,6 +224,7 @@
 		d.Sender = &rpc.Address{Name: p.self.Name}
 	} else {
 		d.Contents = encodeContents(contents)
+		d.Quarantines = encodeQuarantines(quarantines)
 	}
 	if !partial || !maps.Equal(held, p.lastSentPositions) {
 		d.Tables = encodePositions(held)
@@ -209,6 +237,8 @@
 	d.Weights = nextUpdates(&p.updates.weights)
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
+	d.Crashes = nextUpdates(&p.updates.crashes)
+	d.Answered = nextUpdates(&p.updates.answered)
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.PrefillTokens)), Memory: uint32(max(0, w.KVTokens)),
@@ -374,11 +404,24 @@
 	if len(d.Departures) > 0 {
 		p.follower.Leave(decodeDepartures(d.Departures)...)
 	}
+	p.applyCrashes(d)
 	if !p.follower.FollowsStore() && hasNewerTable(d, p.follower.Positions()) {
 		p.requestFetch()
 	}
 }
 
+// applyCrashes applies what a digest tells of parts of prompts at which upstreams end.
+// Answers come last: what they clear may be in the same digest.
+func (p *peers) applyCrashes(d *rpc.Digest) {
+	for _, c := range d.Crashes {
+		p.crashes.record(decodeCrash(c, p.now()))
+	}
+	p.crashes.adopt(decodeQuarantines(d.Quarantines))
+	if len(d.Answered) > 0 {
+		p.crashes.clear(decodeParts(d.Answered))
+	}
+}
+
 // senderOf returns the entry of a digest's sender, or nil if it is not known. Partial
 // digests name it only. The caller holds mu.
 func (p *peers) senderOf(d *rpc.Digest) *peer {
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -92,6 +92,7 @@
 	placer   *placer
 	limiter  *limiter
 	conns    *httpconn.ConnPool
+	crashes  *crashes
 	listener *listener
 	follower *state.Follower
 	peers    *peers
@@ -127,6 +128,7 @@
 	}, rand.New(rand.NewPCG(seed, 1)))
 	i.placer = newPlacer(balancer, now)
 	i.limiter = newLimiter(o.Name, now)
+	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
 	i.follower = state.New(deps.Store, deps.Decoder, i, deps.Log.Named("state"), now)
 	if err := i.newPeers(); err != nil {
 		return nil, err
@@ -177,10 +179,13 @@
 	}
 	client := &http.Client{Transport: netopt.LimitResponses(transport, maxStateBytes)}
 	incarnation := uint64(i.now().UnixNano())
-	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.deps.Log.Named("peers"), i.now)
+	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.crashes, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
 	i.placer.onLongPrompt = i.peers.announcePlacement
 	i.placer.onLeaving = i.upstreamLeaves
+	i.crashes.onCrash = i.peers.announceCrash
+	i.crashes.onAnswered = i.peers.announceAnswered
+	i.crashes.tries = i.peers.tries
 	return nil
 }
 
@@ -189,7 +194,7 @@
 func (i *Instance) chain() chain.Handler {
 	deps := i.deps
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
-	dispatcher := dispatch.New(deps.Dialect, i.placer, retries, i.conns,
+	dispatcher := dispatch.New(deps.Dialect, i.placer, retries, i.conns, i.crashes,
 		dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor}, deps.Log.Named("dispatch"), i.now)
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/xxh3"
 
 	"github.com/fescuestep/fescuestep/pkg/history"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -64,6 +66,9 @@
 	// maxUpdates limits the updates of one kind in a digest; each takes up to 35
 	// bytes.
 	maxUpdates = 12
+	// maxPendingCrashes limits the crashes that are still to be told. Many prompts begin
+	// at an engine that ends.
+	maxPendingCrashes = 48
 	// loadingHold is how long other instances are told to send no requests to an
 	// engine that loads weights. The announcement is renewed when no more than
 	// loadingRenewBefore of that time is left.
@@ -96,6 +101,7 @@
 	placer      *placer
 	limiter     *limiter
 	follower    *state.Follower
+	crashes     *crashes
 	log         hclog.Logger
 	now         func() time.Time
 	sendNow     chan struct{} // requests a partial digest
@@ -122,9 +128,9 @@
 	lastSentPositions map[string]history.Position // by table, as last announced
 }
 
-func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, log hclog.Logger, now func() time.Time) *peers {
+func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, c *crashes, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
-		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f,
+		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f, crashes: c,
 		log: log, now: now, sendNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
 		byName: map[string]*peer{}, loadingUntil: map[string]time.Time{}, lastSentWork: map[string]placement.Work{},
 	}
@@ -200,6 +206,18 @@
 	return out
 }
 
+// tries reports whether this instance is the one that tries prompts with a quarantined
+// part, by rendezvous hashing among the live instances.
+func (p *peers) tries(part quarantine.Part) bool {
+	own := xxh3.HashStringSeed(p.self.Name, uint64(part))
+	for _, name := range p.liveNames() {
+		if xxh3.HashStringSeed(name, uint64(part)) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // add records the address of another instance and returns its entry, or nil if the
 // address is invalid or this instance's own. The caller holds mu.
 func (p *peers) add(addr *rpc.Address) *peer {
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/history"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -86,3 +89,52 @@
 	}
 	return out
 }
+
+// maxCrashParts bounds the parts of a crash in a message.
+const maxCrashParts = 16
+
+func encodeCrash(c quarantine.Crash, now time.Time) *rpc.Crash {
+	return &rpc.Crash{
+		Process: uint64(c.Process), Parts: encodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
+		AgoMs: uint32(max(0, now.Sub(c.At)).Milliseconds()),
+	}
+}
+
+func decodeCrash(c *rpc.Crash, now time.Time) quarantine.Crash {
+	return quarantine.Crash{
+		Process: quarantine.Process(c.Process), Parts: decodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
+		At: now.Add(-time.Duration(c.AgoMs) * time.Millisecond),
+	}
+}
+
+func encodeParts(parts []quarantine.Part) []uint64 {
+	out := make([]uint64, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, uint64(part))
+	}
+	return out
+}
+
+func decodeParts(parts []uint64) []quarantine.Part {
+	out := make([]quarantine.Part, 0, len(parts))
+	for _, part := range parts {
+		out = append(out, quarantine.Part(part))
+	}
+	return out
+}
+
+func encodeQuarantines(list []quarantine.Quarantine) []*rpc.Quarantine {
+	var out []*rpc.Quarantine
+	for _, q := range list {
+		out = append(out, &rpc.Quarantine{Part: uint64(q.Part), Ms: uint32(q.Left.Milliseconds())})
+	}
+	return out
+}
+
+func decodeQuarantines(list []*rpc.Quarantine) []quarantine.Quarantine {
+	var out []quarantine.Quarantine
+	for _, q := range list {
+		out = append(out, quarantine.Quarantine{Part: quarantine.Part(q.Part), Left: time.Duration(q.Ms) * time.Millisecond})
+	}
+	return out
+}
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -223,6 +223,10 @@
 	}
 	p.follower.Merge(decodeUpdates(resp.Tables, held))
 	p.follower.MergeRetained(decodeRetained(resp))
+	for _, c := range resp.Crashes {
+		p.crashes.record(decodeCrash(c, p.now()))
+	}
+	p.crashes.adopt(decodeQuarantines(resp.Quarantines))
 	for _, t := range resp.Tables {
 		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
 	}
@@ -245,6 +249,11 @@
 	out := &rpc.StateResponse{Instances: []*rpc.Address{p.self}}
 	if req.Retained {
 		addRetained(out, p.follower.Retained())
+		crashes, quarantines := p.crashes.retained()
+		for _, c := range crashes {
+			out.Crashes = append(out.Crashes, encodeCrash(c, p.now()))
+		}
+		out.Quarantines = encodeQuarantines(quarantines)
 	}
 	for _, update := range p.follower.ChangesSince(held) {
 		out.Tables = append(out.Tables, encodeUpdate(update))
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -147,32 +147,6 @@
 	return customer.Priority*routePriorityLevels + level
 }
 
-// startFirstByteTimer starts the timer that closes conn unless the first bytes of
-// the response arrive in time: within firstByteTimeout if the request can be
-// retried, and before attempt.BeginBy, after which the engine's weights may no
-// longer be used.
-func (x *exchange) startFirstByteTimer(attempt *placement.Attempt, conn *httpconn.Conn) *firstByteTimer {
-	limit := time.Duration(0)
-	if !attempt.BeginBy.IsZero() {
-		limit = max(attempt.BeginBy.Sub(x.h.now()), time.Nanosecond)
-	}
-	return newFirstByteTimer(x.firstByteTimeout(), limit, conn, x.reserveRetry)
-}
-
-// firstByteTimeout returns how long to wait for the first bytes of the response
-// before retrying on another upstream; 0 if the request cannot be retried.
-func (x *exchange) firstByteTimeout() time.Duration {
-	route := x.edge.Route
-	if !route.Idempotent() || x.edge.Attempts >= route.MaxAttempts || route.TargetLatency <= 0 {
-		return 0
-	}
-	return route.TargetLatency / firstByteTimeoutDivisor
-}
-
-// firstByteTimeoutDivisor divides the target latency: half of it is spent waiting
-// for the first bytes, so that another upstream can still meet the target.
-const firstByteTimeoutDivisor = 2
-
 func (x *exchange) matchesRequest(resp *http.Response) bool {
 	decoded := x.h.dialect.DecodeResponse(resp.StatusCode, resp.Header)
 	return decoded.RequestID == x.edge.Call.ID
@@ -209,6 +183,9 @@
 		x.errorResponse = buffered
 		return placement.OK, errors.Wrapf(errUpstreamStatus, "status %d", decoded.Status)
 	}
+	if success {
+		x.recordComplete(resp)
+	}
 	x.writeResponse(buffered)
 	return placement.OK, nil
 }
@@ -291,7 +268,7 @@
 // end, and closes it otherwise. intact is false if the connection was closed
 // meanwhile; err is the error of the attempt.
 func (x *exchange) releaseConn(attempt *placement.Attempt, conn *httpconn.Conn, resp *http.Response, decoded call.Response, intact bool, err error) {
-	reusable := intact && !decoded.ConnectionClose && !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	reusable := intact && !decoded.ConnectionClose && !resp.Close && isFramed(resp)
 	if !reusable || (err != nil && !drainResponse(conn, resp, err)) {
 		conn.Close()
 		return
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -13,7 +13,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +93,7 @@
 	placer  Placer
 	retries RetryBudget
 	conns   ConnPool
+	crashes CrashTracker
 	domain  string
 	buffers *membudget.Budget // holds responses that are read whole
 	log     hclog.Logger
@@ -107,8 +107,8 @@
 }
 
 // New returns a handler.
-func New(dialect Dialect, placer Placer, retries RetryBudget, conns ConnPool, o Options, log hclog.Logger, now func() time.Time) *Handler {
-	return &Handler{dialect, placer, retries, conns, o.Domain, membudget.New(o.ResponseBytes), log, now}
+func New(dialect Dialect, placer Placer, retries RetryBudget, conns ConnPool, crashes CrashTracker, o Options, log hclog.Logger, now func() time.Time) *Handler {
+	return &Handler{dialect, placer, retries, conns, crashes, o.Domain, membudget.New(o.ResponseBytes), log, now}
 }
 
 const (
@@ -150,6 +150,7 @@
 	mayHaveRunBefore bool            // mayHaveRun before the current attempt
 	errorResponse    *response       // last 5xx response, sent if no retry succeeds
 	buffers          []*membudget.Buffer
+	answer           answer      // in the current attempt
 	waitedForPrefix  bool        // waitForPrefix has waited once
 	retryReserved    atomic.Bool // the next retry was already taken from the budget
 }
@@ -187,6 +188,9 @@
 	unreachable := 0
 	var last error
 	for {
+		if refused := x.refusedPart(); refused != nil {
+			return x.giveUp(ctx, last, refused)
+		}
 		attempt, expected, err := x.h.placer.Pick(x.query())
 		if err != nil {
 			return x.giveUp(ctx, last, err)
@@ -199,6 +203,7 @@
 			continue
 		}
 		x.tried[attempt.Upstream.ID] = true
+		x.answer = answer{}
 		result, err := x.makeAttempt(ctx, attempt)
 		x.h.placer.Done(attempt, result)
 		if err == nil {
@@ -209,6 +214,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return x.contextError(ctx, err)
+		case x.endedUpstream(ctx, attempt, result, err):
+			return x.giveUp(ctx, last, nil)
 		case result == placement.Unreachable:
 			if unreachable++; unreachable >= maxUnreachable {
 				return x.giveUp(ctx, last, nil)
@@ -312,6 +319,10 @@
 	if x.mayHaveRun {
 		return code.New(code.UpstreamFailed, "the upstream failed after the request was sent").WithCause(last)
 	}
+	var refused *code.Error
+	if errors.As(pick, &refused) {
+		return refused
+	}
 	if pick == nil {
 		_, _, pick = x.h.placer.Pick(x.query()) // tells when another attempt is worthwhile
 	}
@@ -347,70 +358,13 @@
 func (x *exchange) logAttempt(attempt *placement.Attempt, result placement.Result, err error) {
 	x.h.log.Info("attempt failed", "request", x.r.ID, "upstream", attempt.Upstream.ID, "addr", attempt.Upstream.Addr,
 		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun,
-		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", x.sharedPartIDs(), "error", err)
+		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", partIDs(x.sharedParts()), "error", err)
 }
 
-// sharedPartIDs returns the IDs of all parts of the prompt but the last, which belongs
-// to the request or its session.
-func (x *exchange) sharedPartIDs() []string {
-	parts := x.edge.Call.PromptParts
+func partIDs(parts []call.PromptPart) []string {
 	ids := make([]string, 0, len(parts))
-	for _, part := range parts[:max(0, len(parts)-1)] {
+	for _, part := range parts {
 		ids = append(ids, part.ID)
 	}
 	return ids
 }
-
-// firstByteTimer closes the connection of an attempt unless it is stopped before
-// one of its timers fires.
-type firstByteTimer struct {
-	retryTimer *time.Timer // closes the connection only if a retry is allowed
-	limitTimer *time.Timer
-
-	mu      sync.Mutex
-	stopped bool
-	fired   bool
-}
-
-// newFirstByteTimer returns a timer that closes c after timeout if allowed then
-// returns true, and unconditionally after limit. A duration of 0 means none.
-func newFirstByteTimer(timeout, limit time.Duration, c *httpconn.Conn, allowed func() bool) *firstByteTimer {
-	t := &firstByteTimer{}
-	closeIf := func(cond func() bool) func() {
-		return func() { t.closeConn(c, cond) }
-	}
-	always := func() bool { return true }
-	switch {
-	case timeout > 0 && (limit <= 0 || timeout < limit):
-		t.retryTimer = time.AfterFunc(timeout, closeIf(allowed))
-		if limit > 0 {
-			t.limitTimer = time.AfterFunc(limit, closeIf(always))
-		}
-	case limit > 0:
-		t.limitTimer = time.AfterFunc(limit, closeIf(always))
-	}
-	return t
-}
-
-func (t *firstByteTimer) closeConn(c *httpconn.Conn, allowed func() bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stopped || t.fired || !allowed() {
-		return
-	}
-	t.fired = true
-	c.Close()
-}
-
-// stop stops the timer and reports whether it has not closed the connection.
-func (t *firstByteTimer) stop() bool {
-	for _, timer := range []*time.Timer{t.retryTimer, t.limitTimer} {
-		if timer != nil {
-			timer.Stop()
-		}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped = true
-	return !t.fired
-}
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -51,6 +51,7 @@
 			first = false
 			x.startStream(attempt, resp)
 		}
+		x.recordEvent()
 		if x.alreadyRelayed(id) {
 			continue
 		}
@@ -64,6 +65,7 @@
 	if first {
 		x.startStream(attempt, resp)
 	}
+	x.recordComplete(resp)
 	x.r.Outcome.Complete = true
 	return placement.OK, nil
 }
--- /dev/null
+++ b/pkg/quarantine/quarantine.go
@@ -0,0 +1,349 @@
+// Package quarantine finds parts of prompts that end engines, and says which prompts
+// must not be sent. Instances tell each other the crashes that they see, so that each
+// decides from the crashes of all. The package does no I/O, is not safe for concurrent
+// use, and takes the current time as an argument.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Part identifies a part of prompts to a model. It is the same at all instances.
+type Part uint64
+
+// PartOf returns the identity of a part of prompts to a model.
+func PartOf(model, id string) Part { return Part(xxh3.HashString(model + "\x00" + id)) }
+
+// Process identifies one process of an upstream.
+type Process uint64
+
+// Crash is the end of a process while it began to answer a prompt. Parts are those that
+// the prompt shares with others, in the order of the prompt.
+type Crash struct {
+	Process Process
+	Parts   []Part
+	At      time.Time
+}
+
+// Quarantine is a part whose prompts are refused.
+type Quarantine struct {
+	Part Part
+	Left time.Duration // until one prompt with it is tried
+}
+
+const (
+	// crashesNeeded is the number of processes that must have ended at a part, with no
+	// prompt with it answered in between, before it is quarantined.
+	crashesNeeded = 3
+	// crashesMargin is by how many processes a part must lead each later part of the same
+	// prompts. Parts before the one that ends engines are in all of its crashes, too.
+	crashesMargin = 2
+	// minSpan is the least time between the first and the last of these crashes. Engines
+	// that lose power together end at the prompts that are frequent.
+	minSpan = 100 * time.Millisecond
+	// crashMemory is how long a crash counts. messageMemory is how long the message of a
+	// crash may arrive again.
+	crashMemory   = 10 * time.Minute
+	messageMemory = time.Minute
+	// maxCrashes bounds the crashes that are kept; the oldest go first.
+	maxCrashes = 512
+	// baseDuration is how long a part is quarantined before one prompt with it is tried.
+	// It doubles with each one that ends another engine, up to maxDuration.
+	baseDuration = time.Minute
+	maxDuration  = 24 * time.Hour
+	// trialInterval is the time between trials that show nothing.
+	trialInterval = 5 * time.Second
+	// answerMemory is how long after an answered prompt a quarantine that another
+	// instance still has is not taken over.
+	answerMemory = 5 * time.Second
+	// MaxQuarantines bounds the quarantined parts. The one that ends first makes room.
+	MaxQuarantines = 32
+)
+
+// Tracker is the state of one instance.
+type Tracker struct {
+	crashes     []Crash               // not explained by a quarantined part
+	seen        map[uint64]time.Time  // by hash of a crash: when it was recorded
+	explained   map[Process]time.Time // ended at a quarantined part
+	quarantined map[Part]*period
+	answeredAt  map[Part]time.Time // when a suspected or quarantined part was answered
+}
+
+// period is the time for which a part is quarantined.
+type period struct {
+	duration time.Duration
+	tryAt    time.Time // when the next prompt with the part may be tried
+}
+
+// NewTracker returns a tracker without crashes.
+func NewTracker() *Tracker {
+	return &Tracker{
+		seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
+		quarantined: map[Part]*period{}, answeredAt: map[Part]time.Time{},
+	}
+}
+
+// Idle reports whether no part is suspected or quarantined.
+func (t *Tracker) Idle() bool { return len(t.crashes) == 0 && len(t.quarantined) == 0 }
+
+// RecordCrash records a crash that this instance has seen or another one tells. It
+// reports whether the crash was not known, so that others must be told, and the parts
+// that are quarantined now.
+func (t *Tracker) RecordCrash(c Crash, now time.Time) (isNew bool, added []Part) {
+	t.expire(now)
+	id := c.hash()
+	if _, known := t.seen[id]; known || len(c.Parts) == 0 {
+		return false, nil
+	}
+	t.seen[id] = now
+	for _, part := range c.Parts {
+		if p := t.quarantined[part]; p != nil {
+			t.extend(p, c.At)
+			t.explain(c.Process, now)
+			return true, nil
+		}
+	}
+	if _, ok := t.explained[c.Process]; ok {
+		return true, nil
+	}
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
+	c.Parts = slices.Clone(c.Parts)
+	t.crashes = append(t.crashes, c)
+	return true, t.quarantineCause(c.Parts, now)
+}
+
+func (c Crash) hash() uint64 {
+	raw := make([]byte, 0, 8*(1+len(c.Parts)))
+	raw = appendUint64(raw, uint64(c.Process))
+	for _, part := range c.Parts {
+		raw = appendUint64(raw, uint64(part))
+	}
+	return xxh3.Hash(raw)
+}
+
+func appendUint64(raw []byte, v uint64) []byte {
+	for shift := 0; shift < 64; shift += 8 {
+		raw = append(raw, byte(v>>shift))
+	}
+	return raw
+}
+
+// quarantineCause quarantines the latest of the parts that enough crashes speak against.
+func (t *Tracker) quarantineCause(parts []Part, now time.Time) []Part {
+	for _, part := range slices.Backward(parts) {
+		if !t.isCause(part) {
+			continue
+		}
+		t.begin(part, now)
+		return []Part{part}
+	}
+	return nil
+}
+
+// isCause reports whether the crashes speak against a part and none of the parts after
+// it explains them nearly as well.
+func (t *Tracker) isCause(part Part) bool {
+	at := t.crashTimes(part)
+	if len(at) < crashesNeeded || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
+		return false
+	}
+	for later := range t.laterParts(part) {
+		if len(at)-len(t.crashTimes(later)) < crashesMargin {
+			return false
+		}
+	}
+	return true
+}
+
+// crashTimes returns when processes ended at a part, one time for each process.
+func (t *Tracker) crashTimes(part Part) []time.Time {
+	var out []time.Time
+	counted := map[Process]bool{}
+	for _, c := range t.crashes {
+		if !counted[c.Process] && slices.Contains(c.Parts, part) {
+			counted[c.Process] = true
+			out = append(out, c.At)
+		}
+	}
+	return out
+}
+
+// laterParts returns the parts that follow a part in prompts at which processes ended.
+func (t *Tracker) laterParts(part Part) map[Part]bool {
+	out := map[Part]bool{}
+	for _, c := range t.crashes {
+		if i := slices.Index(c.Parts, part); i >= 0 {
+			for _, later := range c.Parts[i+1:] {
+				out[later] = true
+			}
+		}
+	}
+	return out
+}
+
+// begin quarantines a part. The processes that ended at it speak against no other part
+// any more.
+func (t *Tracker) begin(part Part, now time.Time) {
+	t.makeRoom()
+	t.quarantined[part] = &period{duration: baseDuration, tryAt: now.Add(baseDuration)}
+	for _, c := range t.crashes {
+		if slices.Contains(c.Parts, part) {
+			t.explained[c.Process] = now
+		}
+	}
+	t.dropExplained()
+}
+
+// extend doubles a period if a process ended at its part after a trial was due. Others
+// end at prompts that were sent before the quarantine.
+func (t *Tracker) extend(p *period, crashedAt time.Time) {
+	if due := p.tryAt.Add(-trialInterval); crashedAt.Before(due) {
+		return
+	}
+	p.duration = min(2*p.duration, maxDuration)
+	p.tryAt = crashedAt.Add(p.duration)
+}
+
+// explain records that a process ended at a quarantined part.
+func (t *Tracker) explain(process Process, now time.Time) {
+	t.explained[process] = now
+	t.dropExplained()
+}
+
+func (t *Tracker) dropExplained() {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool {
+		_, ok := t.explained[c.Process]
+		return ok
+	})
+}
+
+// makeRoom forgets the quarantine whose trial is due first if there are MaxQuarantines.
+func (t *Tracker) makeRoom() {
+	if len(t.quarantined) < MaxQuarantines {
+		return
+	}
+	var first Part
+	for part, p := range t.quarantined {
+		if old := t.quarantined[first]; old == nil || p.tryAt.Before(old.tryAt) {
+			first = part
+		}
+	}
+	delete(t.quarantined, first)
+}
+
+// RecordAnswer records that a prompt with these parts was answered. It returns those
+// that were suspected or quarantined and are not any more, so that others must be told.
+func (t *Tracker) RecordAnswer(parts []Part, now time.Time) (cleared []Part) {
+	for _, part := range parts {
+		if t.clear(part) {
+			t.answeredAt[part] = now
+			cleared = append(cleared, part)
+		}
+	}
+	return cleared
+}
+
+func (t *Tracker) clear(part Part) (known bool) {
+	_, known = t.quarantined[part]
+	delete(t.quarantined, part)
+	for i := range t.crashes {
+		parts := t.crashes[i].Parts
+		if j := slices.Index(parts, part); j >= 0 {
+			t.crashes[i].Parts = slices.Delete(parts, j, j+1)
+			known = true
+		}
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return len(c.Parts) == 0 })
+	return known
+}
+
+// Refused returns how long prompts with these parts are still refused; 0 if this one is
+// sent. When a trial is due, one prompt is sent by the instance for which tries returns
+// true.
+func (t *Tracker) Refused(parts []Part, now time.Time, tries func(Part) bool) time.Duration {
+	var left time.Duration
+	for _, part := range parts {
+		if p := t.quarantined[part]; p != nil {
+			left = max(left, p.refused(now, tries(part)))
+		}
+	}
+	return left
+}
+
+// refused returns how long the period lasts; 0 if a trial is due that this instance
+// makes.
+func (p *period) refused(now time.Time, tries bool) time.Duration {
+	left := p.tryAt.Sub(now)
+	switch {
+	case left > 0:
+		return left
+	case !tries:
+		return trialInterval
+	}
+	p.tryAt = now.Add(trialInterval)
+	return 0
+}
+
+// Suspected reports whether more than one process has ended at one of the parts.
+func (t *Tracker) Suspected(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(part Part) bool { return len(t.crashTimes(part)) > 1 })
+}
+
+// Quarantines returns the parts that are quarantined.
+func (t *Tracker) Quarantines(now time.Time) []Quarantine {
+	var out []Quarantine
+	for part, p := range t.quarantined {
+		out = append(out, Quarantine{part, max(0, p.tryAt.Sub(now))})
+	}
+	return out
+}
+
+// Crashes returns the crashes that no quarantined part explains.
+func (t *Tracker) Crashes() []Crash { return slices.Clone(t.crashes) }
+
+// Adopt takes over a quarantine from another instance. It returns false if a prompt with
+// the part was answered just now, which the other instance must be told.
+func (t *Tracker) Adopt(q Quarantine, now time.Time) bool {
+	if answered, ok := t.answeredAt[q.Part]; ok && now.Sub(answered) < answerMemory {
+		return false
+	}
+	left := min(q.Left, maxDuration)
+	p := t.quarantined[q.Part]
+	if p == nil {
+		t.makeRoom()
+		p = &period{}
+		t.quarantined[q.Part] = p
+	}
+	p.duration = max(p.duration, baseDuration, left)
+	if tryAt := now.Add(left); tryAt.After(p.tryAt) {
+		p.tryAt = tryAt
+	}
+	return true
+}
+
+// expire forgets what no longer counts. A quarantine is forgotten if no prompt was tried
+// for as long as it lasted, but crashMemory at least: none with its part comes.
+func (t *Tracker) expire(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return now.Sub(c.At) > crashMemory })
+	forget(t.seen, now, messageMemory)
+	forget(t.explained, now, crashMemory)
+	forget(t.answeredAt, now, answerMemory)
+	for part, p := range t.quarantined {
+		if now.Sub(p.tryAt) > max(p.duration, crashMemory) {
+			delete(t.quarantined, part)
+		}
+	}
+}
+
+func forget[K comparable](times map[K]time.Time, now time.Time, age time.Duration) {
+	for key, at := range times {
+		if now.Sub(at) > age {
+			delete(times, key)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,203 @@
+package quarantine
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	first Part = iota + 1
+	bad
+	rare
+	other
+)
+
+// at returns a time of the test.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// record records a crash at the moment at which it happens.
+func record(t *Tracker, now time.Time, process Process, parts ...Part) (isNew bool) {
+	isNew, _ = t.RecordCrash(Crash{process, parts, now}, now)
+	return isNew
+}
+
+func tries(Part) bool { return true }
+
+func triesNever(Part) bool { return false }
+
+func isQuarantined(t *Tracker, part Part, now time.Time) bool {
+	return t.Refused([]Part{part}, now, triesNever) > 0
+}
+
+// TestLaterPartIsTheCause guards against refusing all prompts that share the first part with those that end engines.
+func TestLaterPartIsTheCause(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		record(tracker, at(100*i), Process(i), first, bad)
+	}
+	if !isQuarantined(tracker, bad, at(300)) || isQuarantined(tracker, first, at(300)) {
+		t.Error("the part that all crashes share and no other prompts have is not the one that is quarantined")
+	}
+}
+
+// TestFirstPartCanBeTheCause guards against never finding a part that other parts follow.
+func TestFirstPartCanBeTheCause(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		record(tracker, at(100*i), Process(i), bad, Part(100+i))
+	}
+	if !isQuarantined(tracker, bad, at(300)) {
+		t.Error("not quarantined after three crashes with different parts behind it")
+	}
+}
+
+// TestAnsweredPartIsSound guards against quarantining a part of prompts that are answered between crashes.
+func TestAnsweredPartIsSound(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 10 {
+		record(tracker, at(100*i), Process(i), first)
+		if i%2 == 1 {
+			if cleared := tracker.RecordAnswer([]Part{first, other}, at(100*i+1)); !slices.Equal(cleared, []Part{first}) {
+				t.Errorf("cleared %v, want the suspected part only", cleared)
+			}
+		}
+	}
+	if isQuarantined(tracker, first, at(1000)) || !tracker.Idle() {
+		t.Error("a part that was answered after each second crash is suspected")
+	}
+}
+
+// TestEnginesThatEndTogether guards against refusing frequent prompts because many engines lost power at once.
+func TestEnginesThatEndTogether(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 8 {
+		record(tracker, at(10*i), Process(i), first)
+	}
+	if isQuarantined(tracker, first, at(100)) {
+		t.Error("quarantined after crashes at one moment")
+	}
+}
+
+// TestExplainedCrashesCountForNoOtherPart guards against quarantining parts of prompts that ran beside those that end engines.
+func TestExplainedCrashesCountForNoOtherPart(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 9 {
+		record(tracker, at(100*i), Process(i), first, rare)
+		record(tracker, at(100*i), Process(i), first, bad)
+		if i == 0 {
+			tracker.RecordAnswer([]Part{rare}, at(50))
+		}
+	}
+	if !isQuarantined(tracker, bad, at(900)) || isQuarantined(tracker, rare, at(900)) || isQuarantined(tracker, first, at(900)) {
+		t.Errorf("quarantined %v", tracker.Quarantines(at(900)))
+	}
+}
+
+// TestRepeatedMessageCountsOnce guards against counting one crash for each datagram and each instance that tells of it.
+func TestRepeatedMessageCountsOnce(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 9 {
+		isNew := record(tracker, at(100*i), 1, bad)
+		if isNew != (i == 0) {
+			t.Errorf("message %d: new %v", i, isNew)
+		}
+		record(tracker, at(100*i), 1, bad, Part(100+i))
+	}
+	if isQuarantined(tracker, bad, at(900)) {
+		t.Error("quarantined after the end of one process")
+	}
+	tracker.RecordAnswer([]Part{bad}, at(900))
+	if record(tracker, at(901), 1, bad); tracker.Suspected([]Part{bad}) {
+		t.Error("suspected again by a late message")
+	}
+}
+
+func quarantine(tracker *Tracker, firstProcess Process, now time.Time) {
+	for i := range 3 {
+		record(tracker, now.Add(time.Duration(i)*minSpan), firstProcess+Process(i), bad)
+	}
+}
+
+// TestAnswerLiftsQuarantine guards against refusing a sound part for good, and against taking the quarantine over again.
+func TestAnswerLiftsQuarantine(t *testing.T) {
+	tracker := NewTracker()
+	quarantine(tracker, 1, start)
+	if !isQuarantined(tracker, bad, at(300)) {
+		t.Fatal("not quarantined")
+	}
+	told := tracker.Quarantines(at(300))
+	tracker.RecordAnswer([]Part{bad}, at(300))
+	if isQuarantined(tracker, bad, at(300)) {
+		t.Error("still quarantined after an answer")
+	}
+	if tracker.Adopt(told[0], at(400)) || isQuarantined(tracker, bad, at(400)) {
+		t.Error("taken over from an instance that does not know of the answer")
+	}
+	if !tracker.Adopt(told[0], at(400).Add(answerMemory)) || !isQuarantined(tracker, bad, at(400).Add(answerMemory)) {
+		t.Error("not taken over later")
+	}
+}
+
+// TestOneTrialAtATime guards against engines that all instances end when a quarantine is over, and against a sound part that is refused for good.
+func TestOneTrialAtATime(t *testing.T) {
+	tracker := NewTracker()
+	quarantine(tracker, 1, start)
+	parts := []Part{first, bad}
+	due := start.Add(2*minSpan + baseDuration)
+	if tracker.Refused(parts, due.Add(-1), tries) == 0 {
+		t.Error("tried too early")
+	}
+	if tracker.Refused(parts, due, triesNever) == 0 {
+		t.Error("sent by an instance that makes no trial")
+	}
+	if tracker.Refused(parts, due, tries) != 0 {
+		t.Error("not tried")
+	}
+	if tracker.Refused(parts, due.Add(trialInterval-1), tries) == 0 {
+		t.Error("tried twice")
+	}
+	if tracker.Refused(parts, due.Add(trialInterval), tries) != 0 {
+		t.Error("not tried again after a trial that showed nothing")
+	}
+	crashedAt := due.Add(trialInterval + time.Second)
+	record(tracker, crashedAt, 9, first, bad)
+	if left := tracker.Refused(parts, crashedAt, tries); left != 2*baseDuration {
+		t.Errorf("refused for %v after a trial that ended an engine, want %v", left, 2*baseDuration)
+	}
+	tracker.RecordAnswer(parts, crashedAt)
+	if tracker.Refused(parts, crashedAt, triesNever) != 0 || !tracker.Idle() {
+		t.Error("refused after an answer")
+	}
+}
+
+// TestLateCrashIsNoTrial guards against a longer quarantine because of prompts that were sent before it.
+func TestLateCrashIsNoTrial(t *testing.T) {
+	tracker := NewTracker()
+	quarantine(tracker, 1, start)
+	record(tracker, at(300), 9, first, bad)
+	if left := tracker.Refused([]Part{bad}, at(300), tries); left > baseDuration || left <= 0 {
+		t.Errorf("refused for %v", left)
+	}
+	if len(tracker.Crashes()) != 0 {
+		t.Error("the crash speaks against the first part")
+	}
+}
+
+// TestMemoryIsBounded guards against memory that grows with crashes and with parts.
+func TestMemoryIsBounded(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 4 * maxCrashes {
+		record(tracker, start, Process(i), Part(1000+i))
+		tracker.Adopt(Quarantine{Part(5000 + i), time.Minute}, start)
+	}
+	if len(tracker.crashes) > maxCrashes || len(tracker.quarantined) > MaxQuarantines {
+		t.Errorf("%d crashes, %d quarantines", len(tracker.crashes), len(tracker.quarantined))
+	}
+	record(tracker, start.Add(maxDuration), 1, bad)
+	if len(tracker.crashes) != 1 || len(tracker.seen) != 1 || len(tracker.quarantined) != 0 {
+		t.Errorf("after a day: %d crashes, %d messages, %d quarantines", len(tracker.crashes), len(tracker.seen), len(tracker.quarantined))
+	}
+}
