pkg/filter/dispatch: a stream without a frame and without an event has been cut

What callers get: status 200 and a complete, empty answer when an upstream ends between the head and the first event of a stream that has neither a length nor chunks. Cause: the end of the connection between two events counts as the end of the stream, also before the first one. Change: without an event such a stream has failed, and counts as broken for the search of parts that end engines. Shown: TestUnframedStream failed before (complete true) and passes.

--- a/pkg/edge/faults_test.go
+++ b/pkg/edge/faults_test.go
@@ -201,3 +201,26 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestUnframedStream guards against a stream without length or chunks that is cut in or before an event and looks complete.
+func TestUnframedStream(t *testing.T) {
+	fleet := newTestFleet(t, 1)
+	instance := fleet.startInstance("n1")
+	whole := standin.Event("x", 1) + standin.Event("x", 2)
+	for name, c := range map[string]struct {
+		body     string
+		complete bool
+	}{
+		"whole":                {whole, true},
+		"cut inside an event":  {whole + "id: 3\ndata: to", false},
+		"cut before any event": {"", false},
+	} {
+		fleet.engines[0].SetHandler(func(w http.ResponseWriter, r *http.Request) {
+			writeRaw(w, head(r)+"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"+c.body)
+		})
+		_, got := instance.prompt("/long/", keyBig)
+		if complete := got.status == http.StatusOK && got.err == nil; complete != c.complete {
+			t.Errorf("%s: complete %v: %+v", name, complete, got)
+		}
+	}
+}
--- a/pkg/filter/dispatch/crash.go
+++ b/pkg/filter/dispatch/crash.go
@@ -99,7 +99,7 @@
 
 // isBrokenConn reports whether an attempt ended because its connection did.
 func isBrokenConn(err error) bool {
-	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent} {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errNoEvent} {
 		if errors.Is(err, broken) {
 			return true
 		}
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -25,7 +25,10 @@
 	eventBufferBytes = 1 << 10
 )
 
-var errTruncatedEvent = errors.New("the stream ended inside an event")
+var (
+	errTruncatedEvent = errors.New("the stream ended inside an event")
+	errNoEvent        = errors.New("the stream ended with its connection before an event")
+)
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
@@ -62,6 +65,9 @@
 			x.lastEventID = id
 		}
 	}
+	if first && !isFramed(resp) {
+		return placement.Failed, errNoEvent
+	}
 	if first {
 		x.startStream(attempt, resp)
 	}
