pkg/edge: failing test of a restart of all instances beside a part that ends engines

What callers would see: the instances know a quarantined part in memory only; after a restart of all (loss of power, a new build) engines end again until three have.

--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -141,3 +141,25 @@
 		t.Errorf("%d prompts with the part reached engines through the new instance", n)
 	}
 }
+
+// TestRestartOfAllKeepsQuarantine guards against a restart of all instances that ends engines again.
+func TestRestartOfAllKeepsQuarantine(t *testing.T) {
+	fleet := newCrashFleet(t, 8, 2)
+	fleet.provoke("/long/")
+	fleet.send("/long/", "first", crashPart) // ends the sixth, 3 s after the others
+	for _, instance := range fleet.instances {
+		instance.stop()
+	}
+	for _, instance := range fleet.instances {
+		fleet.await("the instance has stopped", func() bool { return strings.Contains(instance.log.String(), `"stopped"`) })
+	}
+	before := fleet.reached()
+	fleet.instances = nil
+	fleet.startNext(0)
+	for range 10 {
+		fleet.send("/long/", "first", crashPart)
+	}
+	if n := fleet.reached() - before; n > mayReachLater {
+		t.Errorf("%d prompts with the part reached engines after a restart of all instances", n)
+	}
+}
