pkg/edge: keep quarantined parts in the store over a restart of all instances

Cause: instances knew a quarantined part from their memories only. Change: the instance that will try the part writes a row; each instance reads the rows once at its start; the instance that sees an answer deletes the row. The rows state no time, so a part is tried a minute after the start. Shown: TestRestartOfAllKeepsQuarantine failed before (8 of 10 prompts reached engines) and passes.

--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -18,9 +18,10 @@
 type crashes struct {
 	log        hclog.Logger
 	now        func() time.Time
-	onCrash    func(quarantine.Crash)     // called when this instance is the first to see a crash
-	onAnswered func([]quarantine.Part)    // called when parts are not suspected any more
-	tries      func(quarantine.Part) bool // reports whether this instance tries the prompts with a part
+	onCrash    func(quarantine.Crash)                       // called when this instance is the first to see a crash
+	onAnswered func([]quarantine.Part)                      // called when parts are not suspected any more
+	onChange   func(part quarantine.Part, quarantined bool) // called where the change is to be written to the store
+	tries      func(quarantine.Part) bool                   // reports whether this instance tries the prompts with a part
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -30,7 +31,7 @@
 	return &crashes{
 		log: log, now: now, tracker: quarantine.NewTracker(),
 		onCrash: func(quarantine.Crash) {}, onAnswered: func([]quarantine.Part) {},
-		tries: func(quarantine.Part) bool { return true },
+		onChange: func(quarantine.Part, bool) {}, tries: func(quarantine.Part) bool { return true },
 	}
 }
 
@@ -72,13 +73,17 @@
 	return !c.tracker.Suspected(crash.Parts)
 }
 
-// record records a crash that this or another instance has seen.
+// record records a crash that this or another instance has seen. All instances come to
+// the same quarantine; the one that will try the part writes it to the store.
 func (c *crashes) record(crash quarantine.Crash) (isNew bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	isNew, added := c.tracker.RecordCrash(crash, c.now())
-	if len(added) > 0 {
-		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hashes", hexParts(added))
+	c.mu.Unlock()
+	for _, part := range added {
+		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
+		if c.tries(part) {
+			c.onChange(part, true)
+		}
 	}
 	return isNew
 }
@@ -90,8 +95,11 @@
 		c.mu.Unlock()
 		return
 	}
-	cleared := c.tracker.RecordAnswer(partsOf(model, parts), c.now())
+	cleared, lifted := c.tracker.RecordAnswer(partsOf(model, parts), c.now())
 	c.mu.Unlock()
+	for _, part := range lifted {
+		c.onChange(part, false)
+	}
 	if len(cleared) > 0 {
 		c.log.Info("parts are not suspected any more, since a prompt with them was answered", "hashes", hexParts(cleared))
 		c.onAnswered(cleared)
@@ -146,7 +154,7 @@
 func hexParts(parts []quarantine.Part) []string {
 	out := make([]string, 0, len(parts))
 	for _, part := range parts {
-		out = append(out, strconv.FormatUint(uint64(part), 16))
+		out = append(out, quarantineKey(part))
 	}
 	return out
 }
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -48,6 +48,7 @@
 	state.Store
 	LeaseStore
 	InstanceRegistry
+	QuarantineTable
 }
 
 // Options configures an Instance. All fields come from the settings of the
@@ -69,6 +70,7 @@
 	EnginesCheckFencing bool           // engines reject load commands with a stale fencing token
 	Retries             RetryBounds
 	InstanceTable       string // store table in which instances are listed
+	QuarantineTable     string // store table that keeps quarantined parts of prompts
 }
 
 // Dependencies holds the collaborators of an Instance.
@@ -97,8 +99,10 @@
 	follower *state.Follower
 	peers    *peers
 	rollouts *rolloutController
-	draining atomic.Bool
-	eraSeen  atomic.Bool // an era of the store was seen
+
+	quarantineRows *quarantineRows
+	draining       atomic.Bool
+	eraSeen        atomic.Bool // an era of the store was seen
 
 	configuredAt atomic.Pointer[time.Time] // when the first configuration was adopted
 }
@@ -129,6 +133,8 @@
 	i.placer = newPlacer(balancer, now)
 	i.limiter = newLimiter(o.Name, now)
 	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
+	i.quarantineRows = newQuarantineRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
+	i.crashes.onChange = i.quarantineRows.change
 	i.follower = state.New(deps.Store, deps.Decoder, i, deps.Log.Named("state"), now)
 	if err := i.newPeers(); err != nil {
 		return nil, err
@@ -284,6 +290,7 @@
 	wg.Go(func() { i.follower.Run(background) })
 	wg.Go(func() { i.peers.run(background) })
 	wg.Go(func() { i.peers.keepRegistered(background, i.deps.Store, i.options.InstanceTable) })
+	wg.Go(func() { i.quarantineRows.run(background) })
 	wg.Go(func() { i.rollouts.run(background, ctx.Done()) })
 	wg.Go(func() { i.conns.Run(background) })
 	acceptErr := make(chan error, 1)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -237,15 +237,19 @@
 }
 
 // RecordAnswer records that a prompt with these parts was answered. It returns those
-// that were suspected or quarantined and are not any more, so that others must be told.
-func (t *Tracker) RecordAnswer(parts []Part, now time.Time) (cleared []Part) {
+// that were suspected or quarantined and are not any more, so that others must be told,
+// and those of them that were quarantined.
+func (t *Tracker) RecordAnswer(parts []Part, now time.Time) (cleared, lifted []Part) {
 	for _, part := range parts {
+		if t.quarantined[part] != nil {
+			lifted = append(lifted, part)
+		}
 		if t.clear(part) {
 			t.answeredAt[part] = now
 			cleared = append(cleared, part)
 		}
 	}
-	return cleared
+	return cleared, lifted
 }
 
 func (t *Tracker) clear(part Part) (known bool) {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -60,7 +60,7 @@
 	for i := range 10 {
 		record(tracker, at(100*i), Process(i), first)
 		if i%2 == 1 {
-			if cleared := tracker.RecordAnswer([]Part{first, other}, at(100*i+1)); !slices.Equal(cleared, []Part{first}) {
+			if cleared, _ := tracker.RecordAnswer([]Part{first, other}, at(100*i+1)); !slices.Equal(cleared, []Part{first}) {
 				t.Errorf("cleared %v, want the suspected part only", cleared)
 			}
 		}
