--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -13,6 +13,15 @@
 	Tokens int
 }
 
+// PartIDs returns the IDs of parts, for logs.
+func PartIDs(parts []PromptPart) []string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Request is what a caller states about its request.
 type Request struct {
 	ID             string
--- /dev/null
+++ b/pkg/edge/announce.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"slices"
+
+	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// updateRepeats is the number of digests that carry an update, so that it survives
+// the loss of one datagram. If all are lost, the platform's listing of upstreams
+// shows the same later.
+const updateRepeats = 2
+
+// pendingUpdates holds the events that the next digests announce, as opposed to the
+// totals and versions that every full digest repeats.
+type pendingUpdates struct {
+	loads   []pendingUpdate[*rpc.Load]
+	weights []pendingUpdate[*rpc.Weights]
+	placed  []pendingUpdate[*rpc.Placed]
+
+	departures []pendingUpdate[*rpc.Departure]
+
+	crashes  []pendingUpdate[*rpc.Crash]
+	answered []pendingUpdate[uint64] // parts of prompts
+}
+
+// pendingUpdate is an update that is still to be sent.
+type pendingUpdate[T any] struct {
+	message   T
+	remaining int // number of digests that it is still to be sent in
+}
+
+// nextUpdates returns the updates for one digest, at most maxUpdates, and removes
+// those that have been sent updateRepeats times from the list.
+func nextUpdates[T any](list *[]pendingUpdate[T]) []T {
+	out := make([]T, 0, min(len(*list), maxUpdates))
+	pending := (*list)[:0]
+	for _, update := range *list {
+		if len(out) < maxUpdates {
+			out = append(out, update.message)
+			update.remaining--
+		}
+		if update.remaining > 0 {
+			pending = append(pending, update)
+		}
+	}
+	*list = pending
+	return out
+}
+
+// announceState sends the new versions of the tables to the other instances if
+// they may fetch state from this one.
+func (p *peers) announceState() {
+	if p.isRelay.Load() {
+		p.requestSend()
+	}
+}
+
+// announceLoading tells the other instances to send no requests to an engine that
+// loads weights, for loadingHold.
+func (p *peers) announceLoading(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if now.Add(loadingRenewBefore).Before(p.loadingUntil[id]) {
+		return // announced already
+	}
+	p.loadingUntil[id] = now.Add(loadingHold)
+	load := &rpc.Load{Upstream: id, Ms: uint32(loadingHold.Milliseconds())}
+	p.updates.loads = append(p.updates.loads, pendingUpdate[*rpc.Load]{load, updateRepeats})
+	p.requestSend()
+}
+
+// announceWeights tells the other instances which version of a model's weights an
+// engine has loaded, and that it accepts requests again.
+func (p *peers) announceWeights(id, model string, version int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.loadingUntil, id)
+	p.updates.loads = slices.DeleteFunc(p.updates.loads, func(update pendingUpdate[*rpc.Load]) bool { return update.message.Upstream == id })
+	p.updates.loads = append(p.updates.loads, pendingUpdate[*rpc.Load]{&rpc.Load{Upstream: id}, updateRepeats})
+	weights := &rpc.Weights{Upstream: id, Model: model, Version: uint32(version)}
+	p.updates.weights = append(p.updates.weights, pendingUpdate[*rpc.Weights]{weights, updateRepeats})
+	p.requestSend()
+}
+
+// announcePlacement tells the other instances which upstream has the shared parts of
+// a long prompt cached, or will have computed them soon.
+func (p *peers) announcePlacement(announcement placement.Announcement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastPlacedSerial++
+	message := &rpc.Placed{
+		Serial: p.lastPlacedSerial, Upstream: announcement.Upstream, Keys: announcement.Keys, Saves: uint32(max(0, announcement.NewStoreTokens)),
+		ReadyMs: uint32(announcement.ReadyIn.Milliseconds()), Speed: float32(announcement.Speed),
+		Brings: uint32(max(0, announcement.NewTokens)),
+	}
+	p.updates.placed = append(p.updates.placed, pendingUpdate[*rpc.Placed]{message, updateRepeats})
+	p.requestSend()
+}
+
+// announceDeparture tells the other instances that an upstream has stated that it
+// leaves.
+func (p *peers) announceDeparture(d fleet.Departure) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updates.departures = append(p.updates.departures, pendingUpdate[*rpc.Departure]{encodeDeparture(d), updateRepeats})
+	p.requestSend()
+}
+
+// announceCrash tells the other instances that an upstream ended while it began to
+// answer a prompt.
+func (p *peers) announceCrash(c quarantine.Crash) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.updates.crashes) >= maxPendingCrashes {
+		return // the others learn enough from those that are pending
+	}
+	p.updates.crashes = append(p.updates.crashes, pendingUpdate[*rpc.Crash]{encodeCrash(c, p.now()), updateRepeats})
+	p.requestSend()
+}
+
+// announceAnswered tells the other instances that prompts with parts were answered.
+func (p *peers) announceAnswered(parts []quarantine.Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range encodeParts(parts) {
+		p.updates.answered = append(p.updates.answered, pendingUpdate[uint64]{part, updateRepeats})
+	}
+	p.requestSend()
+}
--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -64,7 +64,7 @@
 func (c *crashes) Crashed(u *fleet.Upstream, model string, parts []call.PromptPart) (maySend bool) {
 	crash := quarantine.Crash{Process: processOf(u), Parts: partsOf(model, parts), At: c.now()}
 	isNew := c.record(crash)
-	c.log.Info("upstream ended while it began to answer a prompt", "upstream", u.ID, "model", model, "parts", ids(parts), "hashes", hexParts(crash.Parts))
+	c.log.Info("upstream ended while it began to answer a prompt", "upstream", u.ID, "model", model, "parts", call.PartIDs(parts), "hashes", hexParts(crash.Parts))
 	if isNew {
 		c.onCrash(crash)
 	}
@@ -143,14 +143,6 @@
 	return c.tracker.Quarantines(c.now())
 }
 
-func ids(parts []call.PromptPart) []string {
-	out := make([]string, 0, len(parts))
-	for _, part := range parts {
-		out = append(out, part.ID)
-	}
-	return out
-}
-
 func hexParts(parts []quarantine.Part) []string {
 	out := make([]string, 0, len(parts))
 	for _, part := range parts {
--- /dev/null
+++ b/pkg/edge/receive.go
@@ -0,0 +1,184 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// receive applies digests that arrive until ctx ends.
+func (p *peers) receive(ctx context.Context) {
+	buffer := make([]byte, 4<<10)
+	for ctx.Err() == nil {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				p.log.Warn("cannot receive a digest", "error", err)
+				time.Sleep(socketRetryDelay)
+			}
+			continue
+		}
+		d := &rpc.Digest{}
+		if err := proto.Unmarshal(buffer[:n], d); err != nil {
+			p.log.Warn("cannot decode a digest", "error", err)
+			continue
+		}
+		p.applyDigest(d)
+	}
+}
+
+// applyDigest applies a digest from another instance. It ignores one that is not
+// newer than the last from its sender.
+func (p *peers) applyDigest(d *rpc.Digest) {
+	p.mu.Lock()
+	other := p.senderOf(d)
+	if other == nil {
+		p.mu.Unlock()
+		return
+	}
+	last := other.lastDigest
+	if last != nil && (d.Incarnation < last.Incarnation || (d.Incarnation == last.Incarnation && d.Sequence <= last.Sequence)) {
+		p.mu.Unlock()
+		return
+	}
+	now := p.now()
+	firstContact := other.heardAt.IsZero()
+	if d.Partial && last != nil && last.Incarnation == d.Incarnation {
+		d.Work = applyWorkChanges(last.Work, d.Work)
+		if len(d.Tables) == 0 {
+			d.Tables = last.Tables
+		}
+	}
+	other.heardAt, other.lastDigest = now, d
+	name := d.Sender.Name
+	if d.Leaving {
+		other.lastDigest.Work = nil
+	}
+	if !d.Partial {
+		other.contents = d.Contents
+	}
+	p.trackLeader(d, now)
+	placements := other.newPlacements(d)
+	p.mu.Unlock()
+	if firstContact {
+		p.requestIntroduction()
+		if !p.introduced.Load() {
+			p.requestFetch()
+		}
+	}
+	if !d.Partial {
+		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
+		p.seedBucketLevels(d)
+	}
+	for _, l := range d.Loads {
+		p.placer.SetBusy(l.Upstream, time.Duration(l.Ms)*time.Millisecond)
+	}
+	for _, w := range d.Weights {
+		p.placer.RecordWeights(w.Upstream, w.Model, int(w.Version))
+	}
+	for _, placed := range placements {
+		p.placer.applyAnnouncement(placement.Announcement{
+			Upstream: placed.Upstream, Keys: placed.Keys, NewStoreTokens: int(placed.Saves),
+			ReadyIn: time.Duration(placed.ReadyMs) * time.Millisecond, Speed: placement.Speed(placed.Speed),
+			NewTokens: int(placed.Brings),
+		})
+	}
+	if len(d.Departures) > 0 {
+		p.follower.Leave(decodeDepartures(d.Departures)...)
+	}
+	p.applyCrashes(d)
+	if !p.follower.FollowsStore() && hasNewerTable(d, p.follower.Positions()) {
+		p.requestFetch()
+	}
+}
+
+// applyCrashes applies what a digest tells of parts of prompts at which upstreams end.
+// Answers come last: what they clear may be in the same digest.
+func (p *peers) applyCrashes(d *rpc.Digest) {
+	for _, c := range d.Crashes {
+		p.crashes.record(decodeCrash(c, p.now()))
+	}
+	p.crashes.adopt(decodeQuarantines(d.Quarantines))
+	if len(d.Answered) > 0 {
+		p.crashes.clear(decodeParts(d.Answered))
+	}
+}
+
+// senderOf returns the entry of a digest's sender, or nil if it is not known. Partial
+// digests name it only. The caller holds mu.
+func (p *peers) senderOf(d *rpc.Digest) *peer {
+	if d.Partial && d.GetSender().GetDigests() == "" {
+		return p.byName[d.GetSender().GetName()]
+	}
+	return p.add(d.GetSender())
+}
+
+// newPlacements returns the placements in a digest that no earlier digest of the
+// sender's process contained.
+func (p *peer) newPlacements(d *rpc.Digest) []*rpc.Placed {
+	if p.placedIncarnation != d.Incarnation {
+		p.placedIncarnation, p.lastPlacedSerial = d.Incarnation, 0
+	}
+	var out []*rpc.Placed
+	for _, placed := range d.Placed {
+		if placed.Serial > p.lastPlacedSerial {
+			p.lastPlacedSerial = placed.Serial
+			out = append(out, placed)
+		}
+	}
+	return out
+}
+
+// seedBucketLevels takes over the bucket levels of customers from an instance that
+// has run for longer.
+func (p *peers) seedBucketLevels(d *rpc.Digest) {
+	if !p.startedBefore(d) {
+		return
+	}
+	for _, s := range d.Spent {
+		p.limiter.seedBucketLevel(s.Customer, s.Level)
+	}
+}
+
+// spentByCustomer returns the tokens spent since the start of the sender.
+func spentByCustomer(d *rpc.Digest) map[string]float64 {
+	totals := make(map[string]float64, len(d.Spent))
+	for _, s := range d.Spent {
+		totals[s.Customer] = s.Tokens
+	}
+	return totals
+}
+
+// applyWorkChanges returns work with the entries in changes added, replaced or, if
+// they state none, removed.
+func applyWorkChanges(work, changes []*rpc.Work) []*rpc.Work {
+	out := slices.DeleteFunc(slices.Clone(changes), func(w *rpc.Work) bool {
+		return w.Requests == 0 && w.Prefill == 0 && w.Memory == 0
+	})
+	for _, w := range work {
+		if !slices.ContainsFunc(changes, func(c *rpc.Work) bool { return c.Upstream == w.Upstream }) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// trackLeader records that the sender of a digest sends load commands to engines,
+// until it announces its shutdown. The caller holds mu.
+func (p *peers) trackLeader(d *rpc.Digest, now time.Time) {
+	for _, l := range d.Loads {
+		if l.Ms > 0 && !d.Leaving {
+			p.leader, p.leaderActiveAt = d.Sender.Name, now
+		}
+	}
+	if d.Leaving && d.Sender.Name == p.leader {
+		p.leaderActiveAt = time.Time{}
+	}
+}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -358,13 +358,5 @@
 func (x *exchange) logAttempt(attempt *placement.Attempt, result placement.Result, err error) {
 	x.h.log.Info("attempt failed", "request", x.r.ID, "upstream", attempt.Upstream.ID, "addr", attempt.Upstream.Addr,
 		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun,
-		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", partIDs(x.sharedParts()), "error", err)
-}
-
-func partIDs(parts []call.PromptPart) []string {
-	ids := make([]string, 0, len(parts))
-	for _, part := range parts {
-		ids = append(ids, part.ID)
-	}
-	return ids
+		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", call.PartIDs(x.sharedParts()), "error", err)
 }
