pkg/edge: test addresses that no other process uses

Cause: freeAddr tries TCP on 127.0.0.1 and gives the port back, so that another test process, or UDP, can have it when the instance starts. Seen with five test processes side by side: bind: address already in use on the UDP socket, in 1 of 15 runs. Change: an IP of 127.0.0.0/8 for each process, both protocols, no port twice.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -113,12 +114,31 @@
 	return ln
 }
 
+// freeAddr returns an address whose port is free for TCP and UDP. The IP belongs to this
+// process, since the packages' tests run side by side.
 func freeAddr(t *testing.T) netip.AddrPort {
-	ln := listen(t)
-	defer func() { _ = ln.Close() }()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(100 + pid>>16), byte(pid >> 8), byte(pid)})
+	for {
+		ln, err := net.Listen("tcp4", netip.AddrPortFrom(host, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := netip.MustParseAddrPort(ln.Addr().String())
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+		_ = ln.Close()
+		if err == nil {
+			_ = udp.Close()
+		}
+		if _, used := usedAddrs.LoadOrStore(addr, true); err == nil && !used {
+			return addr
+		}
+	}
 }
 
+// usedAddrs holds the addresses that freeAddr has returned.
+var usedAddrs sync.Map
+
 // testInstance is a running instance.
 type testInstance struct {
 	options edge.Options
