pkg/filter/dispatch: an empty stream shows nothing of the prompt's parts

Cause: a stream with a frame and without an event counted as an answer and lifted quarantines. The stand-in sent such streams: of two prompts that crash an engine at once the second closed the server that was to run next, and its own answer ended as complete. Change: a stream shows that its prompt is sound from its first event on.

--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -183,8 +183,8 @@
 		x.errorResponse = buffered
 		return placement.OK, errors.Wrapf(errUpstreamStatus, "status %d", decoded.Status)
 	}
-	if success {
-		x.recordComplete(resp)
+	if success && isFramed(resp) {
+		x.recordAnswered()
 	}
 	x.writeResponse(buffered)
 	return placement.OK, nil
--- a/pkg/filter/dispatch/crash.go
+++ b/pkg/filter/dispatch/crash.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// recordComplete records a complete answer. One that ends with its connection may be cut
-// by the end of its upstream, and counts from its second event.
-func (x *exchange) recordComplete(resp *http.Response) {
-	if isFramed(resp) || x.answer.events > 1 {
+// recordStreamEnd records that a stream ended as complete. One that ends with its
+// connection may be cut by the end of its upstream, and counts from its second event.
+func (x *exchange) recordStreamEnd(resp *http.Response) {
+	if x.answer.events > 1 || (x.answer.events == 1 && isFramed(resp)) {
 		x.recordAnswered()
 	}
 }
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -71,7 +71,7 @@
 	if first {
 		x.startStream(attempt, resp)
 	}
-	x.recordComplete(resp)
+	x.recordStreamEnd(resp)
 	x.r.Outcome.Complete = true
 	return placement.OK, nil
 }
