pkg/quarantine: answers lift only what began before them

What callers would see: engines end again and again at a part that is quarantined, lifted and quarantined several times a second (100 crashes in 16 s). Cause: an answer to a quarantined part was told without its time. An instance that remembered one told it to each instance whose digest still named the part, and that lifted quarantines which had begun later; these instances remembered it anew and told it in turn. Change: answers, crashes and quarantines are told with their age. An answer counts against earlier crashes and quarantines only, and only those are answered with it.

--- a/pkg/edge/announce.go
+++ b/pkg/edge/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
@@ -23,8 +24,8 @@
 
 	departures []pendingUpdate[*rpc.Departure]
 
-	crashes  []pendingUpdate[*rpc.Crash]
-	answered []pendingUpdate[uint64] // parts of prompts
+	crashes []pendingUpdate[*rpc.Crash]
+	answers []pendingUpdate[*rpc.Answer]
 }
 
 // pendingUpdate is an update that is still to be sent.
@@ -123,12 +124,11 @@
 	p.requestSend()
 }
 
-// announceAnswered tells the other instances that prompts with parts were answered.
-func (p *peers) announceAnswered(parts []quarantine.Part) {
+// announceAnswer tells the other instances that a prompt with a part was answered.
+func (p *peers) announceAnswer(part quarantine.Part, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range encodeParts(parts) {
-		p.updates.answered = append(p.updates.answered, pendingUpdate[uint64]{part, updateRepeats})
-	}
+	answer := &rpc.Answer{Part: uint64(part), AgoMs: ago(at, p.now())}
+	p.updates.answers = append(p.updates.answers, pendingUpdate[*rpc.Answer]{answer, updateRepeats})
 	p.requestSend()
 }
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,9 +55,13 @@
 func (fleet *crashFleet) send(path string, shared ...string) reply {
 	fleet.prompts++
 	instance := fleet.instances[fleet.prompts%len(fleet.instances)]
-	parts := append(shared, fmt.Sprintf("own%d", fleet.prompts))
+	return instance.sendParts(path, append(shared, fmt.Sprintf("own%d", fleet.prompts))...)
+}
+
+// sendParts sends a prompt with parts; the last one is its own.
+func (instance *testInstance) sendParts(path string, parts ...string) reply {
 	prefix := strings.Join(parts, ":100,") + ":100"
-	_, got := instance.request(http.MethodPost, path, keySmall, "prompt", "Model-Name", "m", "Token-Count", "2,1", "Prompt-Prefix", prefix)
+	_, got := instance.request(http.MethodPost, path, keyBig, "prompt", "Model-Name", "m", "Token-Count", "2,1", "Prompt-Prefix", prefix)
 	return got
 }
 
@@ -95,6 +101,7 @@
 
 // TestCrashingPartReachesFewEngines guards against one part of prompts that ends engine after engine.
 func TestCrashingPartReachesFewEngines(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/long/", "/short/"} {
 		fleet := newCrashFleet(t, 8, 3)
 		fleet.provoke(path)
@@ -112,6 +119,7 @@
 
 // TestSoundPromptsBesideCrashingPart guards against refusing sound prompts that share the caller and other parts.
 func TestSoundPromptsBesideCrashingPart(t *testing.T) {
+	t.Parallel()
 	fleet := newCrashFleet(t, 8, 3)
 	fleet.provoke("/long/")
 	time.Sleep(settleTime)
@@ -129,6 +137,7 @@
 
 // TestStartedInstanceKnowsCrashingPart guards against an instance that starts later and ends engines again.
 func TestStartedInstanceKnowsCrashingPart(t *testing.T) {
+	t.Parallel()
 	fleet := newCrashFleet(t, 8, 2)
 	fleet.provoke("/long/")
 	before := fleet.reached()
@@ -144,6 +153,7 @@
 
 // TestRestartOfAllKeepsQuarantine guards against a restart of all instances that ends engines again.
 func TestRestartOfAllKeepsQuarantine(t *testing.T) {
+	t.Parallel()
 	fleet := newCrashFleet(t, 8, 2)
 	fleet.provoke("/long/")
 	fleet.send("/long/", "first", crashPart) // ends the sixth, 3 s after the others
@@ -163,3 +173,55 @@
 		t.Errorf("%d prompts with the part reached engines after a restart of all instances", n)
 	}
 }
+
+// TestCrashingPartUnderLoad guards against instances that learn too late from each other while prompts come at all of them at once.
+func TestCrashingPartUnderLoad(t *testing.T) {
+	t.Parallel()
+	fleet := newCrashFleet(t, 12, 6)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var sound, served atomic.Int64
+	for i, instance := range fleet.instances {
+		wg.Go(func() {
+			for n := 0; !isClosed(stop); n++ {
+				instance.sendParts("/long/", "first", crashPart, fmt.Sprintf("bad%d-%d", i, n))
+				time.Sleep(40 * time.Millisecond)
+			}
+		})
+		wg.Go(func() {
+			for n := 0; !isClosed(stop); n++ {
+				got := instance.sendParts("/long/", "first", fmt.Sprintf("own%d-%d", i, n))
+				sound.Add(1)
+				if got.status == http.StatusOK && got.err == nil {
+					served.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	fleet.await("engines end", func() bool { return fleet.crashes() > 0 })
+	time.Sleep(settleTime)
+	before := fleet.reached()
+	time.Sleep(settleTime)
+	sound.Store(0)
+	served.Store(0)
+	time.Sleep(settleTime)
+	close(stop)
+	wg.Wait()
+	if n := fleet.reached() - before; n > mayReachLater {
+		t.Errorf("%d prompts with the part reached engines later; %d crashes in all", n, fleet.crashes())
+	}
+	if served.Load() < sound.Load()/2 || sound.Load() < 20 {
+		t.Errorf("%d of %d sound prompts served", served.Load(), sound.Load())
+	}
+	t.Logf("%d crashes, %d of %d sound prompts served later", fleet.crashes(), served.Load(), sound.Load())
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -16,12 +16,12 @@
 // crashes wraps a quarantine.Tracker for concurrent use and tells the other instances
 // what it records. It implements dispatch.CrashTracker.
 type crashes struct {
-	log        hclog.Logger
-	now        func() time.Time
-	onCrash    func(quarantine.Crash)                       // called when this instance is the first to see a crash
-	onAnswered func([]quarantine.Part)                      // called when parts are not suspected any more
-	onChange   func(part quarantine.Part, quarantined bool) // called where the change is to be written to the store
-	tries      func(quarantine.Part) bool                   // reports whether this instance tries the prompts with a part
+	log      hclog.Logger
+	now      func() time.Time
+	onCrash  func(quarantine.Crash)                       // called when this instance is the first to see a crash
+	onAnswer func(part quarantine.Part, at time.Time)     // called when another instance must be told of an answer
+	onChange func(part quarantine.Part, quarantined bool) // called where the change is to be written to the store
+	tries    func(quarantine.Part) bool                   // reports whether this instance tries the prompts with a part
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -30,7 +30,7 @@
 func newCrashes(log hclog.Logger, now func() time.Time) *crashes {
 	return &crashes{
 		log: log, now: now, tracker: quarantine.NewTracker(),
-		onCrash: func(quarantine.Crash) {}, onAnswered: func([]quarantine.Part) {},
+		onCrash: func(quarantine.Crash) {}, onAnswer: func(quarantine.Part, time.Time) {},
 		onChange: func(quarantine.Part, bool) {}, tries: func(quarantine.Part) bool { return true },
 	}
 }
@@ -95,38 +95,37 @@
 		c.mu.Unlock()
 		return
 	}
-	cleared, lifted := c.tracker.RecordAnswer(partsOf(model, parts), c.now())
+	now := c.now()
+	cleared, lifted := c.tracker.RecordAnswer(partsOf(model, parts), now)
 	c.mu.Unlock()
 	for _, part := range lifted {
 		c.onChange(part, false)
 	}
 	if len(cleared) > 0 {
 		c.log.Info("parts are not suspected any more, since a prompt with them was answered", "hashes", hexParts(cleared))
-		c.onAnswered(cleared)
+	}
+	for _, part := range cleared {
+		c.onAnswer(part, now)
 	}
 }
 
-// clear records that another instance saw an answer to a prompt with parts.
-func (c *crashes) clear(parts []quarantine.Part) {
+// recordAnswer records an answer that another instance has seen.
+func (c *crashes) recordAnswer(part quarantine.Part, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.RecordAnswer(parts, c.now())
+	c.tracker.RecordAnswer([]quarantine.Part{part}, at)
 }
 
-// adopt takes over quarantines of another instance. Parts that were answered just now
-// are told to it.
+// adopt takes over quarantines of another instance, which is told of later answers.
 func (c *crashes) adopt(quarantines []quarantine.Quarantine) {
-	var answered []quarantine.Part
-	c.mu.Lock()
 	for _, q := range quarantines {
-		if !c.tracker.Adopt(q, c.now()) {
-			answered = append(answered, q.Part)
+		c.mu.Lock()
+		answeredAt := c.tracker.Adopt(q, c.now())
+		c.mu.Unlock()
+		if !answeredAt.IsZero() {
+			c.onAnswer(q.Part, answeredAt)
 		}
 	}
-	c.mu.Unlock()
-	if len(answered) > 0 {
-		c.onAnswered(answered)
-	}
 }
 
 // retained returns what an instance that starts must know: crashes and quarantines.
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -81,7 +81,7 @@
 		d.Sender = &rpc.Address{Name: p.self.Name}
 	} else {
 		d.Contents = encodeContents(contents)
-		d.Quarantines = encodeQuarantines(quarantines)
+		d.Quarantines = encodeQuarantines(quarantines, now)
 	}
 	if !partial || !maps.Equal(held, p.lastSentPositions) {
 		d.Tables = encodePositions(held)
@@ -95,7 +95,7 @@
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
 	d.Crashes = nextUpdates(&p.updates.crashes)
-	d.Answered = nextUpdates(&p.updates.answered)
+	d.Answers = nextUpdates(&p.updates.answers)
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.PrefillTokens)), Memory: uint32(max(0, w.KVTokens)),
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -190,7 +190,7 @@
 	i.placer.onLongPrompt = i.peers.announcePlacement
 	i.placer.onLeaving = i.upstreamLeaves
 	i.crashes.onCrash = i.peers.announceCrash
-	i.crashes.onAnswered = i.peers.announceAnswered
+	i.crashes.onAnswer = i.peers.announceAnswer
 	i.crashes.tries = i.peers.tries
 	return nil
 }
--- a/pkg/edge/quarantinerows.go
+++ b/pkg/edge/quarantinerows.go
@@ -49,6 +49,8 @@
 	// storedQuarantineLeft is how long a part that the store keeps is refused before it
 	// is tried. The rows state no time: the clocks of instances differ.
 	storedQuarantineLeft = time.Minute
+	// storedQuarantineAge is how long ago the last upstream counts as ended at it.
+	storedQuarantineAge = time.Minute
 )
 
 func newQuarantineRows(store QuarantineTable, table string, c *crashes, log hclog.Logger) *quarantineRows {
@@ -81,7 +83,7 @@
 	for ctx.Err() == nil {
 		page, err := q.store.Rows(ctx, q.table)
 		if err == nil {
-			q.crashes.adopt(decodeQuarantineRows(page.Rows))
+			q.crashes.adopt(decodeQuarantineRows(page.Rows, q.crashes.now()))
 			return
 		}
 		sleep(ctx, quarantineRetryDelay)
@@ -107,13 +109,14 @@
 
 func quarantineKey(part quarantine.Part) string { return strconv.FormatUint(uint64(part), 16) }
 
-// decodeQuarantineRows returns the quarantines of rows. It skips keys that are not valid.
-func decodeQuarantineRows(rows []state.Row) []quarantine.Quarantine {
+// decodeQuarantineRows returns the quarantines of rows that are read at a start. It skips
+// keys that are not valid. An answer that other instances know of is newer.
+func decodeQuarantineRows(rows []state.Row, start time.Time) []quarantine.Quarantine {
 	var out []quarantine.Quarantine
 	for _, row := range rows {
 		part, err := strconv.ParseUint(row.Key, 16, 64)
 		if err == nil && !row.Deleted {
-			out = append(out, quarantine.Quarantine{Part: quarantine.Part(part), Left: storedQuarantineLeft})
+			out = append(out, quarantine.Quarantine{Part: quarantine.Part(part), Since: start.Add(-storedQuarantineAge), Left: storedQuarantineLeft})
 		}
 	}
 	return out
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -100,15 +101,15 @@
 }
 
 // applyCrashes applies what a digest tells of parts of prompts at which upstreams end.
-// Answers come last: what they clear may be in the same digest.
 func (p *peers) applyCrashes(d *rpc.Digest) {
+	now := p.now()
 	for _, c := range d.Crashes {
-		p.crashes.record(decodeCrash(c, p.now()))
+		p.crashes.record(decodeCrash(c, now))
 	}
-	p.crashes.adopt(decodeQuarantines(d.Quarantines))
-	if len(d.Answered) > 0 {
-		p.crashes.clear(decodeParts(d.Answered))
+	for _, a := range d.Answers {
+		p.crashes.recordAnswer(quarantine.Part(a.Part), before(a.AgoMs, now))
 	}
+	p.crashes.adopt(decodeQuarantines(d.Quarantines, now))
 }
 
 // senderOf returns the entry of a digest's sender, or nil if it is not known. Partial
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
@@ -96,17 +97,28 @@
 func encodeCrash(c quarantine.Crash, now time.Time) *rpc.Crash {
 	return &rpc.Crash{
 		Process: uint64(c.Process), Parts: encodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
-		AgoMs: uint32(max(0, now.Sub(c.At)).Milliseconds()),
+		AgoMs: ago(c.At, now),
 	}
 }
 
 func decodeCrash(c *rpc.Crash, now time.Time) quarantine.Crash {
 	return quarantine.Crash{
 		Process: quarantine.Process(c.Process), Parts: decodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
-		At: now.Add(-time.Duration(c.AgoMs) * time.Millisecond),
+		At: before(c.AgoMs, now),
 	}
 }
 
+// ago returns how long ago a time was, in milliseconds. Messages state ages since the
+// clocks of instances differ.
+func ago(at, now time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(at).Milliseconds()), math.MaxUint32))
+}
+
+// before returns the time that was so many milliseconds ago.
+func before(agoMS uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(agoMS) * time.Millisecond)
+}
+
 func encodeParts(parts []quarantine.Part) []uint64 {
 	out := make([]uint64, 0, len(parts))
 	for _, part := range parts {
@@ -123,18 +135,18 @@
 	return out
 }
 
-func encodeQuarantines(list []quarantine.Quarantine) []*rpc.Quarantine {
+func encodeQuarantines(list []quarantine.Quarantine, now time.Time) []*rpc.Quarantine {
 	var out []*rpc.Quarantine
 	for _, q := range list {
-		out = append(out, &rpc.Quarantine{Part: uint64(q.Part), Ms: uint32(q.Left.Milliseconds())})
+		out = append(out, &rpc.Quarantine{Part: uint64(q.Part), Ms: uint32(q.Left.Milliseconds()), AgoMs: ago(q.Since, now)})
 	}
 	return out
 }
 
-func decodeQuarantines(list []*rpc.Quarantine) []quarantine.Quarantine {
+func decodeQuarantines(list []*rpc.Quarantine, now time.Time) []quarantine.Quarantine {
 	var out []quarantine.Quarantine
 	for _, q := range list {
-		out = append(out, quarantine.Quarantine{Part: quarantine.Part(q.Part), Left: time.Duration(q.Ms) * time.Millisecond})
+		out = append(out, quarantine.Quarantine{Part: quarantine.Part(q.Part), Since: before(q.AgoMs, now), Left: time.Duration(q.Ms) * time.Millisecond})
 	}
 	return out
 }
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -223,10 +223,11 @@
 	}
 	p.follower.Merge(decodeUpdates(resp.Tables, held))
 	p.follower.MergeRetained(decodeRetained(resp))
+	now := p.now()
 	for _, c := range resp.Crashes {
-		p.crashes.record(decodeCrash(c, p.now()))
+		p.crashes.record(decodeCrash(c, now))
 	}
-	p.crashes.adopt(decodeQuarantines(resp.Quarantines))
+	p.crashes.adopt(decodeQuarantines(resp.Quarantines, now))
 	for _, t := range resp.Tables {
 		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
 	}
@@ -250,10 +251,11 @@
 	if req.Retained {
 		addRetained(out, p.follower.Retained())
 		crashes, quarantines := p.crashes.retained()
+		now := p.now()
 		for _, c := range crashes {
-			out.Crashes = append(out.Crashes, encodeCrash(c, p.now()))
+			out.Crashes = append(out.Crashes, encodeCrash(c, now))
 		}
-		out.Quarantines = encodeQuarantines(quarantines)
+		out.Quarantines = encodeQuarantines(quarantines, now)
 	}
 	for _, update := range p.follower.ChangesSince(held) {
 		out.Tables = append(out.Tables, encodeUpdate(update))
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -30,8 +30,9 @@
 
 // Quarantine is a part whose prompts are refused.
 type Quarantine struct {
-	Part Part
-	Left time.Duration // until one prompt with it is tried
+	Part  Part
+	Since time.Time     // when the last process ended at it
+	Left  time.Duration // until one prompt with it is tried
 }
 
 const (
@@ -56,9 +57,9 @@
 	maxDuration  = 24 * time.Hour
 	// trialInterval is the time between trials that show nothing.
 	trialInterval = 5 * time.Second
-	// answerMemory is how long after an answered prompt a quarantine that another
-	// instance still has is not taken over.
-	answerMemory = 5 * time.Second
+	// answerMemory is how long an answer counts against crashes and quarantines before it
+	// that other instances tell later.
+	answerMemory = time.Minute
 	// MaxQuarantines bounds the quarantined parts. The one that ends first makes room.
 	MaxQuarantines = 32
 )
@@ -69,11 +70,12 @@
 	seen        map[uint64]time.Time  // by hash of a crash: when it was recorded
 	explained   map[Process]time.Time // ended at a quarantined part
 	quarantined map[Part]*period
-	answeredAt  map[Part]time.Time // when a suspected or quarantined part was answered
+	answeredAt  map[Part]time.Time // when a prompt with a suspected or quarantined part was answered last
 }
 
 // period is the time for which a part is quarantined.
 type period struct {
+	since    time.Time // when the last process ended at it
 	duration time.Duration
 	tryAt    time.Time // when the next prompt with the part may be tried
 }
@@ -101,7 +103,7 @@
 	t.seen[id] = now
 	for _, part := range c.Parts {
 		if p := t.quarantined[part]; p != nil {
-			t.extend(p, c.At)
+			p.extend(c.At)
 			t.explain(c.Process, now)
 			return true, nil
 		}
@@ -112,7 +114,7 @@
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
-	c.Parts = slices.Clone(c.Parts)
+	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part Part) bool { return c.At.Before(t.answeredAt[part]) })
 	t.crashes = append(t.crashes, c)
 	return true, t.quarantineCause(c.Parts, now)
 }
@@ -190,7 +192,8 @@
 // any more.
 func (t *Tracker) begin(part Part, now time.Time) {
 	t.makeRoom()
-	t.quarantined[part] = &period{duration: baseDuration, tryAt: now.Add(baseDuration)}
+	at := t.crashTimes(part)
+	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: baseDuration, tryAt: now.Add(baseDuration)}
 	for _, c := range t.crashes {
 		if slices.Contains(c.Parts, part) {
 			t.explained[c.Process] = now
@@ -201,7 +204,10 @@
 
 // extend doubles a period if a process ended at its part after a trial was due. Others
 // end at prompts that were sent before the quarantine.
-func (t *Tracker) extend(p *period, crashedAt time.Time) {
+func (p *period) extend(crashedAt time.Time) {
+	if crashedAt.After(p.since) {
+		p.since = crashedAt
+	}
 	if due := p.tryAt.Add(-trialInterval); crashedAt.Before(due) {
 		return
 	}
@@ -236,34 +242,37 @@
 	delete(t.quarantined, first)
 }
 
-// RecordAnswer records that a prompt with these parts was answered. It returns those
-// that were suspected or quarantined and are not any more, so that others must be told,
-// and those of them that were quarantined.
-func (t *Tracker) RecordAnswer(parts []Part, now time.Time) (cleared, lifted []Part) {
+// RecordAnswer records that a prompt with these parts was answered at a time. It returns
+// those that were suspected or quarantined because of earlier crashes, so that others
+// must be told, and those of them that were quarantined.
+func (t *Tracker) RecordAnswer(parts []Part, at time.Time) (cleared, lifted []Part) {
 	for _, part := range parts {
-		if t.quarantined[part] != nil {
+		suspected := t.dropCrashes(part, at)
+		p := t.quarantined[part]
+		quarantined := p != nil && !p.since.After(at)
+		if quarantined {
+			delete(t.quarantined, part)
 			lifted = append(lifted, part)
 		}
-		if t.clear(part) {
-			t.answeredAt[part] = now
+		if suspected || quarantined {
 			cleared = append(cleared, part)
+			t.answeredAt[part] = at
 		}
 	}
 	return cleared, lifted
 }
 
-func (t *Tracker) clear(part Part) (known bool) {
-	_, known = t.quarantined[part]
-	delete(t.quarantined, part)
-	for i := range t.crashes {
-		parts := t.crashes[i].Parts
-		if j := slices.Index(parts, part); j >= 0 {
-			t.crashes[i].Parts = slices.Delete(parts, j, j+1)
-			known = true
+// dropCrashes removes a part from the crashes up to a time, and reports whether there
+// were any.
+func (t *Tracker) dropCrashes(part Part, until time.Time) (found bool) {
+	for i, c := range t.crashes {
+		if j := slices.Index(c.Parts, part); j >= 0 && !c.At.After(until) {
+			t.crashes[i].Parts = slices.Delete(c.Parts, j, j+1)
+			found = true
 		}
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return len(c.Parts) == 0 })
-	return known
+	return found
 }
 
 // Refused returns how long prompts with these parts are still refused; 0 if this one is
@@ -302,7 +311,7 @@
 func (t *Tracker) Quarantines(now time.Time) []Quarantine {
 	var out []Quarantine
 	for part, p := range t.quarantined {
-		out = append(out, Quarantine{part, max(0, p.tryAt.Sub(now))})
+		out = append(out, Quarantine{part, p.since, max(0, p.tryAt.Sub(now))})
 	}
 	return out
 }
@@ -310,11 +319,12 @@
 // Crashes returns the crashes that no quarantined part explains.
 func (t *Tracker) Crashes() []Crash { return slices.Clone(t.crashes) }
 
-// Adopt takes over a quarantine from another instance. It returns false if a prompt with
-// the part was answered just now, which the other instance must be told.
-func (t *Tracker) Adopt(q Quarantine, now time.Time) bool {
-	if answered, ok := t.answeredAt[q.Part]; ok && now.Sub(answered) < answerMemory {
-		return false
+// Adopt takes over a quarantine from another instance. If a prompt with the part was
+// answered after the last process ended at it, Adopt returns the time of that answer,
+// which the other instance must be told; otherwise the zero time.
+func (t *Tracker) Adopt(q Quarantine, now time.Time) (answeredAt time.Time) {
+	if answered, ok := t.answeredAt[q.Part]; ok && !q.Since.After(answered) {
+		return answered
 	}
 	left := min(q.Left, maxDuration)
 	p := t.quarantined[q.Part]
@@ -324,10 +334,13 @@
 		t.quarantined[q.Part] = p
 	}
 	p.duration = max(p.duration, baseDuration, left)
+	if q.Since.After(p.since) {
+		p.since = q.Since
+	}
 	if tryAt := now.Add(left); tryAt.After(p.tryAt) {
 		p.tryAt = tryAt
 	}
-	return true
+	return time.Time{}
 }
 
 // expire forgets what no longer counts. A quarantine is forgotten if no prompt was tried
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -133,11 +133,34 @@
 	if isQuarantined(tracker, bad, at(300)) {
 		t.Error("still quarantined after an answer")
 	}
-	if tracker.Adopt(told[0], at(400)) || isQuarantined(tracker, bad, at(400)) {
+	if tracker.Adopt(told[0], at(400)) != at(300) || isQuarantined(tracker, bad, at(400)) {
 		t.Error("taken over from an instance that does not know of the answer")
 	}
-	if !tracker.Adopt(told[0], at(400).Add(answerMemory)) || !isQuarantined(tracker, bad, at(400).Add(answerMemory)) {
-		t.Error("not taken over later")
+	newer := told[0]
+	newer.Since = at(301)
+	if !tracker.Adopt(newer, at(400)).IsZero() || !isQuarantined(tracker, bad, at(400)) {
+		t.Error("not taken over although a process ended after the answer")
+	}
+}
+
+// TestLateAnswerLiftsNoNewQuarantine guards against instances that lift each other's quarantines by telling an old answer again and again.
+func TestLateAnswerLiftsNoNewQuarantine(t *testing.T) {
+	tracker := NewTracker()
+	quarantine(tracker, 1, start)
+	if cleared, lifted := tracker.RecordAnswer([]Part{bad}, start.Add(-1)); len(cleared)+len(lifted) != 0 || !isQuarantined(tracker, bad, at(300)) {
+		t.Error("an answer from before the crashes lifts the quarantine")
+	}
+	tracker = NewTracker()
+	record(tracker, at(0), 1, bad)
+	tracker.RecordAnswer([]Part{bad}, at(10))
+	for i := range 3 {
+		isNew, _ := tracker.RecordCrash(Crash{Process(10 + i), []Part{bad}, at(i)}, at(500))
+		if !isNew {
+			t.Error("not told to others")
+		}
+	}
+	if tracker.Suspected([]Part{bad}) {
+		t.Error("suspected because of crashes before the answer")
 	}
 }
 
@@ -191,7 +214,7 @@
 	tracker := NewTracker()
 	for i := range 4 * maxCrashes {
 		record(tracker, start, Process(i), Part(1000+i))
-		tracker.Adopt(Quarantine{Part(5000 + i), time.Minute}, start)
+		tracker.Adopt(Quarantine{Part(5000 + i), start, time.Minute}, start)
 	}
 	if len(tracker.crashes) > maxCrashes || len(tracker.quarantined) > MaxQuarantines {
 		t.Errorf("%d crashes, %d quarantines", len(tracker.crashes), len(tracker.quarantined))
