pkg/state: space calls to a store at which only calls that wait fail

Cause: since the grace of removals begins with the store's first answer, a failed long poll is followed by a call at once. A store that answers short calls and closes the connections of long polls was asked without any pause. Change: a pause as before unless the poll had hung for its whole wait. Shown: TestFailingPollsAreSpaced did not end before (virtual time) and passes.

--- a/pkg/state/departure_test.go
+++ b/pkg/state/departure_test.go
@@ -134,3 +134,28 @@
 		}
 	})
 }
+
+// noPollStore is a store that answers, but closes the connections of calls that wait.
+type noPollStore struct{ *fakeStore }
+
+func (s noPollStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	page, err := s.fakeStore.Feed(ctx, table, after, 0)
+	if wait > 0 {
+		return Page{}, errDown
+	}
+	return page, err
+}
+
+// TestFailingPollsAreSpaced guards against calls without a pause to a store at which only calls that wait fail.
+func TestFailingPollsAreSpaced(t *testing.T) {
+	store := noPollStore{newFakeStore()}
+	store.put(operatorTable, "config", "config 1", false)
+	runFollower(t, store, func(*Follower, *fakeSink) {
+		time.Sleep(20 * time.Second)
+		store.update(func() {
+			if store.calls > 450 {
+				t.Errorf("%d calls in 20 s for two tables", store.calls)
+			}
+		})
+	})
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -172,6 +172,9 @@
 			continue
 		case err != nil && wait > 0:
 			f.storeFailed(name, err) // the next call, without a wait, shows whether the store is away
+			if f.now().Sub(began) < wait {
+				sleep(ctx, minRetryDelay)
+			}
 			continue
 		case err != nil:
 			f.storeFailed(name, err)
