pkg/quarantine: try a part also where the chosen instance gets no prompt with it

Cause: only one instance tries a quarantined part when its time is over. Found while reading the diff, as were crashes that were kept without any part, and a search that grew with the square of the crashes. Change: half a minute after a trial is due any instance makes it. Shown: TestOneTrialAtATime failed before with the added check.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -55,13 +55,15 @@
 	// It doubles with each one that ends another engine, up to maxDuration.
 	baseDuration = time.Minute
 	maxDuration  = 24 * time.Hour
-	// trialInterval is the time between trials that show nothing.
+	// trialInterval is the time between trials that show nothing. Prompts with the part
+	// may not come to the instance that is to try one; after trialPatience others do.
 	trialInterval = 5 * time.Second
+	trialPatience = 30 * time.Second
 	// answerMemory is how long an answer counts against crashes and quarantines before it
 	// that other instances tell later.
 	answerMemory = time.Minute
-	// MaxQuarantines bounds the quarantined parts. The one that ends first makes room.
-	MaxQuarantines = 32
+	// maxQuarantines bounds the quarantined parts. The one that ends first makes room.
+	maxQuarantines = 32
 )
 
 // Tracker is the state of one instance.
@@ -115,6 +117,9 @@
 		t.crashes = slices.Delete(t.crashes, 0, 1)
 	}
 	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part Part) bool { return c.At.Before(t.answeredAt[part]) })
+	if len(c.Parts) == 0 {
+		return true, nil
+	}
 	t.crashes = append(t.crashes, c)
 	return true, t.quarantineCause(c.Parts, now)
 }
@@ -154,8 +159,8 @@
 	if len(at) < crashesNeeded || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
 		return false
 	}
-	for later := range t.laterParts(part) {
-		if len(at)-len(t.crashTimes(later)) < crashesMargin {
+	for _, processes := range t.endedAtLaterParts(part) {
+		if len(at)-len(processes) < crashesMargin {
 			return false
 		}
 	}
@@ -175,14 +180,20 @@
 	return out
 }
 
-// laterParts returns the parts that follow a part in prompts at which processes ended.
-func (t *Tracker) laterParts(part Part) map[Part]bool {
-	out := map[Part]bool{}
+// endedAtLaterParts returns the processes that ended at prompts with a part, by each part
+// that follows it in one of them.
+func (t *Tracker) endedAtLaterParts(part Part) map[Part]map[Process]bool {
+	out := map[Part]map[Process]bool{}
 	for _, c := range t.crashes {
-		if i := slices.Index(c.Parts, part); i >= 0 {
-			for _, later := range c.Parts[i+1:] {
-				out[later] = true
+		i := slices.Index(c.Parts, part)
+		if i < 0 {
+			continue
+		}
+		for _, later := range c.Parts[i+1:] {
+			if out[later] == nil {
+				out[later] = map[Process]bool{}
 			}
+			out[later][c.Process] = true
 		}
 	}
 	return out
@@ -228,9 +239,9 @@
 	})
 }
 
-// makeRoom forgets the quarantine whose trial is due first if there are MaxQuarantines.
+// makeRoom forgets the quarantine whose trial is due first if there are maxQuarantines.
 func (t *Tracker) makeRoom() {
-	if len(t.quarantined) < MaxQuarantines {
+	if len(t.quarantined) < maxQuarantines {
 		return
 	}
 	var first Part
@@ -282,7 +293,7 @@
 	var left time.Duration
 	for _, part := range parts {
 		if p := t.quarantined[part]; p != nil {
-			left = max(left, p.refused(now, tries(part)))
+			left = max(left, p.refused(now, func() bool { return tries(part) }))
 		}
 	}
 	return left
@@ -290,12 +301,12 @@
 
 // refused returns how long the period lasts; 0 if a trial is due that this instance
 // makes.
-func (p *period) refused(now time.Time, tries bool) time.Duration {
+func (p *period) refused(now time.Time, tries func() bool) time.Duration {
 	left := p.tryAt.Sub(now)
 	switch {
 	case left > 0:
 		return left
-	case !tries:
+	case -left < trialPatience && !tries():
 		return trialInterval
 	}
 	p.tryAt = now.Add(trialInterval)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -176,6 +176,11 @@
 	if tracker.Refused(parts, due, triesNever) == 0 {
 		t.Error("sent by an instance that makes no trial")
 	}
+	if other := NewTracker(); other.Adopt(tracker.Quarantines(due)[0], due).IsZero() {
+		if other.Refused(parts, due.Add(trialPatience-1), triesNever) == 0 || other.Refused(parts, due.Add(trialPatience), triesNever) != 0 {
+			t.Error("not tried by another instance when the one that is to try it gets no prompt")
+		}
+	}
 	if tracker.Refused(parts, due, tries) != 0 {
 		t.Error("not tried")
 	}
@@ -216,7 +221,7 @@
 		record(tracker, start, Process(i), Part(1000+i))
 		tracker.Adopt(Quarantine{Part(5000 + i), start, time.Minute}, start)
 	}
-	if len(tracker.crashes) > maxCrashes || len(tracker.quarantined) > MaxQuarantines {
+	if len(tracker.crashes) > maxCrashes || len(tracker.quarantined) > maxQuarantines {
 		t.Errorf("%d crashes, %d quarantines", len(tracker.crashes), len(tracker.quarantined))
 	}
 	record(tracker, start.Add(maxDuration), 1, bad)
