pkg/edge: store a quarantine also where it was told by another instance

Cause: the instance that will try a part writes it to the store, but only if it had come to the quarantine by itself. Crashes that arrive together count as one moment, so it may be told by another instance first. Found beside load: 8 prompts reached engines after a restart of all instances in 1 of 12 runs of TestRestartOfAllKeepsQuarantine; the log shows that only the other instance had come to the quarantine. Change: being told counts too. A stored part that was answered since is deleted.

--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -25,7 +25,8 @@
 // crashFleet is a fleet whose engines end at prompts with crashPart.
 type crashFleet struct {
 	*testFleet
-	instances []*testInstance
+	instances []*testInstance // that prompts are sent to
+	started   []*testInstance
 	prompts   int
 }
 
@@ -40,15 +41,32 @@
 	for i := range instances {
 		fleet.startNext(i)
 	}
+	t.Cleanup(fleet.logCrashes)
 	return fleet
 }
 
+// logCrashes prints what the instances logged of crashes if the test has failed.
+func (fleet *crashFleet) logCrashes() {
+	if !fleet.t.Failed() {
+		return
+	}
+	for _, instance := range fleet.started {
+		for line := range strings.Lines(instance.log.String()) {
+			if strings.Contains(line, `"@module":"crashes"`) || strings.Contains(line, "attempt failed") {
+				fleet.t.Log(instance.options.Name, line)
+			}
+		}
+	}
+}
+
 func (fleet *crashFleet) startNext(i int) {
 	var seeds []string
 	if i > 0 {
 		seeds = []string{fleet.instances[0].options.ControlAddr.String()}
 	}
-	fleet.instances = append(fleet.instances, fleet.startInstance(fmt.Sprintf("n%d", i), seeds...))
+	instance := fleet.startInstance(fmt.Sprintf("n%d", i), seeds...)
+	fleet.instances = append(fleet.instances, instance)
+	fleet.started = append(fleet.started, instance)
 }
 
 // send sends a prompt of its own last part, with the shared parts, to the next instance.
--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -73,21 +73,26 @@
 	return !c.tracker.Suspected(crash.Parts)
 }
 
-// record records a crash that this or another instance has seen. All instances come to
-// the same quarantine; the one that will try the part writes it to the store.
+// record records a crash that this or another instance has seen.
 func (c *crashes) record(crash quarantine.Crash) (isNew bool) {
 	c.mu.Lock()
 	isNew, added := c.tracker.RecordCrash(crash, c.now())
 	c.mu.Unlock()
 	for _, part := range added {
 		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
-		if c.tries(part) {
-			c.onChange(part, true)
-		}
+		c.store(part)
 	}
 	return isNew
 }
 
+// store has a part that is quarantined from now on written to the store if this instance
+// is the one that will try it.
+func (c *crashes) store(part quarantine.Part) {
+	if c.tries(part) {
+		c.onChange(part, true)
+	}
+}
+
 // Answered records that a prompt was answered.
 func (c *crashes) Answered(model string, parts []call.PromptPart) {
 	c.mu.Lock()
@@ -119,15 +124,31 @@
 // adopt takes over quarantines of another instance, which is told of later answers.
 func (c *crashes) adopt(quarantines []quarantine.Quarantine) {
 	for _, q := range quarantines {
-		c.mu.Lock()
-		answeredAt := c.tracker.Adopt(q, c.now())
-		c.mu.Unlock()
+		added, answeredAt := c.adoptOne(q)
+		if added {
+			c.store(q.Part)
+		}
 		if !answeredAt.IsZero() {
 			c.onAnswer(q.Part, answeredAt)
 		}
 	}
 }
 
+func (c *crashes) adoptOne(q quarantine.Quarantine) (added bool, answeredAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Adopt(q, c.now())
+}
+
+// adoptStored takes over quarantines that the store keeps.
+func (c *crashes) adoptStored(quarantines []quarantine.Quarantine) {
+	for _, q := range quarantines {
+		if _, answeredAt := c.adoptOne(q); !answeredAt.IsZero() {
+			c.onChange(q.Part, false) // the row was not deleted after the answer
+		}
+	}
+}
+
 // retained returns what an instance that starts must know: crashes and quarantines.
 func (c *crashes) retained() ([]quarantine.Crash, []quarantine.Quarantine) {
 	c.mu.Lock()
--- a/pkg/edge/quarantinerows.go
+++ b/pkg/edge/quarantinerows.go
@@ -83,7 +83,7 @@
 	for ctx.Err() == nil {
 		page, err := q.store.Rows(ctx, q.table)
 		if err == nil {
-			q.crashes.adopt(decodeQuarantineRows(page.Rows, q.crashes.now()))
+			q.crashes.adoptStored(decodeQuarantineRows(page.Rows, q.crashes.now()))
 			return
 		}
 		sleep(ctx, quarantineRetryDelay)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -330,16 +330,18 @@
 // Crashes returns the crashes that no quarantined part explains.
 func (t *Tracker) Crashes() []Crash { return slices.Clone(t.crashes) }
 
-// Adopt takes over a quarantine from another instance. If a prompt with the part was
-// answered after the last process ended at it, Adopt returns the time of that answer,
-// which the other instance must be told; otherwise the zero time.
-func (t *Tracker) Adopt(q Quarantine, now time.Time) (answeredAt time.Time) {
+// Adopt takes over a quarantine from another instance, and reports whether the part was
+// not quarantined here. If a prompt with the part was answered after the last process
+// ended at it, Adopt returns the time of that answer, which the other instance must be
+// told; otherwise the zero time.
+func (t *Tracker) Adopt(q Quarantine, now time.Time) (added bool, answeredAt time.Time) {
 	if answered, ok := t.answeredAt[q.Part]; ok && !q.Since.After(answered) {
-		return answered
+		return false, answered
 	}
 	left := min(q.Left, maxDuration)
 	p := t.quarantined[q.Part]
-	if p == nil {
+	added = p == nil
+	if added {
 		t.makeRoom()
 		p = &period{}
 		t.quarantined[q.Part] = p
@@ -351,7 +353,7 @@
 	if tryAt := now.Add(left); tryAt.After(p.tryAt) {
 		p.tryAt = tryAt
 	}
-	return time.Time{}
+	return added, time.Time{}
 }
 
 // expire forgets what no longer counts. A quarantine is forgotten if no prompt was tried
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -133,12 +133,12 @@
 	if isQuarantined(tracker, bad, at(300)) {
 		t.Error("still quarantined after an answer")
 	}
-	if tracker.Adopt(told[0], at(400)) != at(300) || isQuarantined(tracker, bad, at(400)) {
+	if _, answered := tracker.Adopt(told[0], at(400)); answered != at(300) || isQuarantined(tracker, bad, at(400)) {
 		t.Error("taken over from an instance that does not know of the answer")
 	}
 	newer := told[0]
 	newer.Since = at(301)
-	if !tracker.Adopt(newer, at(400)).IsZero() || !isQuarantined(tracker, bad, at(400)) {
+	if added, _ := tracker.Adopt(newer, at(400)); !added || !isQuarantined(tracker, bad, at(400)) {
 		t.Error("not taken over although a process ended after the answer")
 	}
 }
@@ -176,7 +176,8 @@
 	if tracker.Refused(parts, due, triesNever) == 0 {
 		t.Error("sent by an instance that makes no trial")
 	}
-	if other := NewTracker(); other.Adopt(tracker.Quarantines(due)[0], due).IsZero() {
+	other := NewTracker()
+	if added, _ := other.Adopt(tracker.Quarantines(due)[0], due); added {
 		if other.Refused(parts, due.Add(trialPatience-1), triesNever) == 0 || other.Refused(parts, due.Add(trialPatience), triesNever) != 0 {
 			t.Error("not tried by another instance when the one that is to try it gets no prompt")
 		}
