--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -80,14 +80,14 @@
 	c.mu.Unlock()
 	for _, part := range added {
 		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
-		c.store(part)
+		c.persist(part)
 	}
 	return isNew
 }
 
-// store has a part that is quarantined from now on written to the store if this instance
+// persist has a part that is quarantined from now on written to the store if this instance
 // is the one that will try it.
-func (c *crashes) store(part quarantine.Part) {
+func (c *crashes) persist(part quarantine.Part) {
 	if c.tries(part) {
 		c.onChange(part, true)
 	}
@@ -126,7 +126,7 @@
 	for _, q := range quarantines {
 		added, answeredAt := c.adoptOne(q)
 		if added {
-			c.store(q.Part)
+			c.persist(q.Part)
 		}
 		if !answeredAt.IsZero() {
 			c.onAnswer(q.Part, answeredAt)
