--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -67,6 +67,8 @@
 	ContentEncoded  bool          // the body has a content encoding, so the upstream did not produce it
 	Leaving         bool          // the upstream leaves and wants no new requests
 	RetryAfter      time.Duration // time for which the upstream wants no requests from this instance; 0: not stated
+	RateLimit       float64       // requests per second that the upstream takes from all instances together; valid if HasRateLimit
+	HasRateLimit    bool          // the upstream names a limit
 	KeepAlive       time.Duration // time after which the upstream closes the idle connection; 0: not stated
 	WeightsVersion  int           // version of the weights that run the request; 0: not stated
 	Load            *Load         // nil: not stated
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -33,6 +33,7 @@
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/state"
+	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -128,9 +129,10 @@
 	seed := rand.Uint64()
 	i := &Instance{options: o, deps: deps, now: now}
 	balancer := placement.NewBalancer(placement.Config{
-		Domain: o.Domain, PrefillTokensPerMS: placement.DefaultPrefillTokensPerMS, OldWeightsPeriod: o.WeightsDeadline,
+		Instance: o.Name, Domain: o.Domain, PrefillTokensPerMS: placement.DefaultPrefillTokensPerMS, OldWeightsPeriod: o.WeightsDeadline,
 	}, rand.New(rand.NewPCG(seed, 1)))
 	i.placer = newPlacer(balancer, now)
+	i.placer.onLimit = func(s upstreamrate.Statement) { logRateLimit(deps.Log, s) }
 	i.limiter = newLimiter(o.Name, now)
 	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
 	i.quarantineRows = newQuarantineRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -7,6 +7,7 @@
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 )
 
 // placer wraps a placement.Balancer for concurrent use. It implements
@@ -15,6 +16,7 @@
 	now          func() time.Time
 	onLongPrompt func(placement.Announcement) // called when a long prompt was sent to an engine and when the engine has computed it
 	onLeaving    func(*fleet.Upstream)        // called when an upstream first states that it leaves
+	onLimit      func(upstreamrate.Statement) // called when an upstream names another limit than before, or none
 
 	mu       sync.Mutex
 	balancer *placement.Balancer
@@ -22,7 +24,7 @@
 }
 
 func newPlacer(balancer *placement.Balancer, now func() time.Time) *placer {
-	return &placer{now: now, balancer: balancer, view: fleet.NewView(nil), onLongPrompt: func(placement.Announcement) {}, onLeaving: func(*fleet.Upstream) {}}
+	return &placer{now: now, balancer: balancer, view: fleet.NewView(nil), onLongPrompt: func(placement.Announcement) {}, onLeaving: func(*fleet.Upstream) {}, onLimit: func(upstreamrate.Statement) {}}
 }
 
 // Pick chooses an upstream for a request. It returns the attempt and the expected
@@ -116,6 +118,27 @@
 	}
 }
 
+// RecordRateLimit records the limit, in requests per second, that an upstream named in its
+// answer to an attempt.
+func (p *placer) RecordRateLimit(attempt *placement.Attempt, perSecond float64) {
+	p.mu.Lock()
+	statement, changed := p.balancer.RecordRateLimit(attempt, perSecond, p.now())
+	p.mu.Unlock()
+	if changed {
+		p.onLimit(statement)
+	}
+}
+
+// RecordNoRateLimit records that an upstream named no limit in its answer to an attempt.
+func (p *placer) RecordNoRateLimit(attempt *placement.Attempt) {
+	p.mu.Lock()
+	statement, ended := p.balancer.RecordNoRateLimit(attempt, p.now())
+	p.mu.Unlock()
+	if ended {
+		p.onLimit(statement)
+	}
+}
+
 // Throttle sends no new requests to an upstream that asked for none for the duration
 // d. Unlike SetBusy it holds for this instance only and is never shortened.
 func (p *placer) Throttle(u *fleet.Upstream, d time.Duration) {
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -206,6 +206,12 @@
 	if decoded.WeightsVersion > 0 && !decoded.Refused {
 		x.h.placer.RecordWeights(attempt.Upstream.ID, x.edge.Call.Model, decoded.WeightsVersion)
 	}
+	switch {
+	case decoded.HasRateLimit:
+		x.h.placer.RecordRateLimit(attempt, decoded.RateLimit)
+	case decoded.Attested:
+		x.h.placer.RecordNoRateLimit(attempt)
+	}
 	if decoded.Leaving {
 		x.h.placer.RecordLeaving(attempt.Upstream)
 	}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -65,6 +65,11 @@
 	SetBusy(id string, d time.Duration)
 	// Throttle sends no requests to an upstream that asked for none for d.
 	Throttle(u *fleet.Upstream, d time.Duration)
+	// RecordRateLimit records the limit, in requests per second, that an upstream named
+	// in its answer to an attempt.
+	RecordRateLimit(attempt *placement.Attempt, perSecond float64)
+	// RecordNoRateLimit records that an upstream named none.
+	RecordNoRateLimit(attempt *placement.Attempt)
 	// RecordLeaving sends no more requests to an upstream that stated that it leaves.
 	RecordLeaving(u *fleet.Upstream)
 }
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/retry"
+	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 )
 
 // Result is the outcome of an attempt.
@@ -79,6 +80,7 @@
 	view          *fleet.View
 	states        map[string]*upstreamState
 	throttles     map[string]throttle // by upstream ID
+	limits        *upstreamrate.Limits
 	prefixes      *prefixIndex
 	targets       map[string][]targetVersion // by model, in ascending order
 	outlierConfig retry.OutlierConfig
@@ -108,7 +110,8 @@
 
 // Config holds the settings of a Balancer.
 type Config struct {
-	Domain string // failure domain of this instance
+	Instance string // name of this instance
+	Domain   string // its failure domain
 	// PrefillTokensPerMS is the assumed prefill speed of an engine, in tokens per
 	// millisecond, until a speed has been measured.
 	PrefillTokensPerMS float64
@@ -128,6 +131,7 @@
 		view:          fleet.NewView(nil),
 		states:        map[string]*upstreamState{},
 		throttles:     map[string]throttle{},
+		limits:        upstreamrate.New(cfg.Instance),
 		prefixes:      newPrefixIndex(),
 		targets:       map[string][]targetVersion{},
 		outlierConfig: retry.OutlierConfig{ConsecutiveFailures: 3, BaseEjection: time.Second, MaxEjection: 4 * time.Second, SlowStartDuration: 0},
