--- a/pkg/edge/announce.go
+++ b/pkg/edge/announce.go
@@ -7,6 +7,7 @@
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/quarantine"
+	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -26,6 +27,8 @@
 
 	crashes []pendingUpdate[*rpc.Crash]
 	answers []pendingUpdate[*rpc.Answer]
+
+	rateLimits []pendingUpdate[rateLimit]
 }
 
 // pendingUpdate is an update that is still to be sent.
@@ -132,3 +135,13 @@
 	p.updates.answers = append(p.updates.answers, pendingUpdate[*rpc.Answer]{answer, updateRepeats})
 	p.requestSend()
 }
+
+// rateLimitChanged tells the other instances that an upstream names another limit than
+// before, or none.
+func (p *peers) rateLimitChanged(s upstreamrate.Statement) {
+	p.logRateLimit(s)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updates.rateLimits = append(p.updates.rateLimits, pendingUpdate[rateLimit]{rateLimit{Statement: s}, updateRepeats})
+	p.requestSend()
+}
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -70,6 +70,10 @@
 	follows := p.follower.FollowsStore()
 	contents := p.follower.OperatorNumbers()
 	quarantines := p.crashes.quarantines()
+	var limits []rateLimit
+	if !partial {
+		limits = p.nextRateLimits()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastSequence++
@@ -96,6 +100,7 @@
 	d.Departures = nextUpdates(&p.updates.departures)
 	d.Crashes = nextUpdates(&p.updates.crashes)
 	d.Answers = nextUpdates(&p.updates.answers)
+	d.RateLimits = encodeRateLimits(append(nextUpdates(&p.updates.rateLimits), limits...), now)
 	for id, w := range work {
 		d.Work = append(d.Work, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.PrefillTokens)), Memory: uint32(max(0, w.KVTokens)),
@@ -173,6 +178,7 @@
 		if stopped || silence > peerExpiry {
 			delete(p.byName, name)
 			p.limiter.removePeer(name)
+			p.placer.removeInstance(name)
 			p.log.Info("instance removed after silence", "instance", name)
 			continue
 		}
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -33,7 +33,6 @@
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/state"
-	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -132,7 +131,6 @@
 		Instance: o.Name, Domain: o.Domain, PrefillTokensPerMS: placement.DefaultPrefillTokensPerMS, OldWeightsPeriod: o.WeightsDeadline,
 	}, rand.New(rand.NewPCG(seed, 1)))
 	i.placer = newPlacer(balancer, now)
-	i.placer.onLimit = func(s upstreamrate.Statement) { logRateLimit(deps.Log, s) }
 	i.limiter = newLimiter(o.Name, now)
 	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
 	i.quarantineRows = newQuarantineRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
@@ -189,6 +187,7 @@
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.crashes, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
+	i.placer.onLimit = i.peers.rateLimitChanged
 	i.placer.onLongPrompt = i.peers.announcePlacement
 	i.placer.onLeaving = i.upstreamLeaves
 	i.crashes.onCrash = i.peers.announceCrash
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -122,6 +122,7 @@
 	loadingUntil   map[string]time.Time // end of the announced hold by engine that loads weights
 	updates        pendingUpdates
 	leader         string    // name of the instance that last sent load commands
+	nextRateLimit  int       // position in the limits in force from which the next digest tells; used only by the sending goroutine
 	leaderActiveAt time.Time // arrival of its last digest with loading engines; zero: it is shutting down
 
 	lastSentWork      map[string]placement.Work   // by upstream, as last announced; used only by the sending goroutine
@@ -234,6 +235,7 @@
 		other = &peer{listedAt: p.now()}
 		p.byName[addr.Name] = other
 		p.limiter.addPeer(addr.Name)
+		p.placer.addInstance(addr.Name)
 		p.log.Info("instance discovered", "instance", addr.Name, "addr", addr.Digests)
 	}
 	other.addr, other.udpAddr, other.controlAddr = addr, udpAddr, addr.GetControl()
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,14 +38,15 @@
 }
 
 // Begin counts an attempt before it is sent, and announces a long prompt to the
-// other instances.
-func (p *placer) Begin(attempt *placement.Attempt) {
+// other instances. It returns false if the attempt must not be sent.
+func (p *placer) Begin(attempt *placement.Attempt) bool {
 	p.mu.Lock()
-	p.balancer.Begin(attempt, p.now())
+	ok := p.balancer.Begin(attempt, p.now())
 	p.mu.Unlock()
-	if attempt.IsLong() {
+	if ok && attempt.IsLong() {
 		p.onLongPrompt(placement.Announcement{Upstream: attempt.Upstream.ID, Keys: attempt.SharedKeys(), ReadyIn: attempt.ExpectedTTFT, NewTokens: attempt.NewTokens()})
 	}
+	return ok
 }
 
 // PrefixComputeTime returns how long the upstream is still expected to compute the
@@ -147,6 +150,52 @@
 	p.balancer.Throttle(u, p.now().Add(d))
 }
 
+// adoptRateLimit records a limit that another instance tells, and how many requests per
+// second that one would send to the upstream; nil: not told.
+func (p *placer) adoptRateLimit(instance string, s upstreamrate.Statement, wished *float64) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limits := p.balancer.Limits()
+	if wished != nil {
+		limits.SetWish(instance, s.Process.ID, *wished)
+	}
+	return limits.Record(s)
+}
+
+// rateLimits returns the limits in force, in the order of the upstreams' IDs.
+func (p *placer) rateLimits() []rateLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []rateLimit
+	for _, s := range p.balancer.Limits().Statements(p.now()) {
+		out = append(out, rateLimit{Statement: s})
+	}
+	slices.SortFunc(out, func(a, b rateLimit) int { return strings.Compare(a.Process.ID, b.Process.ID) })
+	return out
+}
+
+// tellWishes adds to limits how many requests per second this instance would send.
+func (p *placer) tellWishes(limits []rateLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, l := range limits {
+		wished := p.balancer.Limits().TellWish(l.Process, p.now())
+		limits[i].wished = &wished
+	}
+}
+
+func (p *placer) addInstance(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.Limits().AddInstance(name)
+}
+
+func (p *placer) removeInstance(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.Limits().RemoveInstance(name)
+}
+
 func (p *placer) setView(v *fleet.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/edge/ratelimit_test.go
+++ b/pkg/edge/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,3 +114,75 @@
 		t.Errorf("statuses %v although the other upstream is free", statuses)
 	}
 }
+
+// TestLimitIsUsedAfterRestartOfAll guards against instances that start together, or beside others, and use a limit several times or not at all.
+func TestLimitIsUsedAfterRestartOfAll(t *testing.T) {
+	t.Parallel()
+	fleet := newLimitedFleet(t)
+	instances := []*testInstance{fleet.startInstance("n1"), fleet.startInstance("n2")}
+	c := keepReading(20*time.Millisecond, instances...)
+	time.Sleep(time.Second)
+	c.stop()
+	for _, instance := range instances {
+		instance.stop()
+	}
+	for _, instance := range instances {
+		fleet.await("the instance has stopped", func() bool { return strings.Contains(instance.log.String(), `"stopped"`) })
+	}
+	instances = []*testInstance{fleet.startInstance("n1"), fleet.startInstance("n2")}
+	c = keepReading(20*time.Millisecond, instances...)
+	defer c.stop()
+	time.Sleep(settleTime)
+	from := time.Now()
+	other := keepReading(20*time.Millisecond, fleet.startInstance("n3", instances[0].options.ControlAddr.String()))
+	defer other.stop()
+	time.Sleep(2 * limitWindow)
+	expectLimitUsed(t, fleet.orders, from)
+}
+
+// TestLimitedUpstreamAloneRefusesTheRest guards against callers that wait, or are told that a request may have run, where no upstream takes more.
+func TestLimitedUpstreamAloneRefusesTheRest(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 1)
+	fleet.orders.SetLimit("4")
+	instance := fleet.startInstance("n1")
+	refused := 0
+	for range 100 {
+		began := time.Now()
+		id, got := instance.request(http.MethodPost, "/orders/", keyBig, "x")
+		ran := countRuns([]*standin.Upstream{fleet.orders}, id)
+		switch {
+		case got.status == http.StatusOK && ran == 1:
+		case got.status == http.StatusServiceUnavailable && ran == 0 && got.header.Get("Retry-After") != "":
+			refused++
+		default:
+			t.Fatalf("status %d, Retry-After %q, ran %d times", got.status, got.header.Get("Retry-After"), ran)
+		}
+		if took := time.Since(began); got.status != http.StatusOK && took > time.Second {
+			t.Errorf("refused after %v", took)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if served := 100 - refused; served < 6 || refused < 50 {
+		t.Errorf("%d served and %d refused in 2 s at 4 a second", served, refused)
+	}
+}
+
+// TestEndOfLimitIsToldToAll guards against instances that keep a limit which the upstream names no more.
+func TestEndOfLimitIsToldToAll(t *testing.T) {
+	t.Parallel()
+	fleet := newLimitedFleet(t)
+	first, second := fleet.startInstance("n1"), fleet.startInstance("n2")
+	c := keepReading(20*time.Millisecond, first, second)
+	time.Sleep(2 * time.Second)
+	fleet.orders.SetLimit("")
+	fleet.await("the limit has ended", func() bool {
+		return strings.Contains(first.log.String(), "names no limit") && strings.Contains(second.log.String(), "names no limit")
+	})
+	from := time.Now()
+	time.Sleep(2 * time.Second)
+	if n := len(arrivals(fleet.orders, from)); n < 40 {
+		t.Errorf("%d requests in 2 s, want a fair part of about 150", n)
+	}
+	c.stop()
+}
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -95,6 +95,7 @@
 		p.follower.Leave(decodeDepartures(d.Departures)...)
 	}
 	p.applyCrashes(d)
+	p.applyRateLimits(name, d.RateLimits)
 	if !p.follower.FollowsStore() && hasNewerTable(d, p.follower.Positions()) {
 		p.requestFetch()
 	}
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -228,6 +228,7 @@
 		p.crashes.record(decodeCrash(c, now))
 	}
 	p.crashes.adopt(decodeQuarantines(resp.Quarantines, now))
+	p.applyRateLimits(resp.Sender, resp.RateLimits)
 	for _, t := range resp.Tables {
 		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
 	}
@@ -256,6 +257,7 @@
 			out.Crashes = append(out.Crashes, encodeCrash(c, now))
 		}
 		out.Quarantines = encodeQuarantines(quarantines, now)
+		out.Sender, out.RateLimits = p.self.Name, encodeRateLimits(p.placer.rateLimits(), now)
 	}
 	for _, update := range p.follower.ChangesSince(held) {
 		out.Tables = append(out.Tables, encodeUpdate(update))
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -31,7 +31,6 @@
 // makeAttempt sends the request to one upstream and relays the response. A nil error
 // means that the caller has received a final response.
 func (x *exchange) makeAttempt(ctx context.Context, attempt *placement.Attempt) (placement.Result, error) {
-	x.h.placer.Begin(attempt)
 	x.mayHaveRunBefore = x.mayHaveRun
 	conn, err := x.send(ctx, attempt)
 	if conn == nil {
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -44,8 +44,9 @@
 	// Pick chooses an upstream and returns the expected time to first token. It
 	// returns a *placement.NoUpstreamError if no upstream takes the request.
 	Pick(q placement.Query) (attempt *placement.Attempt, expected time.Duration, err error)
-	// Begin counts an attempt before it is sent.
-	Begin(attempt *placement.Attempt)
+	// Begin counts an attempt before it is sent. It returns false if the upstream takes
+	// no request any more, so that another one must be chosen.
+	Begin(attempt *placement.Attempt) bool
 	// PrefixComputeTime returns how long the upstream is still expected to
 	// compute the shared parts of the prompt for other requests.
 	PrefixComputeTime(attempt *placement.Attempt) time.Duration
@@ -204,7 +205,7 @@
 			Upstream: attempt.Upstream.ID, WeightsVersion: attempt.WeightsVersion, ExpectedTTFT: expected,
 			PrefixID: attempt.PrefixHash, CachedTokens: attempt.CachedTokens, CachedTokensAfterFetch: attempt.CachedAfterFetch, FetchFrom: attempt.FetchFrom, SaveRequested: attempt.SaveTo != "",
 		}
-		if !x.waitForPrefix(ctx, attempt) {
+		if !x.waitForPrefix(ctx, attempt) || !x.h.placer.Begin(attempt) {
 			continue
 		}
 		x.tried[attempt.Upstream.ID] = true
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -49,8 +49,12 @@
 func (a *Attempt) NewStoreTokens() int { return int(a.newStoreTokens) }
 
 // Begin adds the work of an attempt to its upstream. It is called just before the
-// request is sent.
-func (b *Balancer) Begin(a *Attempt, now time.Time) {
+// request is sent. It returns false, and the request must not be sent, if the limit that
+// the upstream names has been used up since Pick.
+func (b *Balancer) Begin(a *Attempt, now time.Time) bool {
+	if !b.limits.Take(processOf(a.Upstream), now) {
+		return false
+	}
 	s := b.state(a.Upstream)
 	a.sentAt, a.idleAtSend = now, s.pending() == 0
 	b.advanceBacklog(s, now)
@@ -62,6 +66,7 @@
 	b.recordPlaced(a, now)
 	b.prefixes.recordInsert(a.Upstream.ID, a.newTokens*b.requestWeight(a.IsLong()))
 	b.prefixes.addCopies(a.keys, a.Upstream.ID, now, now.Add(a.ExpectedTTFT))
+	return true
 }
 
 // IsLong reports whether the prompt is long enough to be announced to the other
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -68,7 +68,7 @@
 type NoUpstreamError struct {
 	Listed          int           // upstreams of the service, including those that are draining
 	Draining        int           // upstreams that are draining
-	Busy            int           // upstreams that get no requests for now, see SetBusyUntil and Throttle
+	Busy            int           // upstreams that get no requests for now, see SetBusyUntil, Throttle and Limits
 	Tried           int           // upstreams that the request already tried
 	WeightsExpiring int           // upstreams whose weights are replaced before the request would start
 	RetryAfter      time.Duration // time until an upstream is expected to accept requests
@@ -92,7 +92,8 @@
 	return b.pickPlain(now, q)
 }
 
-// acceptsWork reports whether the request may be sent to an upstream now.
+// acceptsWork reports whether the request may be sent to an upstream now, apart from a
+// limit that the upstream names.
 func (b *Balancer) acceptsWork(now time.Time, u *fleet.Upstream, q Query) bool {
 	if u.Draining || (q.Exclude != nil && q.Exclude(u.ID)) {
 		return false
@@ -103,17 +104,21 @@
 // pickPlain chooses the upstream with the smallest share of its slots in use.
 // Ejected upstreams are used only if no other accepts the request.
 func (b *Balancer) pickPlain(now time.Time, q Query) (*Attempt, time.Duration, error) {
-	var best *fleet.Upstream
-	var bestCost time.Duration
+	var best, wished *fleet.Upstream
+	var bestCost, wishedCost time.Duration
 	for _, u := range b.view.ByService(q.Service.Name) {
 		if !b.acceptsWork(now, u, q) {
 			continue
 		}
 		cost := b.plainCost(now, u)
-		if best == nil || cost < bestCost {
+		if wished == nil || cost < wishedCost {
+			wished, wishedCost = u, cost
+		}
+		if (best == nil || cost < bestCost) && b.withinLimit(u, now) {
 			best, bestCost = u, cost
 		}
 	}
+	b.recordWish(wished, now)
 	if best == nil {
 		return nil, 0, b.noUpstreamError(now, q)
 	}
@@ -200,7 +205,7 @@
 // bestEngine returns the estimate of the engine with the lowest cost among those that
 // are sampled (nil: all), the owners of the prompt and those that have it cached.
 func (b *Balancer) bestEngine(now time.Time, engines []*fleet.Upstream, p *prompt, owners *owners, sampled map[string]bool) estimate {
-	var best estimate
+	var best, wished estimate
 	for _, u := range engines {
 		rank := owners.rank(u)
 		if sampled != nil && !sampled[u.ID] && rank == maxOwnerRank && !b.hasCached(now, u, p) {
@@ -216,10 +221,14 @@
 		if p.sharedTokens >= minSharedTokens && max(e.cachedTokens, e.cachedAfterFetch) < p.sharedTokens {
 			e.cost += ownerRankCost * time.Duration(rank)
 		}
-		if best.upstream == nil || e.cost < best.cost {
+		if wished.upstream == nil || e.cost < wished.cost {
+			wished = e
+		}
+		if (best.upstream == nil || e.cost < best.cost) && b.withinLimit(u, now) {
 			best = e
 		}
 	}
+	b.recordWish(wished.upstream, now)
 	return best
 }
 
@@ -310,7 +319,7 @@
 	out := &NoUpstreamError{Listed: len(list)}
 	var soonest time.Duration
 	for _, u := range list {
-		wait := b.unavailableUntil(u, now).Sub(now)
+		wait := max(b.unavailableUntil(u, now).Sub(now), b.limits.Wait(processOf(u), now))
 		switch {
 		case u.Draining:
 			out.Draining++
--- a/pkg/placement/ratelimit.go
+++ b/pkg/placement/ratelimit.go
@@ -17,7 +17,7 @@
 // RecordRateLimit records the limit, in requests per second, that an upstream named in its
 // answer to an attempt. It returns the statement and whether it changes the limit.
 func (b *Balancer) RecordRateLimit(a *Attempt, perSecond float64, now time.Time) (s upstreamrate.Statement, changed bool) {
-	s = upstreamrate.Statement{Process: processOf(a.Upstream), Limited: true, PerSecond: perSecond, Since: now, At: now}
+	s = b.limits.Next(processOf(a.Upstream), perSecond, now)
 	return s, b.limits.Record(s)
 }
 
@@ -27,3 +27,16 @@
 	s = upstreamrate.Statement{Process: processOf(a.Upstream), At: now}
 	return s, b.limits.RecordNone(s.Process, a.sentAt, now)
 }
+
+// withinLimit reports whether an upstream takes another request from this instance now.
+func (b *Balancer) withinLimit(u *fleet.Upstream, now time.Time) bool {
+	return b.limits.Due(processOf(u), now)
+}
+
+// recordWish counts a request for the upstream that it would be sent to if no upstream
+// had a limit. Limits are divided by these wishes.
+func (b *Balancer) recordWish(u *fleet.Upstream, now time.Time) {
+	if u != nil {
+		b.limits.Wish(processOf(u), now)
+	}
+}
--- a/pkg/upstreamrate/limits.go
+++ b/pkg/upstreamrate/limits.go
@@ -6,7 +6,10 @@
 // argument.
 package upstreamrate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Process identifies one process of an upstream.
 type Process struct {
@@ -20,6 +23,7 @@
 	Limited   bool      // false: it names no limit any more
 	PerSecond float64   // limit in requests per second
 	Since     time.Time // when an instance first received this limit
+	Base      float64   // slots that were due until Since; see slots.go
 	At        time.Time // when an instance last received it
 }
 
@@ -34,17 +38,25 @@
 
 // Limits holds the limits of all upstreams, as one instance knows them.
 type Limits struct {
-	limits map[string]*limit // by upstream ID
+	self      string
+	limits    map[string]*limit // by upstream ID
+	instances map[string]wishes
 }
 
-// limit is the newest statement of an upstream.
+// limit is a statement and this instance's use of it.
 type limit struct {
 	Statement
+	lastSlot int64          // last slot that this instance has used
+	own      map[int64]bool // by slot: whether it is this instance's
+	division division
+	wished   wishRate
+	told     float64 // wish that the other instances know, if hasTold
+	hasTold  bool
 }
 
 // New returns an instance's limits; self is its name.
-func New(string) *Limits {
-	return &Limits{limits: map[string]*limit{}}
+func New(self string) *Limits {
+	return &Limits{self: self, limits: map[string]*limit{}, instances: map[string]wishes{}}
 }
 
 // Record records a statement that this instance has received or another one tells. It
@@ -68,20 +80,40 @@
 	if !s.At.After(known.At) {
 		return false
 	}
-	if s.Limited {
-		l.limits[s.Process.ID] = newLimit(s)
-		return true
-	}
-	known.Statement = s
+	known.replace(s)
 	return true
 }
 
-func newLimit(s Statement) *limit { return &limit{Statement: s} }
+// Next returns the statement of a limit, in requests per second, that this instance has
+// just received from a process. Slots are counted on from those of an earlier limit, so
+// that one that often changes grants no more.
+func (l *Limits) Next(p Process, perSecond float64, now time.Time) Statement {
+	s := Statement{Process: p, Limited: true, PerSecond: perSecond, Since: now, At: now}
+	if known := l.limits[p.ID]; known != nil && known.Process == p {
+		s.Base = known.position(now)
+	}
+	return s
+}
+
+func newLimit(s Statement) *limit {
+	return &limit{Statement: s, lastSlot: -1, own: map[int64]bool{}}
+}
+
+// replace takes over another statement. The number of slots since the last used one stays.
+func (l *limit) replace(s Statement) {
+	before := l.position(s.At)
+	l.Statement = s
+	l.lastSlot += int64(math.Round(l.position(s.At) - before))
+	clear(l.own)
+}
 
-// confirm takes over when the same limit was first and last received.
+// confirm takes over when the same limit was first and last received. All instances count
+// slots from the first time.
 func (l *limit) confirm(s Statement) {
-	if s.Since.Before(l.Since) {
-		l.Since = s.Since
+	if l.Limited && s.Since.Before(l.Since) {
+		first := l.Statement
+		first.Since, first.Base = s.Since, s.Base
+		l.replace(first)
 	}
 	if s.At.After(l.At) {
 		l.At = s.At
