--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -364,5 +365,6 @@
 func (x *exchange) logAttempt(attempt *placement.Attempt, result placement.Result, err error) {
 	x.h.log.Info("attempt failed", "request", x.r.ID, "upstream", attempt.Upstream.ID, "addr", attempt.Upstream.Addr,
 		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun,
-		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", call.PartIDs(x.sharedParts()), "error", err)
+		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "parts", call.PartIDs(x.sharedParts()),
+		"fingerprint", strconv.FormatUint(fingerprint(x.r), 16), "error", err)
 }
