--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -98,7 +98,7 @@
 	{StreamTruncated, "stream_truncated", http.StatusBadGateway, "upstream_error", Ran, "The stream ended without its end marker and could not be resumed."},
 	{AnswerMismatch, "answer_mismatch", http.StatusBadGateway, "upstream_error", MayHaveRun, "The upstream answered for another request."},
 	{UpstreamTimeout, "upstream_timeout", http.StatusGatewayTimeout, "upstream_error", MayHaveRun, "The upstream did not answer before the deadline."},
-	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, "upstream_error", NotRun, "The prompt has a part under which several upstreams have ended."},
+	{PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, "upstream_error", NotRun, "Several upstreams have ended under the request or under a part of its prompt."},
 	{NotFresh, "not_fresh", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance cannot confirm that its keys and configuration are current."},
 	{ShuttingDown, "shutting_down", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance is shutting down and takes no new work."},
 	{Internal, "internal", http.StatusInternalServerError, "server_error", MayHaveRun, "Unexpected failure in the router."},
--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/xxh3"
 
-	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/quarantine"
 )
@@ -21,7 +20,7 @@
 	onCrash  func(quarantine.Crash)                       // called when this instance is the first to see a crash
 	onAnswer func(part quarantine.Part, at time.Time)     // called when another instance must be told of an answer
 	onChange func(part quarantine.Part, quarantined bool) // called where the change is to be written to the store
-	tries    func(quarantine.Part) bool                   // reports whether this instance tries the prompts with a part
+	tries    func(quarantine.Part) bool                   // reports whether this instance tries the requests with a part
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -35,36 +34,32 @@
 	}
 }
 
-func partsOf(model string, parts []call.PromptPart) []quarantine.Part {
-	out := make([]quarantine.Part, 0, len(parts))
-	for _, part := range parts {
-		out = append(out, quarantine.PartOf(model, part.ID))
-	}
-	return out
-}
-
 // processOf identifies the process of an upstream.
 func processOf(u *fleet.Upstream) quarantine.Process {
 	return quarantine.Process(xxh3.HashString(u.ID + "/" + strconv.FormatInt(u.StartTimeMS, 10)))
 }
 
-// Refused returns how long prompts with one of the parts are still refused; 0 if this one
+// Idle reports whether nothing is refused or suspected.
+func (c *crashes) Idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Idle()
+}
+
+// Refused returns how long requests with one of the parts are still refused; 0 if this one
 // is sent.
-func (c *crashes) Refused(model string, parts []call.PromptPart) time.Duration {
+func (c *crashes) Refused(parts []quarantine.Part) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(parts) == 0 || c.tracker.Idle() {
-		return 0
-	}
-	return c.tracker.Refused(partsOf(model, parts), c.now(), c.tries)
+	return c.tracker.Refused(parts, c.now(), c.tries)
 }
 
-// Crashed records that an upstream ended while it began to answer a prompt. The prompt
+// Crashed records that an upstream ended while it began to answer a request. The request
 // may be sent to another upstream unless one of its parts is suspected.
-func (c *crashes) Crashed(u *fleet.Upstream, model string, parts []call.PromptPart) (maySend bool) {
-	crash := quarantine.Crash{Process: processOf(u), Parts: partsOf(model, parts), At: c.now()}
+func (c *crashes) Crashed(u *fleet.Upstream, parts []quarantine.Part) (maySend bool) {
+	crash := quarantine.Crash{Process: processOf(u), Parts: parts, At: c.now()}
 	isNew := c.record(crash)
-	c.log.Info("upstream ended while it began to answer a prompt", "upstream", u.ID, "model", model, "parts", call.PartIDs(parts), "hashes", hexParts(crash.Parts))
+	c.log.Info("upstream ended while it began to answer a request", "upstream", u.ID, "hashes", hexParts(crash.Parts))
 	if isNew {
 		c.onCrash(crash)
 	}
@@ -79,7 +74,7 @@
 	isNew, added := c.tracker.RecordCrash(crash, c.now())
 	c.mu.Unlock()
 	for _, part := range added {
-		c.log.Warn("prompts with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
+		c.log.Warn("requests with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
 		c.persist(part)
 	}
 	return isNew
@@ -93,21 +88,17 @@
 	}
 }
 
-// Answered records that a prompt was answered.
-func (c *crashes) Answered(model string, parts []call.PromptPart) {
+// Answered records that a request was answered.
+func (c *crashes) Answered(parts []quarantine.Part) {
 	c.mu.Lock()
-	if c.tracker.Idle() {
-		c.mu.Unlock()
-		return
-	}
 	now := c.now()
-	cleared, lifted := c.tracker.RecordAnswer(partsOf(model, parts), now)
+	cleared, lifted := c.tracker.RecordAnswer(parts, now)
 	c.mu.Unlock()
 	for _, part := range lifted {
 		c.onChange(part, false)
 	}
 	if len(cleared) > 0 {
-		c.log.Info("parts are not suspected any more, since a prompt with them was answered", "hashes", hexParts(cleared))
+		c.log.Info("parts are not suspected any more, since a request with them was answered", "hashes", hexParts(cleared))
 	}
 	for _, part := range cleared {
 		c.onAnswer(part, now)
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -91,19 +91,16 @@
 	return out
 }
 
-// maxCrashParts bounds the parts of a crash in a message.
-const maxCrashParts = 16
-
 func encodeCrash(c quarantine.Crash, now time.Time) *rpc.Crash {
 	return &rpc.Crash{
-		Process: uint64(c.Process), Parts: encodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
+		Process: uint64(c.Process), Parts: encodeParts(c.Parts[:min(len(c.Parts), quarantine.MaxParts)]),
 		AgoMs: ago(c.At, now),
 	}
 }
 
 func decodeCrash(c *rpc.Crash, now time.Time) quarantine.Crash {
 	return quarantine.Crash{
-		Process: quarantine.Process(c.Process), Parts: decodeParts(c.Parts[:min(len(c.Parts), maxCrashParts)]),
+		Process: quarantine.Process(c.Process), Parts: decodeParts(c.Parts[:min(len(c.Parts), quarantine.MaxParts)]),
 		At: before(c.AgoMs, now),
 	}
 }
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -178,13 +178,13 @@
 	}
 	timer.stop() // the response is complete, whether or not the timer closed the connection
 	buffered := &response{status: decoded.Status, header: resp.Header, body: body}
+	if decoded.Attested && isFramed(resp) {
+		x.recordAnswered() // whatever the status: the upstream ran the request and goes on
+	}
 	if decoded.Status >= http.StatusInternalServerError && x.edge.Route.Idempotent() {
 		x.errorResponse = buffered
 		return placement.OK, errors.Wrapf(errUpstreamStatus, "status %d", decoded.Status)
 	}
-	if success && isFramed(resp) {
-		x.recordAnswered()
-	}
 	x.writeResponse(buffered)
 	return placement.OK, nil
 }
--- a/pkg/filter/dispatch/crash.go
+++ b/pkg/filter/dispatch/crash.go
@@ -13,20 +13,22 @@
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 )
 
-// CrashTracker knows the parts of prompts at which upstreams end. All parts that are
-// passed to it are shared ones: the last part of a prompt is its own. It must be safe
-// for concurrent use.
+// CrashTracker knows the parts of requests at which upstreams end: the parts that a
+// prompt shares with others, and the whole request. It must be safe for concurrent use.
 type CrashTracker interface {
-	// Refused returns how long prompts with one of the parts are still refused; 0 if
+	// Idle reports whether nothing is refused or suspected.
+	Idle() bool
+	// Refused returns how long requests with one of the parts are still refused; 0 if
 	// they are sent.
-	Refused(model string, parts []call.PromptPart) time.Duration
-	// Crashed records that an upstream ended while it began to answer a prompt. It
-	// reports whether the prompt may be sent to another upstream.
-	Crashed(u *fleet.Upstream, model string, parts []call.PromptPart) (maySend bool)
-	// Answered records that a prompt was answered.
-	Answered(model string, parts []call.PromptPart)
+	Refused(parts []quarantine.Part) time.Duration
+	// Crashed records that an upstream ended while it began to answer a request. It
+	// reports whether the request may be sent to another upstream.
+	Crashed(u *fleet.Upstream, parts []quarantine.Part) (maySend bool)
+	// Answered records that a request was answered.
+	Answered(parts []quarantine.Part)
 }
 
 // provenAfter is how long after its first event a stream shows that its upstream does
@@ -52,13 +54,16 @@
 	return parts[:max(0, len(parts)-1)]
 }
 
-// refusedPart returns the error for a prompt that must not be sent, or nil.
+// refusedPart returns the error for a request that must not be sent, or nil.
 func (x *exchange) refusedPart() error {
-	left := x.h.crashes.Refused(x.edge.Call.Model, x.sharedParts())
+	if x.h.crashes.Idle() {
+		return nil
+	}
+	left := x.h.crashes.Refused(x.crashParts())
 	if left <= 0 {
 		return nil
 	}
-	return code.New(code.PromptQuarantined, "upstreams end at a part of the prompt").WithRetryAfter(left)
+	return code.New(code.PromptQuarantined, "upstreams end at the request or a part of its prompt").WithRetryAfter(left)
 }
 
 // recordEvent records an event of a stream.
@@ -81,20 +86,22 @@
 }
 
 func (x *exchange) recordAnswered() {
-	if parts := x.sharedParts(); len(parts) > 0 && !x.answer.proven {
-		x.answer.proven = true
-		x.h.crashes.Answered(x.edge.Call.Model, parts)
+	if x.answer.proven {
+		return
+	}
+	x.answer.proven = true
+	if !x.h.crashes.Idle() {
+		x.h.crashes.Answered(x.crashParts())
 	}
 }
 
 // endedUpstream handles a failed attempt after which the upstream may have ended. It
-// reports whether the prompt must not be sent to another upstream.
+// reports whether the request must not be sent to another upstream.
 func (x *exchange) endedUpstream(ctx context.Context, attempt *placement.Attempt, result placement.Result, err error) bool {
-	parts := x.sharedParts()
-	if result != placement.Failed || len(parts) == 0 || x.answer.proven || !isBrokenConn(err) || x.accepts(ctx, attempt) {
+	if result != placement.Failed || x.answer.proven || !isBrokenConn(err) || x.accepts(ctx, attempt) {
 		return false
 	}
-	return !x.h.crashes.Crashed(attempt.Upstream, x.edge.Call.Model, parts)
+	return !x.h.crashes.Crashed(attempt.Upstream, x.crashParts())
 }
 
 // isBrokenConn reports whether an attempt ended because its connection did.
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"github.com/fescuestep/fescuestep/pkg/httpconn"
 	"github.com/fescuestep/fescuestep/pkg/membudget"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -157,9 +158,10 @@
 	mayHaveRunBefore bool            // mayHaveRun before the current attempt
 	errorResponse    *response       // last 5xx response, sent if no retry succeeds
 	buffers          []*membudget.Buffer
-	answer           answer      // in the current attempt
-	waitedForPrefix  bool        // waitForPrefix has waited once
-	retryReserved    atomic.Bool // the next retry was already taken from the budget
+	answer           answer            // in the current attempt
+	parts            []quarantine.Part // see crashParts; nil until it is called
+	waitedForPrefix  bool              // waitForPrefix has waited once
+	retryReserved    atomic.Bool       // the next retry was already taken from the budget
 }
 
 // response is a buffered response of an upstream.
--- a/pkg/filter/dispatch/fingerprint.go
+++ b/pkg/filter/dispatch/fingerprint.go
@@ -5,21 +5,40 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
 )
 
 // fingerprint identifies requests that are alike: method, host, target, caller and body.
-// It is the same at all instances. Each part is preceded by its length, so that no two
-// requests run together to the same bytes.
+// It is the same at all instances.
 func fingerprint(r *chain.Request) uint64 {
 	h := xxh3.New()
-	for _, text := range []string{r.HTTP.Method, r.HTTP.Host, r.HTTP.RequestURI, caller(r.Edge)} {
-		_, _ = h.WriteString(strconv.Itoa(len(text)) + ":" + text) // never fails
+	writeField(h, r.HTTP.Method)
+	writeField(h, r.HTTP.Host)
+	writeField(h, r.HTTP.RequestURI)
+	writeField(h, caller(r.Edge))
+	_, _ = h.Write(r.Body) // never fails
+	return h.Sum64()
+}
+
+// promptFingerprint identifies requests that are alike and have the same prompt, which is
+// stated in headers.
+func promptFingerprint(request uint64, c *call.Request) uint64 {
+	h := xxh3.NewSeed(request)
+	writeField(h, c.Model)
+	for _, part := range c.PromptParts {
+		writeField(h, part.ID)
 	}
-	_, _ = h.Write(r.Body)
 	return h.Sum64()
 }
 
+// writeField adds a text with its length, so that no two sequences of texts run together
+// to the same bytes.
+func writeField(h *xxh3.Hasher, text string) {
+	_, _ = h.WriteString(strconv.Itoa(len(text)) + ":" + text) // never fails
+}
+
 // caller returns the name of the customer, which may have several keys, or "" on public
 // routes.
 func caller(e *chain.Edge) string {
@@ -28,3 +47,23 @@
 	}
 	return e.Customer.Name
 }
+
+// crashParts returns the parts of the request at which upstreams may end, from the most
+// common to the most specific: those that its prompt shares with others, the whole
+// request, and the whole request with its prompt.
+func (x *exchange) crashParts() []quarantine.Part {
+	if x.parts != nil {
+		return x.parts
+	}
+	c := &x.edge.Call
+	shared := x.sharedParts()
+	for _, part := range shared[:min(len(shared), quarantine.MaxParts-2)] {
+		x.parts = append(x.parts, quarantine.PartOf(c.Model, part.ID))
+	}
+	request := fingerprint(x.r)
+	x.parts = append(x.parts, quarantine.Part(request))
+	if len(c.PromptParts) > 0 {
+		x.parts = append(x.parts, quarantine.Part(promptFingerprint(request, c)))
+	}
+	return x.parts
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine finds parts of prompts that end engines, and says which prompts
-// must not be sent. Instances tell each other the crashes that they see, so that each
+// Package quarantine finds parts of requests that end upstreams, and says which requests
+// must not be sent. A part is one that prompts share, or the whole request. Instances tell each other the crashes that they see, so that each
 // decides from the crashes of all. The package does no I/O, is not safe for concurrent
 // use, and takes the current time as an argument.
 package quarantine
@@ -11,17 +11,22 @@
 	"github.com/zeebo/xxh3"
 )
 
-// Part identifies a part of prompts to a model. It is the same at all instances.
+// Part identifies a part of prompts to a model, or requests that are alike. It is the same
+// at all instances.
 type Part uint64
 
+// MaxParts bounds the parts of a request that are told to other instances.
+const MaxParts = 16
+
 // PartOf returns the identity of a part of prompts to a model.
 func PartOf(model, id string) Part { return Part(xxh3.HashString(model + "\x00" + id)) }
 
 // Process identifies one process of an upstream.
 type Process uint64
 
-// Crash is the end of a process while it began to answer a prompt. Parts are those that
-// the prompt shares with others, in the order of the prompt.
+// Crash is the end of a process while it began to answer a request. Parts are those that
+// the request shares with others, from the most common to the most specific: of two that
+// explain the same crashes the later one is the cause.
 type Crash struct {
 	Process Process
 	Parts   []Part
