pkg/quarantine: try a quarantined part after 10 s first; look up answers by part

Requests that are often sent may have been at three upstreams that ended for other reasons; they were refused for a minute.

Crashes of requests that never come again stay for 10 minutes, so each answer searched all crashes; a set of their parts is asked first.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -56,10 +56,13 @@
 	messageMemory = time.Minute
 	// maxCrashes bounds the crashes that are kept; the oldest go first.
 	maxCrashes = 512
-	// baseDuration is how long a part is quarantined before one prompt with it is tried.
-	// It doubles with each one that ends another engine, up to maxDuration.
-	baseDuration = time.Minute
-	maxDuration  = 24 * time.Hour
+	// firstDuration is how long a part is quarantined before one request with it is tried.
+	// It is short, since requests that are often sent may have run at three upstreams that
+	// ended for other reasons. After a trial that ends an upstream it is baseDuration, and
+	// doubles with each further one, up to maxDuration.
+	firstDuration = 10 * time.Second
+	baseDuration  = time.Minute
+	maxDuration   = 24 * time.Hour
 	// trialInterval is the time between trials that show nothing. Prompts with the part
 	// may not come to the instance that is to try one; after trialPatience others do.
 	trialInterval = 5 * time.Second
@@ -74,6 +77,7 @@
 // Tracker is the state of one instance.
 type Tracker struct {
 	crashes     []Crash               // not explained by a quarantined part
+	suspected   map[Part]bool         // parts of crashes
 	seen        map[uint64]time.Time  // by hash of a crash: when it was recorded
 	explained   map[Process]time.Time // ended at a quarantined part
 	quarantined map[Part]*period
@@ -90,7 +94,7 @@
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
+		suspected: map[Part]bool{}, seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
 		quarantined: map[Part]*period{}, answeredAt: map[Part]time.Time{},
 	}
 }
@@ -126,6 +130,7 @@
 		return true, nil
 	}
 	t.crashes = append(t.crashes, c)
+	t.index()
 	return true, t.quarantineCause(c.Parts, now)
 }
 
@@ -209,7 +214,7 @@
 func (t *Tracker) begin(part Part, now time.Time) {
 	t.makeRoom()
 	at := t.crashTimes(part)
-	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: baseDuration, tryAt: now.Add(baseDuration)}
+	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: firstDuration, tryAt: now.Add(firstDuration)}
 	for _, c := range t.crashes {
 		if slices.Contains(c.Parts, part) {
 			t.explained[c.Process] = now
@@ -218,7 +223,7 @@
 	t.dropExplained()
 }
 
-// extend doubles a period if a process ended at its part after a trial was due. Others
+// extend prolongs a period if a process ended at its part after a trial was due. Others
 // end at prompts that were sent before the quarantine.
 func (p *period) extend(crashedAt time.Time) {
 	if crashedAt.After(p.since) {
@@ -227,7 +232,7 @@
 	if due := p.tryAt.Add(-trialInterval); crashedAt.Before(due) {
 		return
 	}
-	p.duration = min(2*p.duration, maxDuration)
+	p.duration = min(max(2*p.duration, baseDuration), maxDuration)
 	p.tryAt = crashedAt.Add(p.duration)
 }
 
@@ -242,6 +247,18 @@
 		_, ok := t.explained[c.Process]
 		return ok
 	})
+	t.index()
+}
+
+// index collects the parts of the crashes, so that an answer to a request without any of
+// them costs little.
+func (t *Tracker) index() {
+	clear(t.suspected)
+	for _, c := range t.crashes {
+		for _, part := range c.Parts {
+			t.suspected[part] = true
+		}
+	}
 }
 
 // makeRoom forgets the quarantine whose trial is due first if there are maxQuarantines.
@@ -281,6 +298,9 @@
 // dropCrashes removes a part from the crashes up to a time, and reports whether there
 // were any.
 func (t *Tracker) dropCrashes(part Part, until time.Time) (found bool) {
+	if !t.suspected[part] {
+		return false
+	}
 	for i, c := range t.crashes {
 		if j := slices.Index(c.Parts, part); j >= 0 && !c.At.After(until) {
 			t.crashes[i].Parts = slices.Delete(c.Parts, j, j+1)
@@ -288,6 +308,7 @@
 		}
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return len(c.Parts) == 0 })
+	t.index()
 	return found
 }
 
@@ -351,7 +372,7 @@
 		p = &period{}
 		t.quarantined[q.Part] = p
 	}
-	p.duration = max(p.duration, baseDuration, left)
+	p.duration = max(p.duration, firstDuration, left)
 	if q.Since.After(p.since) {
 		p.since = q.Since
 	}
