pkg/quarantine split by cause and period; pkg/movingrate for the two moving averages

The moving average of placed tokens (pkg/placement) stood again in pkg/upstreamrate; both use pkg/movingrate now. No change of behaviour.

--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -11,6 +11,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/movingrate"
 	"github.com/fescuestep/fescuestep/pkg/retry"
 	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
 )
@@ -90,8 +91,8 @@
 	listingChangedAt time.Time // when ExpireObservedWeights last noticed a new view; none arrives while the store is unreachable
 	instanceCount    int       // number of instances in the fleet
 	peerWorkAge      KnowledgeAge
-	announcedTokens  tokenRate // of prompts that are announced to the other instances
-	otherTokens      tokenRate // of the rest
+	announcedTokens  movingrate.Rate // prompt tokens to compute of prompts that are announced to the other instances
+	otherTokens      movingrate.Rate // of the rest
 }
 
 // targetVersion is a version that the weights of a model must reach.
--- a/pkg/placement/candidates.go
+++ b/pkg/placement/candidates.go
@@ -7,9 +7,6 @@
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 )
 
-// tokenRateDecay is the time constant of the moving averages of placed prompt tokens.
-const tokenRateDecay = 2 * time.Second
-
 // minCandidates is the least number of engines at random among which a request chooses.
 // With two, the one with less work is found even if what is known is old.
 const minCandidates = 2
@@ -18,25 +15,6 @@
 // yet, up to which it is better to choose among all engines.
 const tolerableDelay = 100 * time.Millisecond
 
-// tokenRate is a moving average of the prompt tokens that this instance gives engines
-// to compute.
-type tokenRate struct {
-	perSecond float64
-	updatedAt time.Time
-}
-
-func (r *tokenRate) add(tokens int, now time.Time) {
-	r.decay(now)
-	r.perSecond += float64(tokens) / tokenRateDecay.Seconds()
-}
-
-func (r *tokenRate) decay(now time.Time) {
-	if !r.updatedAt.IsZero() {
-		r.perSecond *= math.Exp(-now.Sub(r.updatedAt).Seconds() / tokenRateDecay.Seconds())
-	}
-	r.updatedAt = now
-}
-
 // KnowledgeAge tells how old what is known of the other instances' work is.
 type KnowledgeAge struct {
 	Announced time.Duration // of long prompts, which are announced
@@ -50,16 +28,16 @@
 	if a.IsLong() {
 		rate = &b.announcedTokens
 	}
-	rate.add(a.work.PrefillTokens, now)
+	rate.Add(float64(a.work.PrefillTokens), now)
 }
 
 // unknownDelay returns how long an engine would compute the prompts that the other
 // instances have placed and this one does not know of, if that engine got them all.
 // The others are taken to place as many as this instance.
 func (b *Balancer) unknownDelay(now time.Time) time.Duration {
-	b.announcedTokens.decay(now)
-	b.otherTokens.decay(now)
-	tokens := b.announcedTokens.perSecond*b.peerWorkAge.Announced.Seconds() + b.otherTokens.perSecond*b.peerWorkAge.Others.Seconds()
+	announced := b.announcedTokens.PerSecond(now) * b.peerWorkAge.Announced.Seconds()
+	others := b.otherTokens.PerSecond(now) * b.peerWorkAge.Others.Seconds()
+	tokens := announced + others
 	return b.meanSpeed.timeFor(tokens * float64(max(0, b.instanceCount-1)))
 }
 
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -428,8 +428,8 @@
 		const steps = 1000 // in 10 s
 		for i := range steps {
 			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
-			b.announcedTokens.add(c.announced/100, at)
-			b.otherTokens.add(c.rest/100, at)
+			b.announcedTokens.Add(float64(c.announced/100), at)
+			b.otherTokens.Add(float64(c.rest/100), at)
 		}
 		if got := b.candidateCount(60, now.Add(10*time.Second)); got < c.low || got > c.high {
 			t.Errorf("%s: %d candidates, want %d to %d", c.name, got, c.low, c.high)
--- /dev/null
+++ b/pkg/quarantine/cause.go
@@ -0,0 +1,77 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashesNeeded is the number of processes that must have ended at a part, with no
+	// prompt with it answered in between, before it is quarantined.
+	crashesNeeded = 3
+	// crashesMargin is by how many processes a part must lead each later part of the same
+	// prompts. Parts before the one that ends engines are in all of its crashes, too.
+	crashesMargin = 2
+	// minSpan is the least time between the first and the last of these crashes. Engines
+	// that lose power together end at the prompts that are frequent.
+	minSpan = 100 * time.Millisecond
+)
+
+// quarantineCause quarantines the latest of the parts that enough crashes speak against.
+func (t *Tracker) quarantineCause(parts []Part, now time.Time) []Part {
+	for _, part := range slices.Backward(parts) {
+		if !t.isCause(part) {
+			continue
+		}
+		t.begin(part, now)
+		return []Part{part}
+	}
+	return nil
+}
+
+// isCause reports whether the crashes speak against a part and none of the parts after
+// it explains them nearly as well.
+func (t *Tracker) isCause(part Part) bool {
+	at := t.crashTimes(part)
+	if len(at) < crashesNeeded || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
+		return false
+	}
+	for _, processes := range t.endedAtLaterParts(part) {
+		if len(at)-len(processes) < crashesMargin {
+			return false
+		}
+	}
+	return true
+}
+
+// crashTimes returns when processes ended at a part, one time for each process.
+func (t *Tracker) crashTimes(part Part) []time.Time {
+	var out []time.Time
+	counted := map[Process]bool{}
+	for _, c := range t.crashes {
+		if !counted[c.Process] && slices.Contains(c.Parts, part) {
+			counted[c.Process] = true
+			out = append(out, c.At)
+		}
+	}
+	return out
+}
+
+// endedAtLaterParts returns the processes that ended at prompts with a part, by each part
+// that follows it in one of them.
+func (t *Tracker) endedAtLaterParts(part Part) map[Part]map[Process]bool {
+	out := map[Part]map[Process]bool{}
+	for _, c := range t.crashes {
+		i := slices.Index(c.Parts, part)
+		if i < 0 {
+			continue
+		}
+		for _, later := range c.Parts[i+1:] {
+			if out[later] == nil {
+				out[later] = map[Process]bool{}
+			}
+			out[later][c.Process] = true
+		}
+	}
+	return out
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -41,32 +41,12 @@
 }
 
 const (
-	// crashesNeeded is the number of processes that must have ended at a part, with no
-	// prompt with it answered in between, before it is quarantined.
-	crashesNeeded = 3
-	// crashesMargin is by how many processes a part must lead each later part of the same
-	// prompts. Parts before the one that ends engines are in all of its crashes, too.
-	crashesMargin = 2
-	// minSpan is the least time between the first and the last of these crashes. Engines
-	// that lose power together end at the prompts that are frequent.
-	minSpan = 100 * time.Millisecond
 	// crashMemory is how long a crash counts. messageMemory is how long the message of a
 	// crash may arrive again.
 	crashMemory   = 10 * time.Minute
 	messageMemory = time.Minute
 	// maxCrashes bounds the crashes that are kept; the oldest go first.
 	maxCrashes = 512
-	// firstDuration is how long a part is quarantined before one request with it is tried.
-	// It is short, since requests that are often sent may have run at three upstreams that
-	// ended for other reasons. After a trial that ends an upstream it is baseDuration, and
-	// doubles with each further one, up to maxDuration.
-	firstDuration = 10 * time.Second
-	baseDuration  = time.Minute
-	maxDuration   = 24 * time.Hour
-	// trialInterval is the time between trials that show nothing. Prompts with the part
-	// may not come to the instance that is to try one; after trialPatience others do.
-	trialInterval = 5 * time.Second
-	trialPatience = 30 * time.Second
 	// answerMemory is how long an answer counts against crashes and quarantines before it
 	// that other instances tell later.
 	answerMemory = time.Minute
@@ -84,13 +64,6 @@
 	answeredAt  map[Part]time.Time // when a prompt with a suspected or quarantined part was answered last
 }
 
-// period is the time for which a part is quarantined.
-type period struct {
-	since    time.Time // when the last process ended at it
-	duration time.Duration
-	tryAt    time.Time // when the next prompt with the part may be tried
-}
-
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
@@ -150,65 +123,6 @@
 	return raw
 }
 
-// quarantineCause quarantines the latest of the parts that enough crashes speak against.
-func (t *Tracker) quarantineCause(parts []Part, now time.Time) []Part {
-	for _, part := range slices.Backward(parts) {
-		if !t.isCause(part) {
-			continue
-		}
-		t.begin(part, now)
-		return []Part{part}
-	}
-	return nil
-}
-
-// isCause reports whether the crashes speak against a part and none of the parts after
-// it explains them nearly as well.
-func (t *Tracker) isCause(part Part) bool {
-	at := t.crashTimes(part)
-	if len(at) < crashesNeeded || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
-		return false
-	}
-	for _, processes := range t.endedAtLaterParts(part) {
-		if len(at)-len(processes) < crashesMargin {
-			return false
-		}
-	}
-	return true
-}
-
-// crashTimes returns when processes ended at a part, one time for each process.
-func (t *Tracker) crashTimes(part Part) []time.Time {
-	var out []time.Time
-	counted := map[Process]bool{}
-	for _, c := range t.crashes {
-		if !counted[c.Process] && slices.Contains(c.Parts, part) {
-			counted[c.Process] = true
-			out = append(out, c.At)
-		}
-	}
-	return out
-}
-
-// endedAtLaterParts returns the processes that ended at prompts with a part, by each part
-// that follows it in one of them.
-func (t *Tracker) endedAtLaterParts(part Part) map[Part]map[Process]bool {
-	out := map[Part]map[Process]bool{}
-	for _, c := range t.crashes {
-		i := slices.Index(c.Parts, part)
-		if i < 0 {
-			continue
-		}
-		for _, later := range c.Parts[i+1:] {
-			if out[later] == nil {
-				out[later] = map[Process]bool{}
-			}
-			out[later][c.Process] = true
-		}
-	}
-	return out
-}
-
 // begin quarantines a part. The processes that ended at it speak against no other part
 // any more.
 func (t *Tracker) begin(part Part, now time.Time) {
@@ -223,19 +137,6 @@
 	t.dropExplained()
 }
 
-// extend prolongs a period if a process ended at its part after a trial was due. Others
-// end at prompts that were sent before the quarantine.
-func (p *period) extend(crashedAt time.Time) {
-	if crashedAt.After(p.since) {
-		p.since = crashedAt
-	}
-	if due := p.tryAt.Add(-trialInterval); crashedAt.Before(due) {
-		return
-	}
-	p.duration = min(max(2*p.duration, baseDuration), maxDuration)
-	p.tryAt = crashedAt.Add(p.duration)
-}
-
 // explain records that a process ended at a quarantined part.
 func (t *Tracker) explain(process Process, now time.Time) {
 	t.explained[process] = now
@@ -325,20 +226,6 @@
 	return left
 }
 
-// refused returns how long the period lasts; 0 if a trial is due that this instance
-// makes.
-func (p *period) refused(now time.Time, tries func() bool) time.Duration {
-	left := p.tryAt.Sub(now)
-	switch {
-	case left > 0:
-		return left
-	case -left < trialPatience && !tries():
-		return trialInterval
-	}
-	p.tryAt = now.Add(trialInterval)
-	return 0
-}
-
 // Suspected reports whether more than one process has ended at one of the parts.
 func (t *Tracker) Suspected(parts []Part) bool {
 	return slices.ContainsFunc(parts, func(part Part) bool { return len(t.crashTimes(part)) > 1 })
--- a/pkg/upstreamrate/limits.go
+++ b/pkg/upstreamrate/limits.go
@@ -9,6 +9,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/movingrate"
 )
 
 // Process identifies one process of an upstream.
@@ -49,8 +51,8 @@
 	lastSlot int64          // last slot that this instance has used
 	own      map[int64]bool // by slot: whether it is this instance's
 	division division
-	wished   wishRate
-	told     float64 // wish that the other instances know, if hasTold
+	wished   movingrate.Rate // requests that this instance would send without the limit
+	told     float64         // wish that the other instances know, if hasTold
 	hasTold  bool
 }
 
--- a/pkg/upstreamrate/slots.go
+++ b/pkg/upstreamrate/slots.go
@@ -21,26 +21,8 @@
 	// minShare is the least share of an instance, relative to the mean share. Wishes are
 	// known late.
 	minShare = 0.1
-	// wishDecay is the time constant of the moving average of wishes.
-	wishDecay = 2 * time.Second
 )
 
-// wishRate is a moving average of the requests that this instance would send to an
-// upstream if it had no limit.
-type wishRate struct {
-	perSecond float64
-	updatedAt time.Time
-}
-
-func (r *wishRate) add(requests float64, now time.Time) {
-	r.perSecond = r.at(now) + requests/wishDecay.Seconds()
-	r.updatedAt = now
-}
-
-func (r *wishRate) at(now time.Time) float64 {
-	return r.perSecond * math.Exp(-now.Sub(r.updatedAt).Seconds()/wishDecay.Seconds())
-}
-
 // wishes are the requests per second that an instance would send, by upstream ID.
 type wishes map[string]float64
 
@@ -66,7 +48,7 @@
 // Wish counts a request that this instance would send to an upstream if that had no limit.
 func (l *Limits) Wish(p Process, now time.Time) {
 	if known := l.limit(p); known != nil {
-		known.wished.add(1, now)
+		known.wished.Add(1, now)
 	}
 }
 
@@ -78,7 +60,7 @@
 	if known == nil {
 		return 0
 	}
-	known.told, known.hasTold = known.wished.at(now), true
+	known.told, known.hasTold = known.wished.PerSecond(now), true
 	return known.told
 }
 
