dispatch: whole requests before the shared parts of prompts; ignore limits of another upstream

Bodies of prompts may all be alike; then the fingerprint without the prompt is that of all prompts of a customer, and as the later part it was blamed instead of a shared part that is the cause. It now comes first, so that the part leads it, and answers to sound prompts clear whichever is sound. TestAlikeBodiesOfPromptsAreNotTheCause fails with the other order. A 421 of another upstream at the address says nothing of the limit of the one that was asked.

--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -206,6 +206,7 @@
 		x.h.placer.RecordWeights(attempt.Upstream.ID, x.edge.Call.Model, decoded.WeightsVersion)
 	}
 	switch {
+	case isFromAnother(attempt, decoded):
 	case decoded.HasRateLimit:
 		x.h.placer.RecordRateLimit(attempt, decoded.RateLimit)
 	case decoded.Attested:
@@ -219,6 +220,11 @@
 	}
 }
 
+// isFromAnother reports whether another upstream, which now has the address, responded.
+func isFromAnother(attempt *placement.Attempt, decoded call.Response) bool {
+	return decoded.Status == http.StatusMisdirectedRequest && decoded.UpstreamID != "" && decoded.UpstreamID != attempt.Upstream.ID
+}
+
 // recordRefusal records that the upstream attested that it did not run the
 // request, and the reason for the refusal.
 func (x *exchange) recordRefusal(attempt *placement.Attempt, decoded call.Response) {
@@ -226,7 +232,7 @@
 	x.r.Outcome.Sent = x.mayHaveRun
 	x.r.Outcome.Status = decoded.Status
 	switch {
-	case decoded.Status == http.StatusMisdirectedRequest && decoded.UpstreamID != "" && decoded.UpstreamID != attempt.Upstream.ID:
+	case isFromAnother(attempt, decoded):
 		x.h.placer.SetBusy(attempt.Upstream.ID, replacedBusyTime)
 	case decoded.Status == http.StatusMisdirectedRequest && decoded.WeightsVersion > 0:
 		x.h.placer.RecordWeights(attempt.Upstream.ID, x.edge.Call.Model, decoded.WeightsVersion)
--- a/pkg/filter/dispatch/fingerprint.go
+++ b/pkg/filter/dispatch/fingerprint.go
@@ -48,20 +48,21 @@
 	return e.Customer.Name
 }
 
-// crashParts returns the parts of the request at which upstreams may end, from the most
-// common to the most specific: those that its prompt shares with others, the whole
-// request, and the whole request with its prompt.
+// crashParts returns the parts of the request at which upstreams may end: the whole
+// request, the parts that its prompt shares with others, and the whole request with its
+// prompt. Of two that explain the same crashes the later one is blamed. The whole request
+// comes first, since the bodies of prompts may all be alike.
 func (x *exchange) crashParts() []quarantine.Part {
 	if x.parts != nil {
 		return x.parts
 	}
+	request := fingerprint(x.r)
+	x.parts = append(x.parts, quarantine.Part(request))
 	c := &x.edge.Call
 	shared := x.sharedParts()
 	for _, part := range shared[:min(len(shared), quarantine.MaxParts-2)] {
 		x.parts = append(x.parts, quarantine.PartOf(c.Model, part.ID))
 	}
-	request := fingerprint(x.r)
-	x.parts = append(x.parts, quarantine.Part(request))
 	if len(c.PromptParts) > 0 {
 		x.parts = append(x.parts, quarantine.Part(promptFingerprint(request, c)))
 	}
--- /dev/null
+++ b/pkg/filter/dispatch/fingerprint_test.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/quarantine"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+)
+
+func newExchange(method, target, customer, body string, parts ...string) *exchange {
+	edge := &chain.Edge{Customer: &routing.Customer{Name: customer}, Call: call.Request{Model: "m"}}
+	for _, id := range parts {
+		edge.Call.PromptParts = append(edge.Call.PromptParts, call.PromptPart{ID: id, Tokens: 100})
+	}
+	r := &chain.Request{HTTP: httptest.NewRequest(method, target, strings.NewReader("")), Body: []byte(body), Edge: edge}
+	return &exchange{r: r, edge: edge}
+}
+
+// TestOnlyAlikeRequestsShareAFingerprint guards against refusing a request for one that differs in anything, and against not knowing one that comes again.
+func TestOnlyAlikeRequestsShareAFingerprint(t *testing.T) {
+	crashing := newExchange("GET", "http://a.example/x?a=1", "c", "body")
+	if got := newExchange("GET", "http://a.example/x?a=1", "c", "body"); !slices.Equal(got.crashParts(), crashing.crashParts()) {
+		t.Error("an equal request is not known again")
+	}
+	for _, other := range []*exchange{
+		newExchange("POST", "http://a.example/x?a=1", "c", "body"), newExchange("GET", "http://b.example/x?a=1", "c", "body"),
+		newExchange("GET", "http://a.example/x?a=2", "c", "body"), newExchange("GET", "http://a.example/x?a=1", "d", "body"),
+		newExchange("GET", "http://a.example/x?a=1", "c", "bodies"), newExchange("GET", "http://a.example/x?a=1", "cb", "ody"),
+	} {
+		if slices.Equal(other.crashParts(), crashing.crashParts()) {
+			t.Errorf("%s %s is taken for another request", other.r.HTTP.Method, other.r.HTTP.RequestURI)
+		}
+	}
+}
+
+// TestAlikeBodiesOfPromptsAreNotTheCause guards against refusing all prompts of a customer, whose bodies are alike, for a part of some.
+func TestAlikeBodiesOfPromptsAreNotTheCause(t *testing.T) {
+	a, b := newExchange("POST", "http://a.example/x", "c", "", "first", "bad", "1"), newExchange("POST", "http://a.example/x", "c", "", "first", "bad", "2")
+	i := slices.Index(a.crashParts(), quarantine.PartOf("m", "bad"))
+	if i < 0 || slices.Index(a.crashParts(), quarantine.Part(fingerprint(a.r))) > i {
+		t.Error("the whole request comes after the part and is blamed first")
+	}
+	if a.crashParts()[0] != b.crashParts()[0] || slices.Equal(a.crashParts(), b.crashParts()) {
+		t.Error("prompts with alike bodies are not told apart by their last part")
+	}
+}
