--- a/pkg/filter/dispatch/crash.go
+++ b/pkg/filter/dispatch/crash.go
@@ -90,9 +90,7 @@
 		return
 	}
 	x.answer.proven = true
-	if !x.h.crashes.Idle() {
-		x.h.crashes.Answered(x.crashParts())
-	}
+	x.h.crashes.Answered(x.crashParts())
 }
 
 // endedUpstream handles a failed attempt after which the upstream may have ended. It
--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -9,6 +9,9 @@
 	// crashesNeeded is the number of processes that must have ended at a part, with no
 	// prompt with it answered in between, before it is quarantined.
 	crashesNeeded = 3
+	// crashesNeededIfSound is that number for a part that was answered lately. Requests
+	// that are often sent run at most upstreams that end for other reasons.
+	crashesNeededIfSound = 3 * crashesNeeded
 	// crashesMargin is by how many processes a part must lead each later part of the same
 	// prompts. Parts before the one that ends engines are in all of its crashes, too.
 	crashesMargin = 2
@@ -20,7 +23,7 @@
 // quarantineCause quarantines the latest of the parts that enough crashes speak against.
 func (t *Tracker) quarantineCause(parts []Part, now time.Time) []Part {
 	for _, part := range slices.Backward(parts) {
-		if !t.isCause(part) {
+		if !t.isCause(part, now) {
 			continue
 		}
 		t.begin(part, now)
@@ -31,9 +34,13 @@
 
 // isCause reports whether the crashes speak against a part and none of the parts after
 // it explains them nearly as well.
-func (t *Tracker) isCause(part Part) bool {
+func (t *Tracker) isCause(part Part, now time.Time) bool {
+	needed := crashesNeeded
+	if t.sound.has(part, now) {
+		needed = crashesNeededIfSound
+	}
 	at := t.crashTimes(part)
-	if len(at) < crashesNeeded || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
+	if len(at) < needed || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
 		return false
 	}
 	for _, processes := range t.endedAtLaterParts(part) {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -56,8 +56,9 @@
 
 // Tracker is the state of one instance.
 type Tracker struct {
-	crashes     []Crash               // not explained by a quarantined part
-	suspected   map[Part]bool         // parts of crashes
+	crashes     []Crash       // not explained by a quarantined part
+	suspected   map[Part]bool // parts of crashes
+	sound       *soundParts
 	seen        map[uint64]time.Time  // by hash of a crash: when it was recorded
 	explained   map[Process]time.Time // ended at a quarantined part
 	quarantined map[Part]*period
@@ -67,7 +68,7 @@
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspected: map[Part]bool{}, seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
+		suspected: map[Part]bool{}, sound: newSoundParts(), seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
 		quarantined: map[Part]*period{}, answeredAt: map[Part]time.Time{},
 	}
 }
@@ -181,6 +182,7 @@
 // must be told, and those of them that were quarantined.
 func (t *Tracker) RecordAnswer(parts []Part, at time.Time) (cleared, lifted []Part) {
 	for _, part := range parts {
+		t.sound.add(part, at)
 		suspected := t.dropCrashes(part, at)
 		p := t.quarantined[part]
 		quarantined := p != nil && !p.since.After(at)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -230,3 +230,21 @@
 		t.Errorf("after a day: %d crashes, %d messages, %d quarantines", len(tracker.crashes), len(tracker.seen), len(tracker.quarantined))
 	}
 }
+
+// TestOftenAnsweredRequestIsNotBlamedForOtherEnds guards against refusing requests that are often sent and were at several upstreams that ended one after the other for other reasons.
+func TestOftenAnsweredRequestIsNotBlamedForOtherEnds(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordAnswer([]Part{rare}, start)
+	for i := range 4 {
+		record(tracker, at(150*(i+1)), Process(i), rare)
+	}
+	if isQuarantined(tracker, rare, at(700)) {
+		t.Error("quarantined after four ends, though it was answered just before")
+	}
+	for i := range 5 {
+		record(tracker, at(800+100*i), Process(10+i), rare)
+	}
+	if !isQuarantined(tracker, rare, at(1300)) {
+		t.Error("never quarantined, though it ends upstream after upstream since it was answered")
+	}
+}
