--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 // cases lists the cases by name.
 var cases = map[string]func(*world) (broken bool, err error){
 	"handover": handover,
+	"wall":     wall,
 }
 
 func main() {
