--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,8 +22,9 @@
 
 // cases lists the cases by name.
 var cases = map[string]func(*world) (broken bool, err error){
-	"handover": handover,
-	"wall":     wall,
+	"departure": departure,
+	"handover":  handover,
+	"wall":      wall,
 }
 
 func main() {
