--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -59,7 +59,7 @@
 func (c *crashes) Crashed(u *fleet.Upstream, parts []quarantine.Part) (maySend bool) {
 	crash := quarantine.Crash{Process: processOf(u), Parts: parts, At: c.now()}
 	isNew := c.record(crash)
-	c.log.Info("upstream ended while it began to answer a request", "upstream", u.ID, "hashes", hexParts(crash.Parts))
+	c.logCrash(u, crash, isNew)
 	if isNew {
 		c.onCrash(crash)
 	}
@@ -68,6 +68,16 @@
 	return !c.tracker.Suspected(crash.Parts)
 }
 
+// logCrash logs a crash that this instance has seen, with what speaks for and against
+// each part: the processes that ended at it, and whether it was answered lately.
+func (c *crashes) logCrash(u *fleet.Upstream, crash quarantine.Crash, isNew bool) {
+	c.mu.Lock()
+	ends, sound := c.tracker.Evidence(crash.Parts, c.now())
+	c.mu.Unlock()
+	c.log.Info("upstream ended while it began to answer a request", "upstream", u.ID, "started_ms", u.StartTimeMS, "new", isNew,
+		"hashes", hexParts(crash.Parts), "ends", ends, "answered_lately", sound)
+}
+
 // record records a crash that this or another instance has seen.
 func (c *crashes) record(crash quarantine.Crash) (isNew bool) {
 	c.mu.Lock()
@@ -88,8 +98,8 @@
 	}
 }
 
-// Answered records that a request was answered.
-func (c *crashes) Answered(parts []quarantine.Part) {
+// Answered records that a request was answered with a status.
+func (c *crashes) Answered(parts []quarantine.Part, status int) {
 	c.mu.Lock()
 	now := c.now()
 	cleared, lifted := c.tracker.RecordAnswer(parts, now)
@@ -98,7 +108,7 @@
 		c.onChange(part, false)
 	}
 	if len(cleared) > 0 {
-		c.log.Info("parts are not suspected any more, since a request with them was answered", "hashes", hexParts(cleared))
+		c.log.Info("parts are not suspected any more, since a request with them was answered", "hashes", hexParts(cleared), "status", status)
 	}
 	for _, part := range cleared {
 		c.onAnswer(part, now)
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -173,9 +173,12 @@
 // RecordRefusal records that an upstream refused a request for want of room.
 func (p *placer) RecordRefusal(u *fleet.Upstream) {
 	p.mu.Lock()
+	o, _ := p.balancer.Occupancy(u, p.now())
 	refusal, tell := p.balancer.RecordRefusal(u, p.now())
 	p.mu.Unlock()
 	if tell {
+		p.log.Info("brittle upstream refused a request for want of room", "upstream", u.ID, "own", o.Own, "others", o.Others,
+			"places", o.Places, "own_places", o.OwnPlaces, "room", refusal.Room, "hold", refusal.Hold.String())
 		p.onRefusal(refusal)
 	}
 }
--- a/pkg/filter/dispatch/crash.go
+++ b/pkg/filter/dispatch/crash.go
@@ -27,8 +27,8 @@
 	// Crashed records that an upstream ended while it began to answer a request. It
 	// reports whether the request may be sent to another upstream.
 	Crashed(u *fleet.Upstream, parts []quarantine.Part) (maySend bool)
-	// Answered records that a request was answered.
-	Answered(parts []quarantine.Part)
+	// Answered records that a request was answered with a status.
+	Answered(parts []quarantine.Part, status int)
 }
 
 // provenAfter is how long after its first event a stream shows that its upstream does
@@ -90,7 +90,7 @@
 		return
 	}
 	x.answer.proven = true
-	x.h.Crashes.Answered(x.crashParts())
+	x.h.Crashes.Answered(x.crashParts(), x.r.Outcome.Status)
 }
 
 // endedUpstream handles a failed attempt after which the upstream may have ended. It
--- a/pkg/placement/brittle.go
+++ b/pkg/placement/brittle.go
@@ -105,6 +105,26 @@
 	return s.own.Requests < own
 }
 
+// Occupancy is what an instance knows of the requests at a brittle upstream.
+type Occupancy struct {
+	Own       int // requests of this instance
+	Others    int // requests that the others have told
+	Places    int // requests that it is expected to have room for
+	OwnPlaces int // places that are this instance's
+}
+
+// Occupancy returns what is known of the requests at an upstream. It reports false if the
+// upstream is not brittle.
+func (b *Balancer) Occupancy(u *fleet.Upstream, now time.Time) (o Occupancy, brittle bool) {
+	known := b.brittle[u.Service]
+	if known == nil {
+		return Occupancy{}, false
+	}
+	s := b.state(u)
+	places := b.placesAt(u, known, now)
+	return Occupancy{s.own.Requests, s.peers.Requests, places, b.limits.OwnPlaces(u.ID, places)}, true
+}
+
 // Refusal is what all instances must know of a request that a brittle upstream refused for
 // want of room.
 type Refusal struct {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -233,6 +233,16 @@
 	return slices.ContainsFunc(parts, func(part Part) bool { return len(t.crashTimes(part)) > 1 })
 }
 
+// Evidence returns, for each part, how many processes have ended at it that no quarantined
+// part explains, and whether it was answered lately.
+func (t *Tracker) Evidence(parts []Part, now time.Time) (ends []int, answeredLately []bool) {
+	for _, part := range parts {
+		ends = append(ends, len(t.crashTimes(part)))
+		answeredLately = append(answeredLately, t.sound.has(part, now))
+	}
+	return ends, answeredLately
+}
+
 // Quarantines returns the parts that are quarantined.
 func (t *Tracker) Quarantines(now time.Time) []Quarantine {
 	var out []Quarantine
