--- a/pkg/edge/brittle_test.go
+++ b/pkg/edge/brittle_test.go
@@ -25,10 +25,10 @@
 	servers   []*standin.Upstream
 }
 
-func newBrittleFleet(t *testing.T, instances, stated int) *brittleFleet {
+func newBrittleFleet(t *testing.T, instances, servers, stated int) *brittleFleet {
 	fleet := &brittleFleet{testFleet: newTestFleet(t, 1)}
 	fleet.orders.Unregister()
-	for i := range brittleServers {
+	for i := range servers {
 		fleet.servers = append(fleet.servers, fleet.startUpstream(standin.Options{
 			ID: fmt.Sprint("b", i), Service: "orders", Zone: "z1", Slots: stated, Room: brittleSlots, ServiceTime: 60 * time.Millisecond, RestartTime: time.Second,
 		}))
@@ -54,7 +54,7 @@
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for _, instance := range fleet.instances {
-		for range 4 * brittleServers * brittleSlots / len(fleet.instances) {
+		for range max(1, 4*len(fleet.servers)*brittleSlots/len(fleet.instances)) {
 			wg.Go(func() {
 				for time.Now().Before(end) {
 					if _, got := instance.request(http.MethodPost, "/orders/", keyBig, nextID()); got.status == http.StatusOK {
@@ -83,8 +83,8 @@
 // for 2 s each, and for 6 s while they were.
 type brittleRun struct{ before, served, ends, after int }
 
-func runBrittle(t *testing.T, stated int) brittleRun {
-	fleet := newBrittleFleet(t, 3, stated)
+func runBrittle(t *testing.T, instances, servers, stated int) brittleRun {
+	fleet := newBrittleFleet(t, instances, servers, stated)
 	var r brittleRun
 	r.before, _ = fleet.overload(2 * time.Second)
 	fleet.setBrittle(brittleRefusals)
@@ -114,7 +114,7 @@
 	for name, stated := range map[string]int{"room as stated": brittleSlots, "less room than stated": 3 * brittleSlots} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if r := runBrittle(t, stated); r.ends > 2+brittleServers/10 {
+			if r := runBrittle(t, 3, brittleServers, stated); r.ends > 2+brittleServers/10 {
 				t.Errorf("servers ended %d times, allowed %d", r.ends, 2+brittleServers/10)
 			}
 		})
@@ -124,11 +124,21 @@
 // TestBrittleServersUseTheirRoom guards against leaving the room of brittle servers unused.
 func TestBrittleServersUseTheirRoom(t *testing.T) {
 	t.Parallel()
-	runBrittle(t, brittleSlots).expectRoomUsed(t)
+	runBrittle(t, 3, brittleServers, brittleSlots).expectRoomUsed(t)
 }
 
 // TestBrittleServersWithLessRoomUseIt guards against leaving the room unused of servers that have less than they state.
 func TestBrittleServersWithLessRoomUseIt(t *testing.T) {
 	t.Parallel()
-	runBrittle(t, 3*brittleSlots).expectRoomUsed(t)
+	runBrittle(t, 3, brittleServers, 3*brittleSlots).expectRoomUsed(t)
+}
+
+// TestMoreInstancesThanPlacesKeepBrittleServersUp guards against instances that own no place at a brittle server and send all the same.
+func TestMoreInstancesThanPlacesKeepBrittleServersUp(t *testing.T) {
+	t.Parallel()
+	r := runBrittle(t, 24, 2, brittleSlots)
+	if r.ends > 2 {
+		t.Errorf("servers ended %d times, allowed 2", r.ends)
+	}
+	r.expectRoomUsed(t)
 }
--- a/pkg/edge/crash_request_test.go
+++ b/pkg/edge/crash_request_test.go
@@ -100,6 +100,46 @@
 	fleet := newPlainCrashFleet(t, 2)
 	fleet.provokeByRequest()
 	fleet.startNext(2)
+	fleet.stopAll()
+	fleet.startNext(0)
+	fleet.expectFewReach(3 * time.Second)
+}
+
+// TestRestartsOfAllWhileTheStoreIsAwayKeepCrashingRequest guards against ends of upstreams that are forgotten each time the store is away when all instances stop.
+func TestRestartsOfAllWhileTheStoreIsAwayKeepCrashingRequest(t *testing.T) {
+	t.Parallel()
+	fleet := newPlainCrashFleet(t, 2)
+	fleet.provokeUpTo(2)
+	time.Sleep(settleTime)
+	for range 2 {
+		fleet.store.SetDown(true)
+		fleet.provokeUpTo(1)
+		fleet.stopAll()
+		fleet.store.SetDown(false)
+		fleet.startNext(0)
+		fleet.startNext(1)
+		fleet.provokeUpTo(2)
+		time.Sleep(settleTime)
+	}
+	if n := fleet.reachedByCrashing() - requestCrashesCounted; n > mayReachLater {
+		t.Errorf("the request reached upstreams %d times after the third end, want at most %d; %d crashes in all", n, mayReachLater, fleet.crashes())
+	}
+}
+
+// provokeUpTo sends the request until so many more upstreams have ended or it is refused
+// ten times in a row.
+func (fleet *crashFleet) provokeUpTo(crashes int) {
+	want, refused := fleet.crashes()+crashes, 0
+	for fleet.crashes() < want && refused < 10 {
+		if refused++; fleet.crashing().status != http.StatusServiceUnavailable {
+			refused = 0
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// stopAll stops all instances and waits until they have stopped.
+func (fleet *crashFleet) stopAll() {
 	for _, instance := range fleet.instances {
 		instance.stop()
 	}
@@ -107,8 +147,6 @@
 		fleet.await("the instance has stopped", func() bool { return strings.Contains(instance.log.String(), `"stopped"`) })
 	}
 	fleet.instances = nil
-	fleet.startNext(0)
-	fleet.expectFewReach(3 * time.Second)
 }
 
 // equalCallers send equal requests.
--- a/pkg/edge/crash_test.go
+++ b/pkg/edge/crash_test.go
@@ -153,6 +153,25 @@
 	}
 }
 
+// TestErrorsOfUpstreamsHideNoCrashingPart guards against upstreams in trouble whose error answers clear a part that ends them.
+func TestErrorsOfUpstreamsHideNoCrashingPart(t *testing.T) {
+	t.Parallel()
+	fleet := newCrashFleet(t, 8, 3)
+	for _, e := range fleet.engines {
+		e.SetErrorEvery(2)
+	}
+	fleet.provoke("/long/")
+	before := fleet.reached()
+	for range 40 {
+		fleet.send("/long/", "first", crashPart)
+		fleet.send("/long/", "first")
+		time.Sleep(50 * time.Millisecond)
+	}
+	if n := fleet.reached() - before; n > mayReachLater {
+		t.Errorf("%d prompts with the part reached engines later, want at most %d; %d crashes in all", n, mayReachLater, fleet.crashes())
+	}
+}
+
 // TestStartedInstanceKnowsCrashingPart guards against an instance that starts later and ends engines again.
 func TestStartedInstanceKnowsCrashingPart(t *testing.T) {
 	t.Parallel()
@@ -175,14 +194,8 @@
 	fleet := newCrashFleet(t, 8, 2)
 	fleet.provoke("/long/")
 	fleet.send("/long/", "first", crashPart) // ends the sixth, 3 s after the others
-	for _, instance := range fleet.instances {
-		instance.stop()
-	}
-	for _, instance := range fleet.instances {
-		fleet.await("the instance has stopped", func() bool { return strings.Contains(instance.log.String(), `"stopped"`) })
-	}
+	fleet.stopAll()
 	before := fleet.reached()
-	fleet.instances = nil
 	fleet.startNext(0)
 	for range 10 {
 		fleet.send("/long/", "first", crashPart)
--- a/pkg/filter/dispatch/fingerprint_test.go
+++ b/pkg/filter/dispatch/fingerprint_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+// TestPartsOfPromptsToSeveralModelsAreAlike guards against counting the ends at a part apart for each model.
+func TestPartsOfPromptsToSeveralModelsAreAlike(t *testing.T) {
+	a, b := newExchange("POST", "http://a.example/x", "c", "one", "bad", "1"), newExchange("POST", "http://b.example/y", "d", "two", "bad", "2")
+	b.edge.Call.Model = "n"
+	if !slices.ContainsFunc(a.crashParts(), func(p quarantine.Part) bool { return slices.Contains(b.crashParts(), p) }) {
+		t.Error("prompts to two models have no part in common")
+	}
+}
+
+// TestNoSharedPartIsLeftOut guards against a part that is never found since many come before it.
+func TestNoSharedPartIsLeftOut(t *testing.T) {
+	ids := strings.Split("a b c d e f g h i j k l m n o p q r s bad own", " ")
+	a := newExchange("POST", "http://a.example/x", "c", "one", ids...)
+	if !slices.Contains(a.crashParts(), quarantine.PartOf("m", "bad")) {
+		t.Error("the twentieth shared part is left out")
+	}
+}
+
 // TestAlikeBodiesOfPromptsAreNotTheCause guards against refusing all prompts of a customer, whose bodies are alike, for a part of some.
 func TestAlikeBodiesOfPromptsAreNotTheCause(t *testing.T) {
 	a, b := newExchange("POST", "http://a.example/x", "c", "", "first", "bad", "1"), newExchange("POST", "http://a.example/x", "c", "", "first", "bad", "2")
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -96,6 +96,47 @@
 	}
 }
 
+// TestRareEndsOfAPartThatWasAnsweredLatelyCount guards against a part that becomes one that ends engines and is found only after nine, since it was answered a minute ago.
+func TestRareEndsOfAPartThatWasAnsweredLatelyCount(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordAnswer([]Part{first, bad}, start)
+	for i := range 5 {
+		record(tracker, at(4000*(i+1)), Process(i), first, bad, Part(100+i))
+		tracker.RecordAnswer([]Part{first}, at(4000*(i+1)+10))
+	}
+	if !isQuarantined(tracker, bad, at(20100)) || isQuarantined(tracker, first, at(20100)) {
+		t.Errorf("quarantined after five ends in 16 s: %v", tracker.Quarantines(at(20100)))
+	}
+}
+
+// TestCompanionsHideNoPart guards against blaming, one after the other, the parts that follow the one that ends engines.
+func TestCompanionsHideNoPart(t *testing.T) {
+	tracker := NewTracker()
+	ends := 0
+	for ; ends < 12 && !isQuarantined(tracker, bad, at(300*ends)); ends++ {
+		companion := Part(100 + ends/3)
+		if isQuarantined(tracker, companion, at(300*ends)) {
+			companion++
+		}
+		record(tracker, at(300*ends), Process(ends), first, bad, companion)
+		tracker.RecordAnswer([]Part{first}, at(300*ends+10))
+	}
+	if ends > 5 {
+		t.Errorf("quarantined after %d ends, want 5 at most", ends)
+	}
+}
+
+// TestNextProcessUnderAnIDCounts guards against few upstreams that restart under their IDs, unknown to the instances, and end again uncounted.
+func TestNextProcessUnderAnIDCounts(t *testing.T) {
+	tracker := NewTracker()
+	for i := range 3 {
+		record(tracker, at(4000*i), 1, bad)
+	}
+	if !isQuarantined(tracker, bad, at(8000)) {
+		t.Error("not quarantined after three ends under one ID, 4 s apart")
+	}
+}
+
 // TestRepeatedMessageCountsOnce guards against counting one crash for each datagram and each instance that tells of it.
 func TestRepeatedMessageCountsOnce(t *testing.T) {
 	tracker := NewTracker()
