--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -203,8 +203,8 @@
 	}
 	timer.stop() // the response is complete, whether or not the timer closed the connection
 	buffered := &response{status: decoded.Status, header: resp.Header, body: body}
-	if decoded.Attested && isFramed(resp) {
-		x.recordAnswered() // whatever the status: the upstream ran the request and goes on
+	if decoded.Attested && isFramed(resp) && decoded.Status < http.StatusInternalServerError {
+		x.recordAnswered() // an upstream may fail before it runs the request
 	}
 	if decoded.Status >= http.StatusInternalServerError && x.edge.Route.Idempotent() {
 		x.errorResponse = buffered
