--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -9,9 +9,11 @@
 	// crashesNeeded is the number of processes that must have ended at a part, with no
 	// prompt with it answered in between, before it is quarantined.
 	crashesNeeded = 3
-	// crashesNeededIfSound is that number for a part that was answered lately. Requests
-	// that are often sent run at most upstreams that end for other reasons.
+	// crashesNeededIfSound is that number for a part that was answered lately, for crashes
+	// within soundSpan. Requests that are often sent run at most upstreams that end for
+	// other reasons, but are answered again between crashes that are further apart.
 	crashesNeededIfSound = 3 * crashesNeeded
+	soundSpan            = 3 * time.Second
 	// crashesMargin is by how many processes a part must lead each later part of the same
 	// prompts. Parts before the one that ends engines are in all of its crashes, too.
 	crashesMargin = 2
@@ -35,12 +37,12 @@
 // isCause reports whether the crashes speak against a part and none of the parts after
 // it explains them nearly as well.
 func (t *Tracker) isCause(part Part, now time.Time) bool {
-	needed := crashesNeeded
-	if t.sound.has(part, now) {
-		needed = crashesNeededIfSound
-	}
 	at := t.crashTimes(part)
-	if len(at) < needed || slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare)) < minSpan {
+	if len(at) < crashesNeeded {
+		return false
+	}
+	span := slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare))
+	if span < minSpan || (t.sound.has(part, now) && span < soundSpan && len(at) < crashesNeededIfSound) {
 		return false
 	}
 	for _, processes := range t.endedAtLaterParts(part) {
