--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -45,8 +45,8 @@
 	if span < minSpan || (t.sound.has(part, now) && span < soundSpan && len(at) < crashesNeededIfSound) {
 		return false
 	}
-	for _, processes := range t.endedAtLaterParts(part) {
-		if len(at)-len(processes) < crashesMargin {
+	for _, ends := range t.endedAtLaterParts(part) {
+		if len(at)-ends.count() < crashesMargin {
 			return false
 		}
 	}
@@ -56,10 +56,9 @@
 // crashTimes returns when processes ended at a part, one time for each process.
 func (t *Tracker) crashTimes(part Part) []time.Time {
 	var out []time.Time
-	counted := map[Process]bool{}
+	counted := processEnds{}
 	for _, c := range t.crashes {
-		if !counted[c.Process] && slices.Contains(c.Parts, part) {
-			counted[c.Process] = true
+		if slices.Contains(c.Parts, part) && counted.add(c.Process, c.At) {
 			out = append(out, c.At)
 		}
 	}
@@ -68,8 +67,8 @@
 
 // endedAtLaterParts returns the processes that ended at prompts with a part, by each part
 // that follows it in one of them.
-func (t *Tracker) endedAtLaterParts(part Part) map[Part]map[Process]bool {
-	out := map[Part]map[Process]bool{}
+func (t *Tracker) endedAtLaterParts(part Part) map[Part]processEnds {
+	out := map[Part]processEnds{}
 	for _, c := range t.crashes {
 		i := slices.Index(c.Parts, part)
 		if i < 0 {
@@ -77,9 +76,9 @@
 		}
 		for _, later := range c.Parts[i+1:] {
 			if out[later] == nil {
-				out[later] = map[Process]bool{}
+				out[later] = processEnds{}
 			}
-			out[later][c.Process] = true
+			out[later].add(c.Process, c.At)
 		}
 	}
 	return out
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -59,8 +59,8 @@
 	crashes     []Crash       // not explained by a quarantined part
 	suspected   map[Part]bool // parts of crashes
 	sound       *soundParts
-	seen        map[uint64]time.Time  // by hash of a crash: when it was recorded
-	explained   map[Process]time.Time // ended at a quarantined part
+	seen        map[uint64]time.Time // by hash of a crash: when it happened last
+	explained   processEnds          // at a quarantined part
 	quarantined map[Part]*period
 	answeredAt  map[Part]time.Time // when a prompt with a suspected or quarantined part was answered last
 }
@@ -68,7 +68,7 @@
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspected: map[Part]bool{}, sound: newSoundParts(), seen: map[uint64]time.Time{}, explained: map[Process]time.Time{},
+		suspected: map[Part]bool{}, sound: newSoundParts(), seen: map[uint64]time.Time{}, explained: processEnds{},
 		quarantined: map[Part]*period{}, answeredAt: map[Part]time.Time{},
 	}
 }
@@ -82,18 +82,18 @@
 func (t *Tracker) RecordCrash(c Crash, now time.Time) (isNew bool, added []Part) {
 	t.expire(now)
 	id := c.hash()
-	if _, known := t.seen[id]; known || len(c.Parts) == 0 {
+	if at, known := t.seen[id]; len(c.Parts) == 0 || (known && c.At.Sub(at).Abs() < minProcessLife) {
 		return false, nil
 	}
-	t.seen[id] = now
+	t.seen[id] = c.At
 	for _, part := range c.Parts {
 		if p := t.quarantined[part]; p != nil {
 			p.extend(c.At)
-			t.explain(c.Process, now)
+			t.explain(c)
 			return true, nil
 		}
 	}
-	if _, ok := t.explained[c.Process]; ok {
+	if t.explained.has(c.Process, c.At) {
 		return true, nil
 	}
 	if len(t.crashes) >= maxCrashes {
@@ -132,23 +132,20 @@
 	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: firstDuration, tryAt: now.Add(firstDuration)}
 	for _, c := range t.crashes {
 		if slices.Contains(c.Parts, part) {
-			t.explained[c.Process] = now
+			t.explained.add(c.Process, c.At)
 		}
 	}
 	t.dropExplained()
 }
 
 // explain records that a process ended at a quarantined part.
-func (t *Tracker) explain(process Process, now time.Time) {
-	t.explained[process] = now
+func (t *Tracker) explain(c Crash) {
+	t.explained.add(c.Process, c.At)
 	t.dropExplained()
 }
 
 func (t *Tracker) dropExplained() {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool {
-		_, ok := t.explained[c.Process]
-		return ok
-	})
+	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return t.explained.has(c.Process, c.At) })
 	t.index()
 }
 
@@ -286,7 +283,7 @@
 func (t *Tracker) expire(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return now.Sub(c.At) > crashMemory })
 	forget(t.seen, now, messageMemory)
-	forget(t.explained, now, crashMemory)
+	t.explained.forget(now, crashMemory)
 	forget(t.answeredAt, now, answerMemory)
 	for part, p := range t.quarantined {
 		if now.Sub(p.tryAt) > max(p.duration, crashMemory) {
