--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -58,7 +58,7 @@
 	var out []time.Time
 	counted := processEnds{}
 	for _, c := range t.crashes {
-		if slices.Contains(c.Parts, part) && counted.add(c.Process, c.At) {
+		if c.speaksAgainst(part) && counted.add(c.Process, c.At) {
 			out = append(out, c.At)
 		}
 	}
@@ -70,11 +70,10 @@
 func (t *Tracker) endedAtLaterParts(part Part) map[Part]processEnds {
 	out := map[Part]processEnds{}
 	for _, c := range t.crashes {
-		i := slices.Index(c.Parts, part)
-		if i < 0 {
+		if !c.speaksAgainst(part) {
 			continue
 		}
-		for _, later := range c.Parts[i+1:] {
+		for _, later := range c.Parts[slices.Index(c.Parts, part)+1:] {
 			if out[later] == nil {
 				out[later] = processEnds{}
 			}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -56,7 +56,7 @@
 
 // Tracker is the state of one instance.
 type Tracker struct {
-	crashes     []Crash       // not explained by a quarantined part
+	crashes     []recorded
 	suspected   map[Part]bool // parts of crashes
 	sound       *soundParts
 	seen        map[uint64]time.Time // by hash of a crash: when it happened last
@@ -65,6 +65,21 @@
 	answeredAt  map[Part]time.Time // when a prompt with a suspected or quarantined part was answered last
 }
 
+// recorded is a crash that counts.
+type recorded struct {
+	Crash
+	// cause is the quarantined part of the request, or 0. Then the crash speaks against the
+	// parts before it only: several parts may be blamed that follow the one that ends
+	// upstreams.
+	cause Part
+}
+
+// speaksAgainst reports whether the crash may have been for a part of its request.
+func (r *recorded) speaksAgainst(part Part) bool {
+	i := slices.Index(r.Parts, part)
+	return i >= 0 && (r.cause == 0 || i < slices.Index(r.Parts, r.cause))
+}
+
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
@@ -74,7 +89,7 @@
 }
 
 // Idle reports whether no part is suspected or quarantined.
-func (t *Tracker) Idle() bool { return len(t.crashes) == 0 && len(t.quarantined) == 0 }
+func (t *Tracker) Idle() bool { return len(t.suspected) == 0 && len(t.quarantined) == 0 }
 
 // RecordCrash records a crash that this instance has seen or another one tells. It
 // reports whether the crash was not known, so that others must be told, and the parts
@@ -103,7 +118,7 @@
 	if len(c.Parts) == 0 {
 		return true, nil
 	}
-	t.crashes = append(t.crashes, c)
+	t.crashes = append(t.crashes, recorded{Crash: c})
 	t.index()
 	return true, t.quarantineCause(c.Parts, now)
 }
@@ -125,13 +140,14 @@
 }
 
 // begin quarantines a part. The processes that ended at it speak against no other part
-// any more.
+// any more, but for those before it in the same requests.
 func (t *Tracker) begin(part Part, now time.Time) {
 	t.makeRoom()
 	at := t.crashTimes(part)
 	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: firstDuration, tryAt: now.Add(firstDuration)}
-	for _, c := range t.crashes {
-		if slices.Contains(c.Parts, part) {
+	for i, c := range t.crashes {
+		if c.speaksAgainst(part) {
+			t.crashes[i].cause = part
 			t.explained.add(c.Process, c.At)
 		}
 	}
@@ -145,7 +161,7 @@
 }
 
 func (t *Tracker) dropExplained() {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return t.explained.has(c.Process, c.At) })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return c.cause == 0 && t.explained.has(c.Process, c.At) })
 	t.index()
 }
 
@@ -204,10 +220,13 @@
 	for i, c := range t.crashes {
 		if j := slices.Index(c.Parts, part); j >= 0 && !c.At.After(until) {
 			t.crashes[i].Parts = slices.Delete(c.Parts, j, j+1)
+			if c.cause == part {
+				t.crashes[i].cause = 0
+			}
 			found = true
 		}
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return len(c.Parts) == 0 })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return len(c.Parts) == 0 })
 	t.index()
 	return found
 }
@@ -250,7 +269,15 @@
 }
 
 // Crashes returns the crashes that no quarantined part explains.
-func (t *Tracker) Crashes() []Crash { return slices.Clone(t.crashes) }
+func (t *Tracker) Crashes() []Crash {
+	var out []Crash
+	for _, c := range t.crashes {
+		if c.cause == 0 {
+			out = append(out, c.Crash)
+		}
+	}
+	return out
+}
 
 // Adopt takes over a quarantine from another instance, and reports whether the part was
 // not quarantined here. If a prompt with the part was answered after the last process
@@ -281,7 +308,7 @@
 // expire forgets what no longer counts. A quarantine is forgotten if no prompt was tried
 // for as long as it lasted, but crashMemory at least: none with its part comes.
 func (t *Tracker) expire(now time.Time) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return now.Sub(c.At) > crashMemory })
+	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return now.Sub(c.At) > crashMemory })
 	forget(t.seen, now, messageMemory)
 	t.explained.forget(now, crashMemory)
 	forget(t.answeredAt, now, answerMemory)
