--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -17,10 +17,9 @@
 type crashes struct {
 	log      hclog.Logger
 	now      func() time.Time
-	onCrash  func(quarantine.Crash)                       // called when this instance is the first to see a crash
-	onAnswer func(part quarantine.Part, at time.Time)     // called when another instance must be told of an answer
-	onChange func(part quarantine.Part, quarantined bool) // called where the change is to be written to the store
-	tries    func(quarantine.Part) bool                   // reports whether this instance tries the requests with a part
+	onCrash  func(quarantine.Crash)                   // called when this instance is the first to see a crash
+	onAnswer func(part quarantine.Part, at time.Time) // called when another instance must be told of an answer
+	tries    func(quarantine.Part) bool               // reports whether this instance tries the requests with a part
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
@@ -30,7 +29,7 @@
 	return &crashes{
 		log: log, now: now, tracker: quarantine.NewTracker(),
 		onCrash: func(quarantine.Crash) {}, onAnswer: func(quarantine.Part, time.Time) {},
-		onChange: func(quarantine.Part, bool) {}, tries: func(quarantine.Part) bool { return true },
+		tries: func(quarantine.Part) bool { return true },
 	}
 }
 
@@ -85,28 +84,16 @@
 	c.mu.Unlock()
 	for _, part := range added {
 		c.log.Warn("requests with a part are refused, since upstreams end at it", "hash", quarantineKey(part))
-		c.persist(part)
 	}
 	return isNew
 }
 
-// persist has a part that is quarantined from now on written to the store if this instance
-// is the one that will try it.
-func (c *crashes) persist(part quarantine.Part) {
-	if c.tries(part) {
-		c.onChange(part, true)
-	}
-}
-
 // Answered records that a request was answered with a status.
 func (c *crashes) Answered(parts []quarantine.Part, status int) {
 	c.mu.Lock()
 	now := c.now()
-	cleared, lifted := c.tracker.RecordAnswer(parts, now)
+	cleared, _ := c.tracker.RecordAnswer(parts, now)
 	c.mu.Unlock()
-	for _, part := range lifted {
-		c.onChange(part, false)
-	}
 	if len(cleared) > 0 {
 		c.log.Info("parts are not suspected any more, since a request with them was answered", "hashes", hexParts(cleared), "status", status)
 	}
@@ -125,29 +112,40 @@
 // adopt takes over quarantines of another instance, which is told of later answers.
 func (c *crashes) adopt(quarantines []quarantine.Quarantine) {
 	for _, q := range quarantines {
-		added, answeredAt := c.adoptOne(q)
-		if added {
-			c.persist(q.Part)
-		}
-		if !answeredAt.IsZero() {
+		if answeredAt := c.adoptOne(q); !answeredAt.IsZero() {
 			c.onAnswer(q.Part, answeredAt)
 		}
 	}
 }
 
-func (c *crashes) adoptOne(q quarantine.Quarantine) (added bool, answeredAt time.Time) {
+func (c *crashes) adoptOne(q quarantine.Quarantine) (answeredAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.Adopt(q, c.now())
+	_, answeredAt = c.tracker.Adopt(q, c.now())
+	return answeredAt
 }
 
-// adoptStored takes over quarantines that the store keeps.
-func (c *crashes) adoptStored(quarantines []quarantine.Quarantine) {
+// adoptStored takes over what the store keeps.
+func (c *crashes) adoptStored(quarantines []quarantine.Quarantine, ends []quarantine.StoredCrash) {
 	for _, q := range quarantines {
-		if _, answeredAt := c.adoptOne(q); !answeredAt.IsZero() {
-			c.onChange(q.Part, false) // the row was not deleted after the answer
-		}
+		c.adoptOne(q)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, end := range ends {
+		c.tracker.AdoptStored(end, c.now())
+	}
+	if len(quarantines)+len(ends) > 0 {
+		c.log.Info("crashes read from the store", "quarantined_parts", len(quarantines), "unexplained", len(ends))
+	}
+}
+
+// toStore returns what the store is to keep.
+func (c *crashes) toStore() ([]quarantine.Quarantine, []quarantine.StoredCrash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	return c.tracker.Quarantines(now), c.tracker.ToStore(minStoredCrashAge, maxStoredCrashes, now)
 }
 
 // retained returns what an instance that starts must know: crashes and quarantines.
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -105,10 +105,10 @@
 	instanceConns *httpconn.ConnPool // to other instances, for requests that this one forwards
 	forwards      *listener          // serves requests that other instances forward
 
-	quarantineRows *quarantineRows
-	versionRows    *versionRows
-	draining       atomic.Bool
-	eraSeen        atomic.Bool // an era of the store was seen
+	crashRows   *crashRows
+	versionRows *versionRows
+	draining    atomic.Bool
+	eraSeen     atomic.Bool // an era of the store was seen
 
 	configuredAt atomic.Pointer[time.Time] // when the first configuration was adopted
 }
@@ -144,8 +144,7 @@
 	i.placer = newPlacer(balancer, deps.Log.Named("placement"), now)
 	i.limiter = newLimiter(o.Name, now)
 	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
-	i.quarantineRows = newQuarantineRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
-	i.crashes.onChange = i.quarantineRows.change
+	i.crashRows = newCrashRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
 	i.streams = newStreams(deps.Log.Named("streams"), now)
 	i.versionRows = newVersionRows(deps.Store, o.VersionTable, i.streams, deps.Log.Named("streams"))
 	i.versionRows.config = i.snapshot.Load
@@ -219,6 +218,7 @@
 	i.streams.isCurrent = i.peers.knowsServing
 	i.streams.onUntold = i.peers.requestSend
 	i.versionRows.owns = i.peers.ownsRow
+	i.crashRows.owns = i.peers.ownsRow
 	return nil
 }
 
@@ -273,6 +273,7 @@
 		i.deps.Log.Warn("store came back from an older copy", "era", era)
 		i.peers.storeRestored()
 		i.versionRows.writeAgain()
+		i.crashRows.writeAgain()
 	}
 	i.peers.announceState()
 }
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -37,7 +37,7 @@
 	wg.Go(func() { i.follower.Run(background) })
 	wg.Go(func() { i.peers.run(background) })
 	wg.Go(func() { i.peers.keepRegistered(background, i.deps.Store, i.options.InstanceTable) })
-	wg.Go(func() { i.quarantineRows.run(background) })
+	wg.Go(func() { i.crashRows.run(background) })
 	wg.Go(func() { i.versionRows.run(background) })
 	wg.Go(func() { i.rollouts.run(background, ctx.Done()) })
 	wg.Go(func() { i.conns.Run(background) })
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -68,6 +68,8 @@
 // recorded is a crash that counts.
 type recorded struct {
 	Crash
+	id     uint64
+	stored bool // taken over from the store, so that its time is not known
 	// cause is the quarantined part of the request, or 0. Then the crash speaks against the
 	// parts before it only: several parts may be blamed that follow the one that ends
 	// upstreams.
@@ -101,6 +103,7 @@
 		return false, nil
 	}
 	t.seen[id] = c.At
+	t.dropStored(id)
 	for _, part := range c.Parts {
 		if p := t.quarantined[part]; p != nil {
 			p.extend(c.At)
@@ -111,18 +114,23 @@
 	if t.explained.has(c.Process, c.At) {
 		return true, nil
 	}
-	if len(t.crashes) >= maxCrashes {
-		t.crashes = slices.Delete(t.crashes, 0, 1)
-	}
 	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part Part) bool { return c.At.Before(t.answeredAt[part]) })
 	if len(c.Parts) == 0 {
 		return true, nil
 	}
-	t.crashes = append(t.crashes, recorded{Crash: c})
-	t.index()
+	t.add(recorded{Crash: c, id: id})
 	return true, t.quarantineCause(c.Parts, now)
 }
 
+// add adds a crash that counts. The oldest one makes room.
+func (t *Tracker) add(c recorded) {
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = slices.Delete(t.crashes, 0, 1)
+	}
+	t.crashes = append(t.crashes, c)
+	t.index()
+}
+
 func (c Crash) hash() uint64 {
 	raw := make([]byte, 0, 8*(1+len(c.Parts)))
 	raw = appendUint64(raw, uint64(c.Process))
