--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -155,6 +155,24 @@
 	return c.tracker.Crashes(), c.tracker.Quarantines(c.now())
 }
 
+// incompleteTime is for how long an instance that has started takes crashes for missing,
+// unless one that knows them has told it what it knows.
+const incompleteTime = time.Minute
+
+// setIncomplete records for how long crashes of before the start may be missing.
+func (c *crashes) setIncomplete(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.SetIncomplete(d, c.now())
+}
+
+// incomplete returns for how long crashes of before the start may be missing.
+func (c *crashes) incomplete() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Incomplete(c.now())
+}
+
 // quarantines returns the parts whose prompts are refused.
 func (c *crashes) quarantines() []quarantine.Quarantine {
 	c.mu.Lock()
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -144,6 +144,7 @@
 	i.placer = newPlacer(balancer, deps.Log.Named("placement"), now)
 	i.limiter = newLimiter(o.Name, now)
 	i.crashes = newCrashes(deps.Log.Named("crashes"), now)
+	i.crashes.setIncomplete(incompleteTime)
 	i.crashRows = newCrashRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
 	i.streams = newStreams(deps.Log.Named("streams"), now)
 	i.versionRows = newVersionRows(deps.Store, o.VersionTable, i.streams, deps.Log.Named("streams"))
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -228,6 +228,9 @@
 		p.crashes.record(decodeCrash(c, now))
 	}
 	p.crashes.adopt(decodeQuarantines(resp.Quarantines, now))
+	if told := time.Duration(resp.IncompleteMs) * time.Millisecond; retained && told < p.crashes.incomplete() {
+		p.crashes.setIncomplete(told)
+	}
 	p.applyRateLimits(resp.Sender, resp.RateLimits)
 	p.streams.learn(resp.Streams)
 	for _, t := range resp.Tables {
@@ -258,6 +261,7 @@
 			out.Crashes = append(out.Crashes, encodeCrash(c, now))
 		}
 		out.Quarantines = encodeQuarantines(quarantines, now)
+		out.IncompleteMs = uint32(p.crashes.incomplete().Milliseconds())
 		out.Streams = encodeStreams(p.streams.retained(), now)
 		out.Sender, out.RateLimits = p.self.Name, encodeRateLimits(p.placer.rateLimits(), now)
 	}
--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -9,6 +9,8 @@
 	// crashesNeeded is the number of processes that must have ended at a part, with no
 	// prompt with it answered in between, before it is quarantined.
 	crashesNeeded = 3
+	// crashesNeededIfIncomplete is that number while crashes may have been forgotten.
+	crashesNeededIfIncomplete = 2
 	// crashesNeededIfSound is that number for a part that was answered lately, for crashes
 	// within soundSpan. Requests that are often sent run at most upstreams that end for
 	// other reasons, but are answered again between crashes that are further apart.
@@ -38,7 +40,7 @@
 // it explains them nearly as well.
 func (t *Tracker) isCause(part Part, now time.Time) bool {
 	at := t.crashTimes(part)
-	if len(at) < crashesNeeded {
+	if len(at) < t.needed(part, now) {
 		return false
 	}
 	span := slices.MaxFunc(at, time.Time.Compare).Sub(slices.MinFunc(at, time.Time.Compare))
@@ -53,6 +55,14 @@
 	return true
 }
 
+// needed returns how many ends a part must have at least.
+func (t *Tracker) needed(part Part, now time.Time) int {
+	if now.Before(t.incompleteUntil) && !t.sound.has(part, now) {
+		return crashesNeededIfIncomplete
+	}
+	return crashesNeeded
+}
+
 // crashTimes returns when processes ended at a part, one time for each process.
 func (t *Tracker) crashTimes(part Part) []time.Time {
 	var out []time.Time
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -63,6 +63,8 @@
 	explained   processEnds          // at a quarantined part
 	quarantined map[Part]*period
 	answeredAt  map[Part]time.Time // when a prompt with a suspected or quarantined part was answered last
+
+	incompleteUntil time.Time
 }
 
 // recorded is a crash that counts.
@@ -90,6 +92,13 @@
 	}
 }
 
+// SetIncomplete records for how long crashes of before this instance started may be
+// missing, so that fewer must be seen. 0: none are.
+func (t *Tracker) SetIncomplete(d time.Duration, now time.Time) { t.incompleteUntil = now.Add(d) }
+
+// Incomplete returns for how long crashes may still be missing.
+func (t *Tracker) Incomplete(now time.Time) time.Duration { return max(0, t.incompleteUntil.Sub(now)) }
+
 // Idle reports whether no part is suspected or quarantined.
 func (t *Tracker) Idle() bool { return len(t.suspected) == 0 && len(t.quarantined) == 0 }
 
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -137,6 +137,27 @@
 	}
 }
 
+// TestFewerEndsCountWhileOthersMayBeForgotten guards against a restart of all, while the store is away, after which a part ends three more upstreams, and against blaming parts that are answered.
+func TestFewerEndsCountWhileOthersMayBeForgotten(t *testing.T) {
+	tracker := NewTracker()
+	tracker.SetIncomplete(time.Minute, start)
+	tracker.RecordAnswer([]Part{first}, at(0))
+	for i := range 2 {
+		record(tracker, at(1000*(i+1)), Process(i), first, bad)
+	}
+	if !isQuarantined(tracker, bad, at(2100)) || isQuarantined(tracker, first, at(2100)) {
+		t.Errorf("quarantined after two ends: %v", tracker.Quarantines(at(2100)))
+	}
+	later := NewTracker()
+	later.SetIncomplete(time.Minute, start)
+	for i := range 2 {
+		record(later, at(61000+1000*i), Process(i), bad)
+	}
+	if isQuarantined(later, bad, at(62100)) {
+		t.Error("quarantined after two ends a minute after the start")
+	}
+}
+
 // TestRepeatedMessageCountsOnce guards against counting one crash for each datagram and each instance that tells of it.
 func TestRepeatedMessageCountsOnce(t *testing.T) {
 	tracker := NewTracker()
