--- a/pkg/edge/announce.go
+++ b/pkg/edge/announce.go
@@ -61,6 +61,24 @@
 	return out
 }
 
+// nextCrashes returns the crashes for one digest, at most maxCrashParts parts of requests
+// but one crash at least. While others remain, the next digest does not wait. The caller
+// holds mu.
+func (p *peers) nextCrashes() []*rpc.Crash {
+	n, parts := 0, 0
+	for _, update := range p.updates.crashes[:min(len(p.updates.crashes), maxUpdates)] {
+		if parts += len(update.message.Parts); n > 0 && parts > maxCrashParts {
+			break
+		}
+		n++
+	}
+	out := takeUpdates(&p.updates.crashes, n)
+	if len(p.updates.crashes) > n {
+		p.requestSend()
+	}
+	return out
+}
+
 // nextStreams returns the streams for one digest. While others remain, the next digest
 // does not wait. The caller holds mu.
 func (p *peers) nextStreams() []streamversion.Beginning {
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -100,7 +100,7 @@
 	d.Weights = nextUpdates(&p.updates.weights)
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
-	d.Crashes = nextUpdates(&p.updates.crashes)
+	d.Crashes = p.nextCrashes()
 	d.Answers = nextUpdates(&p.updates.answers)
 	d.RateLimits = encodeRateLimits(append(nextUpdates(&p.updates.rateLimits), limits...), now)
 	d.Streams = encodeStreams(p.nextStreams(), now)
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -68,6 +68,9 @@
 	// maxUpdates limits the updates of one kind in a digest; each takes up to 35
 	// bytes.
 	maxUpdates = 12
+	// maxCrashParts limits the parts of requests in the crashes of a digest; each takes 8
+	// bytes.
+	maxCrashParts = 72
 	// maxPendingCrashes limits the crashes that are still to be told. Many prompts begin
 	// at an engine that ends.
 	maxPendingCrashes = 48
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 type Part uint64
 
 // MaxParts bounds the parts of a request that are told to other instances.
-const MaxParts = 16
+const MaxParts = 64
 
 // PartOf returns the identity of a part of prompts to a model.
 func PartOf(model, id string) Part { return Part(xxh3.HashString(model + "\x00" + id)) }
