--- a/pkg/filter/dispatch/fingerprint.go
+++ b/pkg/filter/dispatch/fingerprint.go
@@ -48,12 +48,13 @@
 	return e.Customer.Name
 }
 
-// maxSharedParts bounds the shared parts of a prompt that count, besides two for the
-// whole request.
-const maxSharedParts = quarantine.MaxParts - 2
+// maxSharedParts bounds the shared parts of a prompt that count, each with its model and
+// without, besides two for the whole request.
+const maxSharedParts = (quarantine.MaxParts - 2) / 2
 
 // crashParts returns the parts of the request at which upstreams may end: the whole
-// request, the parts that its prompt shares with others, and the whole request with its prompt. Of two that explain the same crashes the later one is blamed. The whole request
+// request, the parts that its prompt shares with others, each for any model and then for
+// the prompt's own, and the whole request with its prompt. Of two that explain the same crashes the later one is blamed. The whole request
 // comes first, since the bodies of prompts may all be alike.
 func (x *exchange) crashParts() []quarantine.Part {
 	if x.parts != nil {
@@ -64,7 +65,7 @@
 	c := &x.edge.Call
 	shared := x.sharedParts()
 	for _, part := range shared[:min(len(shared), maxSharedParts)] {
-		x.parts = append(x.parts, quarantine.PartOf(c.Model, part.ID))
+		x.parts = append(x.parts, quarantine.PartOfAnyModel(part.ID), quarantine.PartOf(c.Model, part.ID))
 	}
 	if len(c.PromptParts) > 0 {
 		x.parts = append(x.parts, quarantine.Part(promptFingerprint(request, c)))
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,6 +21,9 @@
 // PartOf returns the identity of a part of prompts to a model.
 func PartOf(model, id string) Part { return Part(xxh3.HashString(model + "\x00" + id)) }
 
+// PartOfAnyModel returns the identity of a part of prompts to whatever model.
+func PartOfAnyModel(id string) Part { return Part(xxh3.HashString(id)) }
+
 // Process identifies one process of an upstream.
 type Process uint64
 
--- a/pkg/quarantine/sound.go
+++ b/pkg/quarantine/sound.go
@@ -7,7 +7,7 @@
 	// often sent are answered again within it.
 	soundMemory = time.Minute
 	// maxSound bounds the parts in each of the two generations that are kept.
-	maxSound = 2048
+	maxSound = 4096
 )
 
 // soundParts remembers which parts were answered lately, in two generations: the older one
