--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -21,6 +21,7 @@
 	Writer     http.ResponseWriter
 	ReceivedAt time.Time
 	Forwarded  bool // by another edge instance, which has charged and counted it
+	LastHop    bool // came where other instances forward requests, so that it is not forwarded again
 	Snapshot   *config.Snapshot
 
 	// Set by requestid.
--- a/pkg/edge/brittle_test.go
+++ b/pkg/edge/brittle_test.go
@@ -142,3 +142,25 @@
 	}
 	r.expectRoomUsed(t)
 }
+
+// TestForwardedRequestIsNotForwardedAgain guards against a request that instances without a place pass on to each other without end, also if they do not know the sender.
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	t.Parallel()
+	fleet := newBrittleFleet(t, 2, 1, 1)
+	fleet.setBrittle(brittleRefusals)
+	for _, instance := range fleet.instances {
+		instance.request(http.MethodPost, "/orders/", keyBig, nextID())
+	}
+	byCaller, byInstance := 0, 0
+	for _, instance := range fleet.instances {
+		if _, got := instance.request(http.MethodPost, "/orders/", keyBig, nextID()); got.status == http.StatusOK {
+			byCaller++
+		}
+		if _, got := requestAt(instance.options.PeerAddr, http.MethodPost, "/orders/", keyBig, nextID()); got.status == http.StatusOK {
+			byInstance++
+		}
+	}
+	if byCaller != 2 || byInstance != 1 {
+		t.Errorf("%d of 2 requests of callers served, %d of 2 that were forwarded; one instance has the place", byCaller, byInstance)
+	}
+}
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -252,8 +252,13 @@
 }
 
 func (instance *testInstance) request(method, path, key, body string, header ...string) (string, reply) {
+	return requestAt(instance.options.CallerAddr, method, path, key, body, header...)
+}
+
+// requestAt sends a request to an address.
+func requestAt(addr netip.AddrPort, method, path, key, body string, header ...string) (string, reply) {
 	id := nextID()
-	req, err := http.NewRequest(method, "http://"+instance.options.CallerAddr.String()+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+addr.String()+path, strings.NewReader(body))
 	if err != nil {
 		return id, reply{err: err}
 	}
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -154,7 +154,7 @@
 		return nil, err
 	}
 	i.conns = httpconn.NewConnPool(deps.DialUpstream, maxIdlePerUpstream, now)
-	i.instanceConns = httpconn.NewConnPool(netopt.Dialer(dialTimeout).DialContext, maxIdlePerInstance, now)
+	i.instanceConns = httpconn.NewConnPool(instanceDialer(o.PeerAddr.Addr()).DialContext, maxIdlePerInstance, now)
 	i.reach = newReachability(i.conns, i.placer.currentView, deps.Log.Named("reach"), now)
 	i.reach.helpers, i.reach.helpersNamed = i.peers.helpers, i.peers.helpersNamed
 	i.reach.onChange = i.peers.requestSend
@@ -173,6 +173,16 @@
 	return i, nil
 }
 
+// instanceDialer returns a dialer to other instances. They know this one by the address
+// of its digests.
+func instanceDialer(self netip.Addr) *net.Dialer {
+	dialer := netopt.Dialer(dialTimeout)
+	if !self.IsUnspecified() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(self, 0))
+	}
+	return dialer
+}
+
 // leaseConfig returns timings that keep load commands of two successive leaders
 // apart. Engines that check fencing tokens reject commands of the previous leader,
 // so the lease can be short and a takeover quick. For other engines the lease
--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -35,7 +35,7 @@
 type listener struct {
 	handler        chain.Handler
 	refusalEncoder RefusalEncoder
-	isInstance     func(addr string) bool // reports whether a request from an address (IP:port) was forwarded by another instance; nil: none is
+	isInstance     func(addr string) bool // reports whether a request from an address (IP:port) was forwarded by another instance; nil: the listener is for callers
 	log            hclog.Logger
 	now            func() time.Time
 
@@ -225,7 +225,10 @@
 	l.running.Add(1)
 	defer l.running.Add(-1)
 	l.fresh.Delete(req.Context().Value(connKey{}))
-	r := &chain.Request{HTTP: req, Writer: w, ReceivedAt: l.now(), Forwarded: l.isInstance != nil && l.isInstance(req.RemoteAddr)}
+	r := &chain.Request{HTTP: req, Writer: w, ReceivedAt: l.now()}
+	if l.isInstance != nil {
+		r.LastHop, r.Forwarded = true, l.isInstance(req.RemoteAddr)
+	}
 	if l.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -334,7 +334,7 @@
 	if errors.Is(err, errUpstreamStatus) {
 		return true // the body was read with the response
 	}
-	if !errors.Is(err, errRefused) || resp.ContentLength > maxDrainBytes {
+	if !errors.IsAny(err, errRefused, errHelperRefused) || resp.ContentLength > maxDrainBytes {
 		return false
 	}
 	timer := time.AfterFunc(drainTimeout, conn.Close)
--- a/pkg/filter/dispatch/forward.go
+++ b/pkg/filter/dispatch/forward.go
@@ -31,7 +31,7 @@
 // beyondReach handles a request whose upstreams this instance does not reach. It reports
 // whether that gave a final response or error; otherwise the request is tried here.
 func (x *exchange) beyondReach(ctx context.Context, last error) (final bool, err error) {
-	if x.r.Forwarded {
+	if x.r.LastHop {
 		// It is not forwarded again: another instance may think the same of this one.
 		refusal := code.New(code.NoUpstream, "no upstream can be reached").WithRetryAfter(retryAfterRefusal)
 		return true, x.giveUp(ctx, last, refusal)
@@ -44,7 +44,7 @@
 // upstreams, while others have. It reports whether that gave a final response or error.
 func (x *exchange) placedElsewhere(ctx context.Context, pick error) (final bool, err error) {
 	var none *placement.NoUpstreamError
-	if x.r.Forwarded || x.edge.Attempts > 0 || !errors.As(pick, &none) || len(none.PlaceOwners) == 0 {
+	if x.r.LastHop || x.edge.Attempts > 0 || !errors.As(pick, &none) || len(none.PlaceOwners) == 0 {
 		return false, nil
 	}
 	return x.forward(ctx, x.h.Reach.HelpersNamed(x.service.Name, none.PlaceOwners))
