--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -72,8 +72,10 @@
 	quarantines := p.crashes.quarantines()
 	cutOff := p.cutOff()
 	var limits []rateLimit
+	var brittle []placement.BrittleStatement
 	if !partial {
 		limits = p.nextRateLimits()
+		brittle = p.placer.brittleStatements()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,7 +98,7 @@
 	for customer, tokens := range spent {
 		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.bucketLevel(customer)})
 	}
-	d.Loads = nextUpdates(&p.updates.loads)
+	d.Loads = append(nextUpdates(&p.updates.loads), encodeBrittle(brittle, now)...)
 	d.Weights = nextUpdates(&p.updates.weights)
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -190,6 +190,23 @@
 	p.balancer.ApplyRefusal(r, p.now())
 }
 
+// brittleStatements returns which upstreams are brittle, one per service.
+func (p *placer) brittleStatements() []placement.BrittleStatement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.BrittleStatements(p.now())
+}
+
+// adoptBrittle takes over a statement that another instance tells.
+func (p *placer) adoptBrittle(s placement.BrittleStatement) {
+	p.mu.Lock()
+	began := p.balancer.AdoptBrittle(s, p.now())
+	p.mu.Unlock()
+	if began {
+		p.log.Info("upstreams of a service are brittle, another instance says", "upstream", s.Upstream, "refusals_per_second", s.MaxRefusals)
+	}
+}
+
 // Throttle sends no new requests to an upstream that asked for none for the duration
 // d. Unlike SetBusy it holds for this instance only and is never shortened.
 func (p *placer) Throttle(u *fleet.Upstream, d time.Duration) {
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -81,6 +81,10 @@
 	}
 	for _, l := range d.Loads {
 		hold := time.Duration(l.Ms) * time.Millisecond
+		if l.Brittle > 0 {
+			at := before(l.AgoMs, p.now())
+			p.placer.adoptBrittle(placement.BrittleStatement{Upstream: l.Upstream, MaxRefusals: int(min(l.Brittle, math.MaxInt32)), At: at})
+		}
 		if l.Refused {
 			p.placer.applyRefusal(placement.Refusal{Upstream: l.Upstream, Room: int(min(l.Room, math.MaxInt32)), Hold: hold})
 			continue
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/history"
+	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/quarantine"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
@@ -147,3 +148,13 @@
 	}
 	return out
 }
+
+// encodeBrittle encodes statements as refusals that hold nothing, which older builds
+// ignore.
+func encodeBrittle(list []placement.BrittleStatement, now time.Time) []*rpc.Load {
+	var out []*rpc.Load
+	for _, s := range list {
+		out = append(out, &rpc.Load{Upstream: s.Upstream, Refused: true, Brittle: uint32(s.MaxRefusals), AgoMs: ago(s.At, now)})
+	}
+	return out
+}
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -84,6 +84,7 @@
 	throttles     map[string]throttle // by upstream ID
 	limits        *upstreamrate.Limits
 	brittle       map[string]*brittleness // by service
+	brittleEnded  map[string]time.Time    // by service: when an answer last ended a statement
 	prefixes      *prefixIndex
 	targets       map[string][]targetVersion // by model, in ascending order
 	outlierConfig retry.OutlierConfig
@@ -136,6 +137,7 @@
 		throttles:     map[string]throttle{},
 		limits:        upstreamrate.New(cfg.Instance),
 		brittle:       map[string]*brittleness{},
+		brittleEnded:  map[string]time.Time{},
 		prefixes:      newPrefixIndex(),
 		targets:       map[string][]targetVersion{},
 		outlierConfig: retry.OutlierConfig{ConsecutiveFailures: 3, BaseEjection: time.Second, MaxEjection: 4 * time.Second, SlowStartDuration: 0},
--- a/pkg/placement/brittle.go
+++ b/pkg/placement/brittle.go
@@ -54,9 +54,48 @@
 		return false
 	}
 	delete(b.brittle, a.Upstream.Service)
+	b.brittleEnded[a.Upstream.Service] = now
 	return true
 }
 
+// BrittleStatement is a statement that an upstream and those of its service are brittle,
+// as instances tell it.
+type BrittleStatement struct {
+	Upstream    string
+	MaxRefusals int       // per second and upstream, from all instances together
+	At          time.Time // when an instance last received it
+}
+
+// BrittleStatements returns the statements that hold, one per service.
+func (b *Balancer) BrittleStatements(now time.Time) []BrittleStatement {
+	var out []BrittleStatement
+	for service, known := range b.brittle {
+		if listed := b.view.ByService(service); len(listed) > 0 && now.Sub(known.statedAt) <= brittleMemory {
+			out = append(out, BrittleStatement{listed[0].ID, known.maxRefusals, known.statedAt})
+		}
+	}
+	return out
+}
+
+// AdoptBrittle takes over a statement that another instance has received. One from before
+// the end of the last statement is ignored.
+func (b *Balancer) AdoptBrittle(s BrittleStatement, now time.Time) (began bool) {
+	u := b.view.ByID(s.Upstream)
+	if u == nil || s.MaxRefusals <= 0 || now.Sub(s.At) > brittleMemory || !s.At.After(b.brittleEnded[u.Service]) {
+		return false
+	}
+	known := b.brittle[u.Service]
+	if known == nil {
+		known = &brittleness{}
+		b.brittle[u.Service] = known
+		began = true
+	}
+	if s.At.After(known.statedAt) {
+		known.maxRefusals, known.statedAt = s.MaxRefusals, s.At
+	}
+	return began
+}
+
 // learnedRoom is the share of its slots for which a brittle upstream is expected to have
 // room, after a refusal.
 type learnedRoom struct {
