--- a/pkg/placement/brittle.go
+++ b/pkg/placement/brittle.go
@@ -209,8 +209,7 @@
 		b.SetBusyUntil(u.ID, now.Add(refusedBusyTime))
 		return Refusal{}, false
 	}
-	s := b.state(u)
-	others := s.own.Requests + s.peers.Requests - 1
+	others := b.othersAtRefusal(u, known, now)
 	r = Refusal{Upstream: u.ID, Room: max(1, others/2), Hold: refusedBusyTime}
 	if others <= 1 {
 		triesPerSecond := max(1, float64(known.maxRefusals)) * brittleRefusalShare
@@ -220,6 +219,19 @@
 	return r, true
 }
 
+// othersAtRefusal returns how many requests are expected to be at an upstream beside one
+// that it refused. Those of other instances are known late: they are taken to use their
+// places as this instance uses its own.
+func (b *Balancer) othersAtRefusal(u *fleet.Upstream, known *brittleness, now time.Time) int {
+	s := b.state(u)
+	places := b.placesAt(u, known, now)
+	others := s.own.Requests + s.peers.Requests - 1
+	if own := b.limits.OwnPlaces(u.ID, places); own > 0 {
+		others = max(others, (s.own.Requests-1)*places/own)
+	}
+	return others
+}
+
 // ApplyRefusal records a refusal that this or another instance got. Instances try the
 // upstream again one after the other.
 func (b *Balancer) ApplyRefusal(r Refusal, now time.Time) {
