--- a/cmd/fescuestep/soak.go
+++ b/cmd/fescuestep/soak.go
@@ -21,6 +21,7 @@
 	duration  time.Duration
 	instances int
 	callers   int
+	oldBinary string
 }
 
 func (*soakCmd) Name() string            { return "soak" }
@@ -41,6 +42,7 @@
 	fs.IntVar(&c.seeds, "seeds", 1, "number of seeds, played one after the other")
 	fs.DurationVar(&c.duration, "duration", 15*time.Second, "how long faults are injected per seed")
 	fs.IntVar(&c.instances, "instances", 3, "edge instances")
+	fs.StringVar(&c.oldBinary, "old-binary", "", "path of an older build, which instances run until they are started again")
 	fs.IntVar(&c.callers, "callers", 3, "callers per instance")
 }
 
@@ -77,7 +79,7 @@
 		}
 		seed := c.seed + uint64(i)
 		findings, err := soak.Run(ctx, soak.Options{
-			Binary: binary, Seed: seed, Duration: c.duration, Instances: c.instances, Callers: c.callers, Out: c.out,
+			Binary: binary, OldBinary: c.oldBinary, Seed: seed, Duration: c.duration, Instances: c.instances, Callers: c.callers, Out: c.out,
 		})
 		if err != nil {
 			return fail(c.streams, err)
--- a/pkg/soak/soak.go
+++ b/pkg/soak/soak.go
@@ -20,6 +20,7 @@
 // Options of one run.
 type Options struct {
 	Binary    string // the fescuestep program
+	OldBinary string // an older build, which instances run until they are started again; empty: none
 	Seed      uint64
 	Duration  time.Duration // of the faults
 	Instances int
@@ -59,7 +60,7 @@
 func Run(ctx context.Context, o Options) ([]string, error) {
 	pid := os.Getpid()
 	network := fmt.Sprintf("127.%d.%d", 10+pid%200, pid/200%250)
-	s, err := newSystem(o.Binary, network, o.Instances)
+	s, err := newSystem(o, network)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/soak/system.go
+++ b/pkg/soak/system.go
@@ -58,6 +58,7 @@
 // system is everything that one run starts.
 type system struct {
 	binary    string
+	oldBinary string // that instances run first; empty: binary
 	dir       string
 	store     *standin.Store
 	storeHTTP *http.Server
@@ -70,12 +71,12 @@
 	version int // of the weights
 }
 
-func newSystem(binary, network string, instances int) (*system, error) {
+func newSystem(o Options, network string) (*system, error) {
 	dir, err := os.MkdirTemp("", "fescuestep-soak-")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
-	s := &system{binary: binary, dir: dir, store: standin.NewStore(), version: 1}
+	s := &system{binary: o.Binary, oldBinary: o.OldBinary, dir: dir, store: standin.NewStore(), version: 1}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak store")
@@ -101,7 +102,7 @@
 	if err := s.apply(func(*routing.Config) {}); err != nil {
 		return nil, err
 	}
-	for i := range instances {
+	for i := range o.Instances {
 		p := &process{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("%s.%d", network, i+1)}
 		if p.storeAt, err = newProxy(p.ip+":0", ln.Addr().String()); err != nil {
 			return nil, err
@@ -234,7 +235,11 @@
 		return errors.Wrap(err, "soak log")
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(s.binary, "edge", "-settings-file", p.file)
+	binary := s.binary
+	if p.cmd == nil && s.oldBinary != "" {
+		binary = s.oldBinary
+	}
+	cmd := exec.Command(binary, "edge", "-settings-file", p.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
