--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -32,6 +32,7 @@
 	t         *testing.T
 	store     *standin.Store
 	storeAddr string
+	coreLink  *link // of instances that start, to the store and to other instances; nil: TCP and UDP
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
 	config    routing.Config
@@ -181,14 +182,19 @@
 	dial := netopt.Dialer(time.Second).DialContext
 	m := metrics.New()
 	out := &syncBuffer{}
+	dialStore := dial
+	var listenDigests func(netip.AddrPort) (edge.DigestConn, error)
+	if fleet.coreLink != nil {
+		dialStore, listenDigests = fleet.coreLink.dial, fleet.coreLink.listenDigests
+	}
 	var dialUpstream httpconn.DialFunc
 	dialEngine := dial
 	if l != nil {
 		dialUpstream, dialEngine = l.dial, l.dial
 	}
 	i, err := edge.New(o, edge.Dependencies{
-		DialUpstream: dialUpstream,
-		Dialect:      platform.HeaderCodec{}, Store: platform.NewStore(fleet.storeAddr, dial), Decoder: platform.Decoder{},
+		DialUpstream: dialUpstream, ListenDigests: listenDigests,
+		Dialect: platform.HeaderCodec{}, Store: platform.NewStore(fleet.storeAddr, dialStore), Decoder: platform.Decoder{},
 		Engines: platform.NewEngineClient(name, dialEngine), RequestMetrics: collect.Requests(m), ServiceMetrics: m, MetricsHandler: m.Handler(),
 		Log: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
 	})
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -78,13 +78,25 @@
 	Store          Store
 	Decoder        state.Decoder
 	Engines        EngineClient
-	DialUpstream   httpconn.DialFunc // opens connections for requests to upstreams; nil: by TCP
+	DialUpstream   httpconn.DialFunc                        // opens connections for requests to upstreams; nil: by TCP
+	ListenDigests  func(netip.AddrPort) (DigestConn, error) // opens the socket for digests; nil: by UDP
 	RequestMetrics accounting.Metrics
 	ServiceMetrics ServiceMetrics
 	MetricsHandler http.Handler // serves /metrics on the readiness address
 	Log            hclog.Logger
 }
 
+// DigestConn is the socket for digests.
+type DigestConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
+func listenUDP(addr netip.AddrPort) (DigestConn, error) {
+	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+}
+
 // Instance is one running process of the router. New creates it.
 type Instance struct {
 	options  Options
@@ -203,7 +215,11 @@
 // newPeers opens the UDP socket for digests and sets up the exchange with other
 // instances.
 func (i *Instance) newPeers() error {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(i.options.PeerAddr))
+	listen := i.deps.ListenDigests
+	if listen == nil {
+		listen = listenUDP
+	}
+	conn, err := listen(i.options.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "cannot open the UDP socket for digests")
 	}
@@ -226,7 +242,11 @@
 	i.crashes.onCrash = i.peers.announceCrash
 	i.crashes.onAnswer = i.peers.announceAnswer
 	i.crashes.tries = i.peers.tries
-	i.streams.isCurrent = i.peers.knowsServing
+	check := &servedCheck{
+		rows: i.versionRows, refresh: i.follower.RefreshUpstreams,
+		agree: i.peers.noneKnowsMore, now: i.now, log: i.deps.Log.Named("streams"),
+	}
+	i.streams.lately = check.lately
 	i.streams.onUntold = i.peers.requestSend
 	i.versionRows.owns = i.peers.ownsRow
 	i.crashRows.owns = i.peers.ownsRow
--- a/pkg/edge/link_test.go
+++ b/pkg/edge/link_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/edge"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
 )
 
@@ -117,3 +119,30 @@
 	c.link.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// digestConn is a socket for digests that loses all of them while a link hangs.
+type digestConn struct {
+	*net.UDPConn
+	link *link
+}
+
+func (l *link) listenDigests(addr netip.AddrPort) (edge.DigestConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	return digestConn{conn, l}, err
+}
+
+func (c digestConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	for {
+		n, from, err := c.UDPConn.ReadFromUDPAddrPort(b)
+		if mode, _ := c.link.current(); mode != linkHangs || err != nil {
+			return n, from, err
+		}
+	}
+}
+
+func (c digestConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	if mode, _ := c.link.current(); mode == linkHangs {
+		return len(b), nil
+	}
+	return c.UDPConn.WriteToUDPAddrPort(b, to)
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -101,7 +100,7 @@
 type peers struct {
 	self        *rpc.Address
 	incarnation uint64
-	conn        *net.UDPConn
+	conn        DigestConn
 	client      *http.Client
 	placer      *placer
 	limiter     *limiter
@@ -136,7 +135,7 @@
 	lastSentPositions map[string]history.Position // by table, as last announced
 }
 
-func newPeers(self *rpc.Address, incarnation uint64, conn *net.UDPConn, client *http.Client, p *placer, l *limiter, f *state.Follower, c *crashes, s *streams, log hclog.Logger, now func() time.Time) *peers {
+func newPeers(self *rpc.Address, incarnation uint64, conn DigestConn, client *http.Client, p *placer, l *limiter, f *state.Follower, c *crashes, s *streams, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
 		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f, crashes: c, streams: s,
 		log: log, now: now, sendNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
@@ -215,21 +214,31 @@
 	return out
 }
 
-// knowsServing reports whether this instance knows which upstreams are listed now: it
-// follows the store, or has lately heard an instance that does.
-func (p *peers) knowsServing() bool {
-	if p.follower.FollowsStore() {
-		return true
-	}
+// noneKnowsMore reports whether no instance can know of upstreams that this one does not:
+// all were heard lately, none reaches the store, and none has a newer list. The platform
+// lists upstreams in its store only.
+func (p *peers) noneKnowsMore() bool {
+	table := p.follower.UpstreamsTable()
+	held := p.follower.Positions()[table]
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	for _, other := range p.byName {
-		if other.lastDigestFollows() && now.Sub(other.heardAt) < relayTimeout {
-			return true
+		if now.Sub(other.heardAt) > relayTimeout || other.lastDigestFollows() || held.Before(tablePosition(other.lastDigest, table)) {
+			return false
 		}
 	}
-	return false
+	return true
+}
+
+// tablePosition returns the position up to which the sender of a digest knows a table.
+func tablePosition(d *rpc.Digest, name string) history.Position {
+	for _, t := range d.GetTables() {
+		if t.Name == name {
+			return position(t)
+		}
+	}
+	return history.Position{}
 }
 
 // helpers returns, in random order, the addresses at which other instances take requests
--- a/pkg/edge/stream_version_test.go
+++ b/pkg/edge/stream_version_test.go
@@ -289,6 +289,38 @@
 	}
 }
 
+// TestOutOfStepInstanceJoinsNoTwoVersions guards against an instance that goes on with streams of another version, which has joined or come and gone while it heard nothing of the store and of the others.
+func TestOutOfStepInstanceJoinsNoTwoVersions(t *testing.T) {
+	t.Parallel()
+	for name, newLeaves := range map[string]bool{"both serve": false, "the new one has left": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newVersionFleet(t, 1, oldSoftware)
+			fleet.coreLink = newLink()
+			fleet.startInstances(1)
+			fleet.coreLink.set(linkHangs)
+			fleet.startEngines(newSoftware)
+			var streams []string
+			for range 20 {
+				streams = append(streams, fleet.beginAtOnce(fleet.instances[0], 4)...)
+				time.Sleep(50 * time.Millisecond)
+			}
+			if newLeaves {
+				time.Sleep(settleTime)
+				for _, e := range fleet.engines[2:] {
+					e.Unregister()
+				}
+				time.Sleep(settleTime)
+				fleet.coreLink.set(linkUp)
+			}
+			for _, stream := range streams {
+				id, got := fleet.takeUp(fleet.last(), stream)
+				fleet.expectSameSoftware(stream, id, got)
+			}
+		})
+	}
+}
+
 // TestServedVersionsAreStoredBesideInstanceWithoutStore guards against a row that nobody writes, because the instance that should cannot reach the store.
 func TestServedVersionsAreStoredBesideInstanceWithoutStore(t *testing.T) {
 	t.Parallel()
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -14,10 +15,12 @@
 // streams wraps a streamversion.Memory for concurrent use. It implements
 // dispatch.StreamOrigins.
 type streams struct {
-	log       hclog.Logger
-	now       func() time.Time
-	isCurrent func() bool // reports whether this instance knows which upstreams serve now
-	onUntold  func()      // called when the other instances must be told of a stream
+	log      hclog.Logger
+	now      func() time.Time
+	onUntold func() // called when the other instances must be told of a stream
+	// lately returns the versions of a service that have served lately, or false if that
+	// cannot be told.
+	lately func(ctx context.Context, service string) (versions []string, ok bool)
 
 	mu     sync.Mutex
 	memory *streamversion.Memory
@@ -26,20 +29,36 @@
 func newStreams(log hclog.Logger, now func() time.Time) *streams {
 	return &streams{
 		log: log, now: now, memory: streamversion.NewMemory(),
-		isCurrent: func() bool { return true }, onUntold: func() {},
+		onUntold: func() {}, lately: func(context.Context, string) ([]string, bool) { return nil, true },
 	}
 }
 
 // Origin returns where a stream began that a caller takes up. resumes is the ID of the
-// request that brought its first event, and services are those that may serve it.
-func (s *streams) Origin(resumes string, services []string) (streamversion.Origin, bool) {
-	current := s.isCurrent()
+// request that brought its first event, and services are those that may serve it. If no
+// instance has told the origin, it is known only where one service, and one version of
+// it, can have begun the stream.
+func (s *streams) Origin(ctx context.Context, resumes string, services []string) (streamversion.Origin, bool) {
+	stream := streamversion.StreamOf(resumes)
+	if origin, ok := s.told(stream); ok || len(services) != 1 {
+		return origin, ok
+	}
+	lately, ok := s.lately(ctx, services[0])
+	if !ok {
+		return streamversion.Origin{}, false
+	}
+	if origin, ok := s.told(stream); ok {
+		return origin, true // told meanwhile
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !current {
-		services = nil // others may serve by now
-	}
-	return s.memory.Origin(streamversion.StreamOf(resumes), services, s.now())
+	software, ok := s.memory.Only(services[0], lately, s.now())
+	return streamversion.Origin{Service: services[0], Software: software}, ok
+}
+
+func (s *streams) told(stream streamversion.Stream) (streamversion.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memory.Origin(stream, s.now())
 }
 
 // Began records that the caller of a stream has got an event from its origin.
@@ -104,10 +123,11 @@
 	}
 }
 
-func (s *streams) adoptServed(service string, versions []string) {
+// adoptServed records which versions, by service, had served before this instance started.
+func (s *streams) adoptServed(served map[string][]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.memory.AdoptServed(service, versions, s.now())
+	s.memory.AdoptServed(served, s.now())
 }
 
 // versions returns the versions of a service that may have begun a stream.
--- a/pkg/edge/versionrows.go
+++ b/pkg/edge/versionrows.go
@@ -73,17 +73,25 @@
 	}
 }
 
-// adopt takes over rows. One that cannot be decoded counts as absent.
+// adopt takes over rows.
 func (v *versionRows) adopt(rows []state.Row) {
+	v.written = v.decode(rows)
+	v.streams.adoptServed(v.written)
+}
+
+// decode returns the versions that rows name, by service; nil for a row that cannot be
+// decoded.
+func (v *versionRows) decode(rows []state.Row) map[string][]string {
+	out := map[string][]string{}
 	for _, row := range rows {
 		var content versionRow
 		if err := json.Unmarshal(row.Value, &content); err != nil {
 			v.log.Warn("cannot decode the served versions of a service", "service", row.Key, "error", err)
-			continue
+			content.Versions = nil
 		}
-		v.written[row.Key] = content.Versions
-		v.streams.adoptServed(row.Key, content.Versions)
+		out[row.Key] = content.Versions
 	}
+	return out
 }
 
 // write writes the rows of this instance that have changed.
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -208,7 +208,7 @@
 // last handler of the chain.
 func (h *Handler) Handle(ctx context.Context, r *chain.Request) error {
 	edge := r.Edge
-	name, origin, err := h.chooseService(edge)
+	name, origin, err := h.chooseService(ctx, edge)
 	if err != nil {
 		return err
 	}
--- a/pkg/filter/dispatch/origin.go
+++ b/pkg/filter/dispatch/origin.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,7 +17,7 @@
 type StreamOrigins interface {
 	// Origin returns where a stream began that a caller takes up. resumes is the ID of the
 	// request that brought its first event, and services are those that may serve it.
-	Origin(resumes string, services []string) (streamversion.Origin, bool)
+	Origin(ctx context.Context, resumes string, services []string) (streamversion.Origin, bool)
 	// Began records that the caller of a stream has got an event from its origin.
 	// firstRequest is the ID of the request that brought the first one, and until is when
 	// the caller no longer waits.
@@ -29,7 +30,7 @@
 // chooseService returns the name of the service that serves a request and, for a stream
 // that the caller takes up, where it began. One whose origin is unknown is refused: other
 // instances may know it, and the caller gets nothing that is joined from two versions.
-func (h *Handler) chooseService(edge *chain.Edge) (service string, origin *streamversion.Origin, err error) {
+func (h *Handler) chooseService(ctx context.Context, edge *chain.Edge) (service string, origin *streamversion.Origin, err error) {
 	if !takesUp(edge) {
 		return edge.Route.PickService(rand.Float64()), nil, nil
 	}
@@ -39,7 +40,7 @@
 			services = append(services, part.Service)
 		}
 	}
-	began, ok := h.Streams.Origin(edge.Call.Resumes, services)
+	began, ok := h.Streams.Origin(ctx, edge.Call.Resumes, services)
 	if !ok || !slices.Contains(services, began.Service) {
 		return "", nil, code.New(code.StreamOriginUnknown, "it is not known which version of the upstreams began the stream").WithRetryAfter(retryAfterRefusal)
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -20,6 +20,8 @@
 // after the given version. The whole table must be read again.
 var ErrHistoryLost = errors.New("store no longer has the requested changes")
 
+var errEarlierEra = errors.New("answer is of an earlier era of the store")
+
 // Row is one row of a table of the store.
 type Row struct {
 	Table   string
@@ -334,6 +336,21 @@
 	f.upstreams.StoreAnswered(f.now())
 }
 
+// RefreshUpstreams reads what has changed in the list of upstreams, whether or not this
+// instance follows the store. Afterwards the list is as the store had it when the call
+// began, or newer.
+func (f *Follower) RefreshUpstreams(ctx context.Context) error {
+	_, name := f.decoder.Tables()
+	update, err := f.fetch(ctx, name, true, 0)
+	if errors.Is(err, ErrHistoryLost) || (err == nil && !f.apply(update)) {
+		update, err = f.fetch(ctx, name, false, 0)
+		if err == nil && !f.apply(update) {
+			err = errEarlierEra
+		}
+	}
+	return err
+}
+
 // FollowsStore reports whether this instance follows the store itself and its last
 // calls succeeded.
 func (f *Follower) FollowsStore() bool {
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -26,6 +26,12 @@
 	Rows []Row            // ordered by version
 }
 
+// UpstreamsTable returns the name of the table in which upstreams are listed.
+func (f *Follower) UpstreamsTable() string {
+	_, name := f.decoder.Tables()
+	return name
+}
+
 // Positions returns, by table, the position of the store up to which it is complete.
 func (f *Follower) Positions() map[string]history.Position {
 	f.mu.Lock()
--- a/pkg/streamversion/streamversion.go
+++ b/pkg/streamversion/streamversion.go
@@ -50,6 +50,8 @@
 	untold   []Stream // streams that the other instances must know
 	window   time.Duration
 	purgedAt time.Time
+
+	knowsBefore bool // which versions served before this instance started
 }
 
 type beginning struct {
@@ -121,28 +123,21 @@
 	}
 }
 
-// Origin returns where a stream began. If no instance has told that, it is known only
-// where one service, and one version of it, can have begun the stream.
-func (m *Memory) Origin(stream Stream, services []string, now time.Time) (Origin, bool) {
-	if b, ok := m.streams[stream]; ok && !now.After(b.until) {
-		return b.origin, true
-	}
-	if len(services) != 1 {
-		return Origin{}, false
-	}
-	software, ok := m.only(services[0], now)
-	return Origin{services[0], software}, ok
+// Origin returns where a stream began that this instance saw begin or was told of.
+func (m *Memory) Origin(stream Stream, now time.Time) (Origin, bool) {
+	b, ok := m.streams[stream]
+	return b.origin, ok && !now.After(b.until)
 }
 
-// only returns the version of a service that alone can have begun a stream for which a
-// caller still waits.
-func (m *Memory) only(name string, now time.Time) (software string, ok bool) {
+// Only returns the version of a service that alone can have begun a stream for which a
+// caller still waits. lately are the versions that have served lately by what others know.
+func (m *Memory) Only(name string, lately []string, now time.Time) (software string, ok bool) {
 	s := m.services[name]
 	if s == nil || now.Sub(s.watchedAt) < m.window {
 		return "", false
 	}
 	versions := m.Versions(name, now)
-	if len(versions) != 1 {
+	if len(versions) != 1 || slices.ContainsFunc(lately, func(v string) bool { return v != versions[0] }) {
 		return "", false
 	}
 	return versions[0], true
@@ -173,19 +168,31 @@
 	s := m.services[name]
 	if s == nil {
 		s = &service{ended: map[string]time.Time{}, watchedAt: now}
+		if m.knowsBefore {
+			s.watchedAt = time.Time{}
+		}
 		m.services[name] = s
 	}
 	return s
 }
 
-// AdoptServed records which versions of a service had served before this instance
-// started. When they ended is not known, so they count from now on.
-func (m *Memory) AdoptServed(name string, versions []string, now time.Time) {
-	s := m.service(name, now)
-	s.watchedAt = time.Time{}
-	for _, software := range versions {
-		if !s.serving[software] && s.ended[software].IsZero() {
-			s.ended[software] = now
+// AdoptServed records which versions, by service, had served before this instance
+// started: none of a service that is not named, and unknown ones if they are nil. When
+// they ended is not known, so they count from now on.
+func (m *Memory) AdoptServed(served map[string][]string, now time.Time) {
+	m.knowsBefore = true
+	for _, s := range m.services {
+		s.watchedAt = time.Time{}
+	}
+	for name, versions := range served {
+		s := m.service(name, now)
+		if versions == nil {
+			s.watchedAt = now
+		}
+		for _, software := range versions {
+			if !s.serving[software] && s.ended[software].IsZero() {
+				s.ended[software] = now
+			}
 		}
 	}
 }
--- a/pkg/streamversion/streamversion_test.go
+++ b/pkg/streamversion/streamversion_test.go
@@ -19,10 +19,19 @@
 	return map[string]map[string]bool{llm: set}
 }
 
+// originOf returns where alone a stream of the service may go on.
+func originOf(m *Memory, stream Stream, now time.Time) (Origin, bool) {
+	if origin, ok := m.Origin(stream, now); ok {
+		return origin, true
+	}
+	software, ok := m.Only(llm, nil, now)
+	return Origin{llm, software}, ok
+}
+
 // expectOrigin fails the test unless the origin of a stream is a version, or unknown ("").
 func expectOrigin(t *testing.T, m *Memory, stream Stream, now time.Time, want string) {
 	t.Helper()
-	got, ok := m.Origin(stream, []string{llm}, now)
+	got, ok := originOf(m, stream, now)
 	if ok != (want != "") || got.Software != want && ok {
 		t.Errorf("origin %+v, %v; want %q", got, ok, want)
 	}
@@ -41,6 +50,20 @@
 	expectOrigin(t, m, 1, start.Add(3*minWindow), "v2")
 }
 
+// TestVersionThatOthersSawMakesAStreamUnknown guards against guessing the version of a stream that may have begun at one that has come and gone unseen.
+func TestVersionThatOthersSawMakesAStreamUnknown(t *testing.T) {
+	m := NewMemory()
+	m.SetServing(serving("v1"), start)
+	for _, c := range []struct {
+		lately []string
+		want   bool
+	}{{nil, true}, {[]string{"v1"}, true}, {[]string{"v1", "v2"}, false}, {[]string{"v2"}, false}} {
+		if software, ok := m.Only(llm, c.lately, start.Add(minWindow)); ok != c.want || (ok && software != "v1") {
+			t.Errorf("others saw %v: %q, %v; want %v", c.lately, software, ok, c.want)
+		}
+	}
+}
+
 // TestServedVersionsOutlastARestart guards against an instance that forgets, or refuses for long, after a restart of all.
 func TestServedVersionsOutlastARestart(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -54,7 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := NewMemory()
 			m.SetServing(serving("v1"), start)
-			m.AdoptServed(llm, c.stored, start)
+			m.AdoptServed(map[string][]string{llm: c.stored}, start)
 			expectOrigin(t, m, 1, start, c.want)
 			expectOrigin(t, m, 1, start.Add(minWindow), "v1")
 		})
@@ -64,7 +87,7 @@
 // TestLongWaitMakesTheWindowLonger guards against forgetting a version while a caller that waits longer may still take up a stream that began there.
 func TestLongWaitMakesTheWindowLonger(t *testing.T) {
 	m := NewMemory()
-	m.AdoptServed(llm, nil, start)
+	m.AdoptServed(map[string][]string{}, start)
 	m.SetServing(serving("v1"), start)
 	m.Begin(Beginning{2, Origin{llm, "v1"}, start.Add(3 * minWindow)}, start)
 	m.SetServing(serving("v2"), start)
@@ -141,7 +164,7 @@
 			}
 			for _, b := range began {
 				for i, m := range fleet {
-					if got, ok := m.Origin(b.Stream, []string{llm}, now); ok && got != b.Origin && !now.After(b.Until) {
+					if got, ok := originOf(m, b.Stream, now); ok && got != b.Origin && !now.After(b.Until) {
 						t.Fatalf("instance %d: stream of %+v goes on at %+v", i, b.Origin, got)
 					}
 				}
@@ -155,7 +178,7 @@
 	fleet := []*Memory{NewMemory(), NewMemory()}
 	for _, m := range fleet {
 		m.SetServing(serving(versions...), now)
-		m.AdoptServed(llm, stored, now)
+		m.AdoptServed(map[string][]string{llm: stored}, now)
 	}
 	return fleet
 }
