--- a/pkg/soak/system.go
+++ b/pkg/soak/system.go
@@ -205,7 +205,7 @@
 		s.writeWeights()
 	}
 	for _, u := range append(append([]*upstream(nil), s.engines...), s.services...) {
-		u.Register()
+		u.RegisterAgain()
 	}
 }
 
