--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -49,6 +49,9 @@
 	Released bool          `json:"released,omitempty"`
 }
 
+// maxToken is far above the tokens in use, which begin at the era of the store times 2^32.
+const maxToken = 1 << 62
+
 // DecodeLease parses a lease row. A missing row, which has version 0, gives the
 // zero value. It returns an error for a row without a holder or token.
 func DecodeLease(row external.Row) (LeaseRow, error) {
@@ -59,7 +62,7 @@
 	if err := json.Unmarshal(row.Value, &lease); err != nil {
 		return LeaseRow{}, errors.Wrap(err, "lease row is not valid")
 	}
-	if lease.Holder == "" || lease.Token == 0 {
+	if lease.Holder == "" || lease.Token == 0 || lease.Token > maxToken {
 		return LeaseRow{}, errors.New("lease row has no holder or no token")
 	}
 	return lease, nil
@@ -130,7 +133,7 @@
 		return l.read()
 	case l.rowErr == nil && l.heldBySelf() && now >= l.row.SentAt+l.cfg.RenewInterval:
 		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token, SentAt: now})
-	case l.rowErr == nil && l.canTakeOver(now):
+	case l.canTakeOver(now):
 		return l.commit(rng, LeaseRow{Holder: l.self, Token: l.nextToken(), SentAt: now})
 	case now >= l.readAt+l.cfg.ReadInterval && !l.heldBySelf():
 		return l.read()
@@ -163,7 +166,8 @@
 
 // canTakeOver reports whether the lease may be taken over: it was never held, it
 // was released, or its row has not changed for as long as commands of its holder
-// can be in flight. In a new era a holder of the earlier one may act for as long.
+// can be in flight. In a new era a holder of the earlier one may act for as long. A row
+// that another writer has spoiled ends the lease of its holder like a takeover does.
 func (l *Lease) canTakeOver(now time.Duration) bool {
 	switch {
 	case l.heldBySelf():
@@ -178,9 +182,10 @@
 
 // nextToken returns a token that no takeover had before. The row does not tell enough
 // in a store that comes back from copies: its token may be lower than one in use. But
-// the takeovers of an era succeed each on a higher version of the row.
+// the takeovers of an era succeed each on a higher version of the row, which is above
+// their number. A row that is not valid tells nothing.
 func (l *Lease) nextToken() uint64 {
-	if l.era == 0 {
+	if l.era == 0 && l.rowErr == nil {
 		return l.row.Token + 1
 	}
 	return max(l.row.Token+1, l.era<<eraTokenShift+l.at.Version)
@@ -234,7 +239,7 @@
 	l.inFlight = false
 	switch {
 	case err == nil && at.Era == l.era && l.sentInEra(l.pending):
-		l.at, l.row, l.atSeenAt = at, l.pending, now
+		l.at, l.row, l.rowErr, l.atSeenAt = at, l.pending, nil, now
 	case err == nil:
 		l.ObserveEra(now, at.Era)
 		l.mustReread = true
@@ -290,6 +295,5 @@
 	return l.commit(rng, LeaseRow{Holder: l.self, Token: token, SentAt: now, Released: true})
 }
 
-// Err returns the error of decoding the lease row, or nil. A lease whose row is
-// not valid is never taken over, because its token is unknown.
+// Err returns the error of decoding the lease row, or nil.
 func (l *Lease) Err() error { return l.rowErr }
--- a/pkg/edge/odd_rows_test.go
+++ b/pkg/edge/odd_rows_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/platform"
 	"github.com/fescuestep/fescuestep/platform/standin"
 )
@@ -45,6 +46,7 @@
 			}
 		}
 	}
+	fleet.store.Put("fescuestep", control.LeaseKey, []byte(oddValues["lease"]))
 	started := fleet.startInstance("n1")
 	fleet.startUpstream(standin.Options{ID: "o1", Service: "orders", Zone: "z1"})
 	fleet.orders.Unregister()
