--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -113,6 +113,7 @@
 	retryAt    time.Duration
 	mustReread bool // the row must be read back, for example after a commit of unknown outcome
 	suspended  bool // an upstream rejected the token as stale and the row was not read since
+	releasing  bool // a release was sent and may take effect at any time, see Release
 }
 
 // NewLease returns the lease of the candidate self, a name that must be unique
@@ -147,7 +148,7 @@
 		return
 	}
 	l.era, l.eraSeenAt = era, now
-	l.loaded, l.row, l.rowErr = false, LeaseRow{}, nil
+	l.loaded, l.row, l.rowErr, l.releasing = false, LeaseRow{}, nil, false
 }
 
 // heldBySelf reports whether the row is of this candidate. A row of an earlier era,
@@ -230,6 +231,7 @@
 	l.at = at
 	l.atSeenAt = now
 	l.row, l.rowErr = DecodeLease(row)
+	l.releasing = l.releasing && l.heldBySelf()
 }
 
 // CommitDone handles the result of a LeaseCommit that was applied at a position. After
@@ -240,6 +242,7 @@
 	switch {
 	case err == nil && at.Era == l.era && l.sentInEra(l.pending):
 		l.at, l.row, l.rowErr, l.atSeenAt = at, l.pending, nil, now
+		l.releasing = false
 	case err == nil:
 		l.ObserveEra(now, at.Era)
 		l.mustReread = true
@@ -261,12 +264,21 @@
 // commit whose outcome is unknown does not extend it.
 func (l *Lease) Held(now time.Duration) (token uint64, until time.Duration, ok bool) {
 	until = l.row.SentAt + l.cfg.TTL
-	if !l.heldBySelf() || l.rowErr != nil || l.suspended || now >= until {
+	if !l.mayBeHeld(now) || l.suspended || l.releasing {
 		return 0, 0, false
 	}
 	return l.row.Token, until, true
 }
 
+// mayBeHeld reports whether the row, as last seen, is a valid lease of this candidate.
+func (l *Lease) mayBeHeld(now time.Duration) bool {
+	return l.heldBySelf() && l.rowErr == nil && now < l.row.SentAt+l.cfg.TTL
+}
+
+// Releasing reports whether the lease counts as not held since its release was sent,
+// although the release may not have taken effect.
+func (l *Lease) Releasing(now time.Duration) bool { return l.releasing && l.mayBeHeld(now) }
+
 // MaySend reports whether the lease covers a command sent now. An upstream that
 // checks the fencing token rejects a late command itself; for one that ignores
 // the token, the lease must stay valid until the command times out.
@@ -286,13 +298,15 @@
 
 // Release returns the commit that releases the lease, or an idle step if the
 // lease is not held or a table call is in flight. It must only be called when the
-// outcome of every command is known, because a successor starts at once.
+// outcome of every command is known, because a successor starts at once. From then on the
+// lease counts as not held, whatever becomes of the answer, until a renewal succeeds: the
+// release may take effect late, unless the row has changed since.
 func (l *Lease) Release(now time.Duration, rng *rand.Rand) LeaseStep {
-	token, _, ok := l.Held(now)
-	if !ok || l.inFlight {
+	if !l.mayBeHeld(now) || l.suspended || l.inFlight {
 		return LeaseStep{}
 	}
-	return l.commit(rng, LeaseRow{Holder: l.self, Token: token, SentAt: now, Released: true})
+	l.releasing = true
+	return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token, SentAt: now, Released: true})
 }
 
 // Err returns the error of decoding the lease row, or nil.
--- a/pkg/control/lease_test.go
+++ b/pkg/control/lease_test.go
@@ -330,6 +330,48 @@
 	}
 }
 
+// TestReleaseWithoutAnswerEndsTheLease guards against a holder that acts on after its release has taken effect, because the answer was lost, late or an error, and against a late release that ends a lease which was renewed.
+func TestReleaseWithoutAnswerEndsTheLease(t *testing.T) {
+	for name, err := range map[string]error{"no answer yet": nil, "unknown": external.ErrOutcomeUnknown, "not done": external.ErrUnavailable, "conflict": external.ErrConflict} {
+		rng := rand.New(rand.NewPCG(1, 0))
+		l := control.NewLease(control.DefaultLeaseConfig(), "a")
+		l.Next(0, rng, true)
+		l.ReadDone(0, rng, external.Row{Key: control.LeaseKey}, nil)
+		l.Next(0, rng, true)
+		l.CommitDone(0, rng, history.Position{Version: 4}, nil)
+		if _, _, ok := l.Held(0); !ok {
+			t.Fatal("not held")
+		}
+		if s := l.Release(0, rng); s.Kind != control.LeaseCommit {
+			t.Fatalf("%s: step %v, want a commit", name, s.Kind)
+		}
+		if err != nil {
+			l.CommitDone(time.Millisecond, rng, history.Position{}, err)
+		}
+		if _, _, ok := l.Held(2 * time.Millisecond); ok || l.MaySend(2*time.Millisecond, true) || !l.Releasing(2*time.Millisecond) {
+			t.Errorf("%s: held after the release was sent", name)
+		}
+		if err == nil {
+			continue
+		}
+		now := time.Second + time.Millisecond
+		for s := l.Next(now, rng, true); s.Kind != control.LeaseCommit; s = l.Next(now, rng, true) {
+			if s.Kind != control.LeaseRead {
+				t.Fatalf("%s: step %v, want a read or a renewal", name, s.Kind)
+			}
+			own, _ := json.Marshal(control.LeaseRow{Holder: "a", Token: 1})
+			l.ReadDone(now, rng, external.Row{Key: control.LeaseKey, Version: 4, Value: own}, nil)
+			if _, _, ok := l.Held(now); ok {
+				t.Errorf("%s: held by a row from before the release, which may still take effect", name)
+			}
+		}
+		l.CommitDone(now, rng, history.Position{Version: 5}, nil)
+		if _, _, ok := l.Held(now); !ok {
+			t.Errorf("%s: not held after a renewal, which makes a late release fail", name)
+		}
+	}
+}
+
 // TestCandidate guards against no instance or all instances watching the lease,
 // and against the loss of one failure domain taking all candidates.
 func TestCandidate(t *testing.T) {
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -123,7 +123,7 @@
 		r.mu.Lock()
 		now := r.now()
 		_, _, held := r.lease.Held(r.sinceStart(now))
-		if !held {
+		if !held && !r.lease.Releasing(r.sinceStart(now)) {
 			r.mu.Unlock()
 			return
 		}
