--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -326,7 +326,7 @@
 		Exclude:  func(id string) bool { return x.tried[id] },
 	}
 	if x.edge.Route.HasPrompt && c.Model != "" {
-		q.IsolatedCustomer = x.isolatedCustomer()
+		q.IsolatedCustomer, q.Sharers = x.isolatedCustomer(), x.edge.Routing.Sharers()
 		q.CacheStore = x.edge.Routing.KVStoreFor(x.h.domain)
 	}
 	return q
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -56,6 +56,7 @@
 	Service          *routing.Service
 	Model            string
 	IsolatedCustomer string // set if the customer shares no KV cache with others, otherwise empty
+	Sharers          string // identifies the customers that share KV cache, see routing.Snapshot
 	Parts            []call.PromptPart
 	PromptTokens     int
 	MaxTokens        int
@@ -186,7 +187,7 @@
 }
 
 func (p *prompt) keysFor(weightsVersion int) []uint64 {
-	return prefixKeys(cacheScope(p.IsolatedCustomer, weightsVersion), p.Model, p.Parts)
+	return prefixKeys(cacheScope(p.IsolatedCustomer, p.Sharers, weightsVersion), p.Model, p.Parts)
 }
 
 // lookup returns the lookup of a prompt for a version of the weights. It is computed
@@ -261,7 +262,7 @@
 // newAttempt returns the attempt on the engine of an estimate.
 func (b *Balancer) newAttempt(now time.Time, e estimate, p *prompt) *Attempt {
 	a := &Attempt{
-		Upstream: e.upstream, WeightsVersion: e.weightsVersion, CacheScope: cacheScope(p.IsolatedCustomer, e.weightsVersion),
+		Upstream: e.upstream, WeightsVersion: e.weightsVersion, CacheScope: cacheScope(p.IsolatedCustomer, p.Sharers, e.weightsVersion),
 		CachedTokens: e.cachedTokens, CachedAfterFetch: e.cachedAfterFetch, ExpectedTTFT: e.cost, keys: e.keys,
 		work: Work{Requests: 1, PrefillTokens: e.computeTokens, KVTokens: p.PromptTokens + p.MaxTokens},
 	}
@@ -365,14 +366,17 @@
 }
 
 // cacheScope returns the scope within which KV cache is shared. It includes the
-// isolated customer and the version of the weights because engines and the store check
-// neither when they look up a part.
-func cacheScope(isolatedCustomer string, weightsVersion int) string {
+// customers and the version of the weights because engines and the store check neither
+// when they look up a part.
+func cacheScope(isolatedCustomer, sharers string, weightsVersion int) string {
 	version := strconv.Itoa(weightsVersion)
-	if isolatedCustomer == "" {
-		return "shared/" + version
+	switch {
+	case isolatedCustomer != "":
+		return "customer/" + isolatedCustomer + "/" + version
+	case sharers != "":
+		return "shared/" + sharers + "/" + version
 	}
-	return "customer/" + isolatedCustomer + "/" + version
+	return "shared/" + version
 }
 
 func tokensOf(parts []call.PromptPart) int {
--- a/pkg/placement/weights_test.go
+++ b/pkg/placement/weights_test.go
@@ -7,16 +7,17 @@
 )
 
 // TestIsolationAndWeightsSeparateCaches guards against a cache scope that two isolated
-// customers or two versions of the weights share.
+// customers, customers that share before and after another was isolated, or two versions
+// of the weights share.
 func TestIsolationAndWeightsSeparateCaches(t *testing.T) {
 	scopes := map[string]string{}
-	for _, isolated := range []string{"", "a", "b", "a/1"} {
+	for _, who := range [][2]string{{"", ""}, {"", "1f"}, {"", "2e"}, {"a", "1f"}, {"b", "1f"}, {"a/1", "1f"}} {
 		for weights := 1; weights <= 12; weights++ {
-			scope := cacheScope(isolated, weights)
+			scope := cacheScope(who[0], who[1], weights)
 			if other, ok := scopes[scope]; ok {
-				t.Errorf("%s/%d has the same scope as %s", isolated, weights, other)
+				t.Errorf("%v/%d has the same scope as %s", who, weights, other)
 			}
-			scopes[scope] = fmt.Sprint(isolated, "/", weights)
+			scopes[scope] = fmt.Sprint(who, "/", weights)
 		}
 	}
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -4,9 +4,13 @@
 package routing
 
 import (
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Kind says whether requests of a route may run more than once.
@@ -142,6 +146,7 @@
 	customers    map[string]*Customer
 	keys         map[string]*Customer
 	keysRequired bool
+	sharers      string // see Sharers
 }
 
 // New returns a snapshot of c, which must not be modified afterwards. Keys of
@@ -173,9 +178,33 @@
 			s.keys[key] = customer
 		}
 	}
+	s.sharers = sharers(c.Customers)
 	return s
 }
 
+// sharers identifies the customers that share KV cache by those that do not.
+func sharers(customers []Customer) string {
+	var isolated []string
+	for _, c := range customers {
+		if c.Isolated {
+			isolated = append(isolated, c.Name)
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	h := xxh3.New()
+	for _, name := range isolated {
+		_, _ = h.WriteString(strconv.Itoa(len(name)) + ":" + name) // never fails
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Sharers identifies the customers that share KV cache; empty if all do. It differs before
+// and after a customer is isolated, so that what its requests have read is left behind.
+func (s *Snapshot) Sharers() string { return s.sharers }
+
 // Match returns the route with the longest matching path prefix for the host,
 // which may have a port and any case, or nil if there is none.
 func (s *Snapshot) Match(host, path string) *Route {
