--- a/pkg/edge/departure_test.go
+++ b/pkg/edge/departure_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -145,3 +146,29 @@
 		return true
 	})
 }
+
+// TestOwnCutFromTheStorePutsNoRemovalOff guards against an instance that takes its own cut from the store for an outage of the store, and goes on sending to a server that is removed after its return.
+func TestOwnCutFromTheStorePutsNoRemovalOff(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 1)
+	fleet.startUpstream(standin.Options{ID: "o1", Service: "orders", Zone: "z1"})
+	fleet.startInstance("n0")
+	fleet.storeLink = newLink()
+	cut := fleet.startInstance("n1")
+	time.Sleep(settleTime)
+	fleet.storeLink.set(linkResets)
+	time.Sleep(4200 * time.Millisecond)
+	fleet.storeLink.set(linkUp)
+	fleet.await("the instance reaches the store again", func() bool { return strings.Count(cut.log.String(), `"store available"`) >= 4 })
+	fleet.orders.Unregister()
+	time.Sleep(1500 * time.Millisecond) // a server serves on for 2 s
+	before := len(fleet.orders.ReceivedRequests())
+	for range 20 {
+		if _, got := cut.request(http.MethodPost, "/orders/", keyBig, "x"); got.status != http.StatusOK {
+			t.Errorf("an order beside the removal: %+v", got)
+		}
+	}
+	if n := len(fleet.orders.ReceivedRequests()) - before; n > 0 {
+		t.Errorf("%d of 20 orders were sent to a server 1.5 s after its removal", n)
+	}
+}
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -32,6 +32,7 @@
 	t         *testing.T
 	store     *standin.Store
 	storeAddr string
+	storeLink *link // of instances that start, to the store; nil: TCP
 	coreLink  *link // of instances that start, to the store and to other instances; nil: TCP and UDP
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
@@ -184,6 +185,9 @@
 	out := &syncBuffer{}
 	dialStore := dial
 	var listenDigests func(netip.AddrPort) (edge.DigestConn, error)
+	if fleet.storeLink != nil {
+		dialStore = fleet.storeLink.dial
+	}
 	if fleet.coreLink != nil {
 		dialStore, listenDigests = fleet.coreLink.dial, fleet.coreLink.listenDigests
 	}
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -59,6 +59,7 @@
 		}
 	}
 	other.heardAt, other.lastDigest = now, d
+	p.storeServed.note(d, now)
 	name := d.Sender.Name
 	if d.Leaving {
 		other.lastDigest.Work = nil
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -93,8 +93,11 @@
 func (r *Registry) StoreCallFailed(began time.Time) { r.outage.callFailed(began) }
 
 // StoreAnswered records that the store answered a call for any table. After an outage
-// it starts the grace period for removals.
-func (r *Registry) StoreAnswered(now time.Time) { r.outage.answered(now) }
+// it starts the grace period for removals, unless othersServed reports that the store
+// answered other instances meanwhile.
+func (r *Registry) StoreAnswered(now time.Time, othersServed func(since time.Time) bool) {
+	r.outage.answered(now, othersServed)
+}
 
 // StoreLeftToOthers records that other instances follow the store for this one, so that
 // deferred removals do not wait for an answer of the store.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -33,12 +33,15 @@
 // TestLapsedEntryStaysShortly guards against removing every upstream when the store
 // becomes reachable again without the entries that expired during its outage, and
 // against keeping an upstream that is gone.
+// nobody is the answer of a fleet in which nobody reaches the store.
+func nobody(time.Time) bool { return false }
+
 func TestLapsedEntryStaysShortly(t *testing.T) {
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a"), testUpstream("b")}, 1, start)
 	r.StoreCallFailed(start)
 	now := start.Add(10 * time.Second)
-	r.StoreAnswered(now)
+	r.StoreAnswered(now, nobody)
 	replace(r, []*Upstream{testUpstream("a")}, 2, now)
 	if !listed(r, "b") {
 		t.Fatal("an upstream whose entry expired during the outage is removed at once")
@@ -56,7 +59,7 @@
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("b")}, 1, start)
 	r.StoreCallFailed(start)
-	r.StoreAnswered(start)
+	r.StoreAnswered(start, nobody)
 	r.Remove("b", at(2), start)
 	r.Put(testUpstream("b"), at(3), start)
 	r.Expire(start.Add(time.Minute))
@@ -76,7 +79,7 @@
 		t.Error("removal is deferred although the store was never unreachable")
 	}
 	r.StoreCallFailed(start)
-	r.StoreAnswered(start)
+	r.StoreAnswered(start, nobody)
 	if !r.Remove("d", at(3), start) || listed(r, "d") {
 		t.Error("removal of a draining upstream is deferred")
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -99,8 +99,9 @@
 	config           *routing.Snapshot
 	operator         map[string]operatorRecord // by key: newest content that was adopted
 	upstreams        *fleet.Registry
-	rejected         map[string]uint64 // version of rows that could not be decoded, by table and key
-	unavailableSince time.Time         // when the store last became unavailable for a table; initially the start
+	rejected         map[string]uint64          // version of rows that could not be decoded, by table and key
+	unavailableSince time.Time                  // when the store last became unavailable for a table; initially the start
+	othersServed     func(since time.Time) bool // reports whether the store has answered other instances from a time until now
 }
 
 // New returns a follower that starts to follow the store when Run is called.
@@ -114,9 +115,14 @@
 		upstreams:        fleet.NewRegistry(),
 		rejected:         map[string]uint64{},
 		unavailableSince: now(),
+		othersServed:     func(time.Time) bool { return false },
 	}
 }
 
+// SetOthersServed sets how to find out whether the store has answered other instances from
+// a time until now. It must be called before Run, and served must not call the follower.
+func (f *Follower) SetOthersServed(served func(since time.Time) bool) { f.othersServed = served }
+
 const (
 	// operatorBatchDelay and upstreamBatchDelay are the times to wait after changes
 	// before the next call, so that one call returns all changes made meanwhile.
@@ -333,7 +339,7 @@
 		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
 	}
 	t.healthy = true
-	f.upstreams.StoreAnswered(f.now())
+	f.upstreams.StoreAnswered(f.now(), f.othersServed)
 }
 
 // RefreshUpstreams reads what has changed in the list of upstreams, whether or not this
