--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -109,6 +109,7 @@
 	crashes  *crashes
 	streams  *streams
 	reach    *reachability
+	pauses   *pauses
 	listener *listener
 	follower *state.Follower
 	peers    *peers
@@ -149,7 +150,7 @@
 	if deps.DialUpstream == nil {
 		deps.DialUpstream = netopt.Dialer(dialTimeout).DialContext
 	}
-	i := &Instance{options: o, deps: deps, now: now}
+	i := &Instance{options: o, deps: deps, now: now, pauses: newPauses(now)}
 	balancer := placement.NewBalancer(placement.Config{
 		Instance: o.Name, Domain: o.Domain, PrefillTokensPerMS: placement.DefaultPrefillTokensPerMS, OldWeightsPeriod: o.WeightsDeadline,
 	}, rand.New(rand.NewPCG(seed, 1)))
@@ -326,14 +327,18 @@
 }
 
 // WeightsTargetChanged implements state.Sink. Requests may start on older weights
-// until WeightsDeadline after the target was set.
+// until WeightsDeadline after the target was set, which may have been while this instance
+// was away from the store or stood still.
 func (i *Instance) WeightsTargetChanged(w state.WeightsTarget) {
-	since := i.now()
+	since := i.pauses.earliest()
+	if w.Recent && !w.NotBefore.IsZero() && w.NotBefore.Before(since) {
+		since = w.NotBefore
+	}
 	if !w.Recent {
 		// The target may have been set at any time in the past. The deadline is
 		// StartupGrace from now, so that an instance that has just started has time
 		// to settle.
-		since = since.Add(i.options.StartupGrace - i.options.WeightsDeadline)
+		since = i.now().Add(i.options.StartupGrace - i.options.WeightsDeadline)
 	}
 	i.placer.setTargetVersion(w.Model, w.Version, since)
 	i.peers.announceState()
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -34,6 +34,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var wg sync.WaitGroup
+	wg.Go(func() { i.pauses.run(background) })
 	wg.Go(func() { i.follower.Run(background) })
 	wg.Go(func() { i.peers.run(background) })
 	wg.Go(func() { i.peers.keepRegistered(background, i.deps.Store, i.options.InstanceTable) })
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -123,7 +123,7 @@
 		f.adoptConfig(decoded.Config)
 		return
 	}
-	decoded.Weights.Recent = recent
+	decoded.Weights.Recent, decoded.Weights.NotBefore = recent, f.knownUntil
 	f.log.Info("weights target changed", "model", decoded.Weights.Model, "version", decoded.Weights.Version, "recent", recent)
 	f.sink.WeightsTargetChanged(*decoded.Weights)
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -52,6 +52,9 @@
 	Model   string
 	Version int
 	Recent  bool // received as a change; otherwise it may have been requested long ago
+	// NotBefore is the last moment at which this instance knew that it was not requested,
+	// if Recent; zero: unknown.
+	NotBefore time.Time
 }
 
 // OperatorRow is a decoded row of the operator's table. At most one field is set.
@@ -101,6 +104,7 @@
 	upstreams        *fleet.Registry
 	rejected         map[string]uint64          // version of rows that could not be decoded, by table and key
 	unavailableSince time.Time                  // when the store last became unavailable for a table; initially the start
+	knownUntil       time.Time                  // of the update that is applied
 	othersServed     func(since time.Time) bool // reports whether the store has answered other instances from a time until now
 }
 
@@ -192,6 +196,7 @@
 			continue
 		}
 		retryDelay = minRetryDelay
+		update.knownUntil = f.noteAnswer(name)
 		f.storeAnswered(name)
 		if !f.apply(update) {
 			f.log.Warn("answer is of another era of the store; reading the whole table", "table", name, "era", update.At.Era)
@@ -330,6 +335,21 @@
 	f.upstreams.StoreCallFailed(began)
 }
 
+// noteAnswer records a successful call to the store for a table. It returns until when
+// this instance knew the table before: until now if the call before succeeded, too, since
+// the store answers at once when something changes.
+func (f *Follower) noteAnswer(name string) (knownUntil time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, now := f.tables[name], f.now()
+	knownUntil = t.answeredAt
+	if t.healthy || t.answeredAt.IsZero() {
+		knownUntil = now
+	}
+	t.answeredAt = now
+	return knownUntil
+}
+
 // storeAnswered records a successful call to the store for a table.
 func (f *Follower) storeAnswered(name string) {
 	f.mu.Lock()
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -185,13 +185,47 @@
 		time.Sleep(600 * time.Millisecond)
 		sink.mu.Lock()
 		defer sink.mu.Unlock()
-		want := []WeightsTarget{{"m", 2, false}, {"m", 3, true}}
+		for i := range sink.targets {
+			sink.targets[i].NotBefore = time.Time{}
+		}
+		want := []WeightsTarget{{"m", 2, false, time.Time{}}, {"m", 3, true, time.Time{}}}
 		if !slices.Equal(sink.targets, want) {
 			t.Errorf("weights targets %+v, want %+v", sink.targets, want)
 		}
 	})
 }
 
+// TestWeightsTargetCountsFromBeforeAnOutage guards against counting the time of a new target version from when an instance that was away from the store learns of it, and against counting it from too early otherwise.
+func TestWeightsTargetCountsFromBeforeAnOutage(t *testing.T) {
+	store := newFakeStore()
+	store.put(operatorTable, "config", "config 1", false)
+	store.put(operatorTable, "version/m", "weights m 2", false)
+	runFollower(t, store, func(f *Follower, sink *fakeSink) {
+		time.Sleep(10 * time.Second)
+		named := time.Now()
+		store.put(operatorTable, "version/m", "weights m 3", false)
+		time.Sleep(time.Second)
+		cut := time.Now()
+		store.update(func() { store.down = true })
+		time.Sleep(2 * time.Second)
+		store.put(operatorTable, "version/m", "weights m 4", false)
+		time.Sleep(2 * time.Second)
+		store.update(func() { store.down = false })
+		time.Sleep(2 * time.Second)
+		sink.mu.Lock()
+		defer sink.mu.Unlock()
+		if len(sink.targets) != 3 {
+			t.Fatalf("weights targets %+v", sink.targets)
+		}
+		if at := sink.targets[1].NotBefore; at.Before(named) || at.Sub(named) > operatorBatchDelay {
+			t.Errorf("a version counts from %v after it was named", at.Sub(named))
+		}
+		if at := sink.targets[2].NotBefore; at.After(cut) || at.Before(named) {
+			t.Errorf("a version named during an outage counts from %v after its begin, want from before it", at.Sub(cut))
+		}
+	})
+}
+
 // TestHasSyncedOnlyWithAllTables guards against an instance that becomes ready before
 // it has the table of upstreams.
 func TestHasSyncedOnlyWithAllTables(t *testing.T) {
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/history"
 )
@@ -13,6 +14,7 @@
 	fullVersion uint64           // version of the last full update; earlier deletions are unknown
 	healthy     bool             // the last call to the store for this table succeeded
 	loaded      bool             // an update was applied at least once
+	answeredAt  time.Time        // last successful call to the store
 }
 
 func newTable() *table { return &table{rows: map[string]Row{}} }
@@ -24,6 +26,8 @@
 	Full bool             // the whole table: rows that are not listed do not exist
 	From history.Position // unless Full: position after which all changes are listed
 	Rows []Row            // ordered by version
+
+	knownUntil time.Time // see noteAnswer; zero: unknown
 }
 
 // UpstreamsTable returns the name of the table in which upstreams are listed.
@@ -92,6 +96,7 @@
 	if update.At.Era < t.at.Era || !(update.Full || t.continuedBy(update)) {
 		return false
 	}
+	f.knownUntil = update.knownUntil
 	rows := f.enterEra(t, update)
 	t.loaded = true
 	if update.Full {
