--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -16,6 +16,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/framing"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -105,7 +106,7 @@
 			time.Sleep(socketRetryDelay)
 			continue
 		}
-		if !l.deliver(conn) {
+		if !l.deliver(framing.NewConn(conn)) {
 			_ = conn.Close()
 		}
 	}
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/fescuestep/fescuestep/pkg/framing"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -136,7 +137,7 @@
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout, IdleTimeout: time.Minute}
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(framing.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
 				i.deps.Log.Error("control server stopped", "addr", addr.String(), "error", err)
 			}
 		}()
