--- a/pkg/edge/crashrows.go
+++ b/pkg/edge/crashrows.go
@@ -29,20 +29,18 @@
 // quarantined part and each crash that none explains. An instance reads them at its start;
 // one instance per row writes and deletes it, as soon as the store takes the write.
 type crashRows struct {
+	rowLoop
 	store   QuarantineTable
 	table   string
 	crashes *crashes
 	owns    func(hash uint64) bool // reports whether this instance writes the row with the hash
 	log     hclog.Logger
-	changed chan struct{} // the store may lack what was written
 
 	stored  map[string]bool // by key of the rows that were read or written: whether this instance wrote it
 	failing bool            // the last write failed
 }
 
 const (
-	// rowRetryDelay is the pause between attempts to read or write rows.
-	rowRetryDelay = 500 * time.Millisecond
 	// crashRowInterval is the time between checks whether rows must be written.
 	crashRowInterval = 250 * time.Millisecond
 	// maxCrashRowWrites bounds the rows that are written or deleted in one check.
@@ -59,33 +57,13 @@
 )
 
 func newCrashRows(store QuarantineTable, table string, c *crashes, log hclog.Logger) *crashRows {
-	return &crashRows{store: store, table: table, crashes: c, log: log, changed: make(chan struct{}, 1), stored: map[string]bool{}}
-}
-
-// writeAgain makes this instance write its rows again, since the store came back from an
-// older copy.
-func (r *crashRows) writeAgain() {
-	select {
-	case r.changed <- struct{}{}:
-	default:
-	}
+	return &crashRows{rowLoop: newRowLoop(), store: store, table: table, crashes: c, log: log, stored: map[string]bool{}}
 }
 
 // run reads the rows once and then writes changes until ctx ends.
 func (r *crashRows) run(ctx context.Context) {
 	r.read(ctx)
-	ticker := time.NewTicker(crashRowInterval)
-	defer ticker.Stop()
-	for {
-		r.write(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.changed:
-			clear(r.stored)
-		case <-ticker.C:
-		}
-	}
+	r.keep(ctx, crashRowInterval, r.write, func() { clear(r.stored) })
 }
 
 func (r *crashRows) read(ctx context.Context) {
@@ -103,21 +81,6 @@
 	}
 }
 
-// readRows reads a table of the store, again after each failure. It returns false if ctx
-// ends first.
-func readRows(ctx context.Context, store interface {
-	Rows(ctx context.Context, table string) (state.Page, error)
-}, table string) ([]state.Row, bool) {
-	for ctx.Err() == nil {
-		page, err := store.Rows(ctx, table)
-		if err == nil {
-			return page.Rows, true
-		}
-		sleep(ctx, rowRetryDelay)
-	}
-	return nil, false
-}
-
 // write writes the rows of this instance that the store lacks, and deletes those that no
 // longer hold. After a failure the next check goes on.
 func (r *crashRows) write(ctx context.Context) {
--- a/pkg/edge/versionrows.go
+++ b/pkg/edge/versionrows.go
@@ -18,13 +18,13 @@
 // software may have begun a stream: one row per service. An instance reads them at its
 // start; one instance per service writes them.
 type versionRows struct {
+	rowLoop
 	store   InstanceRegistry
 	table   string
 	streams *streams
 	owns    func(hash uint64) bool // reports whether this instance writes the row with the hash
 	config  func() *routing.Snapshot
 	log     hclog.Logger
-	changed chan struct{} // the store may lack what was written
 
 	written map[string][]string // by service
 }
@@ -38,33 +38,13 @@
 const versionCheckInterval = time.Second
 
 func newVersionRows(store InstanceRegistry, table string, s *streams, log hclog.Logger) *versionRows {
-	return &versionRows{store: store, table: table, streams: s, log: log, changed: make(chan struct{}, 1), written: map[string][]string{}}
-}
-
-// writeAgain makes this instance write its rows again, since the store came back from an
-// older copy.
-func (v *versionRows) writeAgain() {
-	select {
-	case v.changed <- struct{}{}:
-	default:
-	}
+	return &versionRows{rowLoop: newRowLoop(), store: store, table: table, streams: s, log: log, written: map[string][]string{}}
 }
 
 // run reads the rows once and then writes changes until ctx ends.
 func (v *versionRows) run(ctx context.Context) {
 	v.read(ctx)
-	ticker := time.NewTicker(versionCheckInterval)
-	defer ticker.Stop()
-	for {
-		v.write(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-v.changed:
-			clear(v.written)
-		case <-ticker.C:
-		}
-	}
+	v.keep(ctx, versionCheckInterval, v.write, func() { clear(v.written) })
 }
 
 func (v *versionRows) read(ctx context.Context) {
--- a/pkg/placement/brittle_fleet_test.go
+++ b/pkg/placement/brittle_fleet_test.go
@@ -232,8 +232,7 @@
 		return
 	}
 	process := server.process
-	var begin func()
-	begin = func() {
+	begin := func() {
 		server.running++
 		s.after(server.serviceTime, func() {
 			if server.process != process {
--- /dev/null
+++ b/pkg/state/storecalls.go
@@ -0,0 +1,82 @@
+package state
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// storeFailed records a failed call to the store for a table.
+func (f *Follower) storeFailed(name string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.tables[name]
+	if t.healthy {
+		f.log.Warn("store unavailable", "table", name, "error", err)
+		f.unavailableSince = f.now()
+	}
+	t.healthy = false
+}
+
+// storeAway records that a call that began at a time and asked for an immediate answer
+// failed.
+func (f *Follower) storeAway(began time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams.StoreCallFailed(began)
+}
+
+// noteAnswer records a successful call to the store for a table. It returns until when
+// this instance knew the table before: until now if the call before succeeded, too, since
+// the store answers at once when something changes.
+func (f *Follower) noteAnswer(name string) (knownUntil time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, now := f.tables[name], f.now()
+	knownUntil = t.answeredAt
+	if t.healthy || t.answeredAt.IsZero() {
+		knownUntil = now
+	}
+	t.answeredAt = now
+	return knownUntil
+}
+
+// storeAnswered records a successful call to the store for a table.
+func (f *Follower) storeAnswered(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.tables[name]
+	if !t.healthy {
+		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
+	}
+	t.healthy = true
+	f.upstreams.StoreAnswered(f.now(), f.othersServed)
+}
+
+// RefreshUpstreams reads what has changed in the list of upstreams, whether or not this
+// instance follows the store. Afterwards the list is as the store had it when the call
+// began, or newer.
+func (f *Follower) RefreshUpstreams(ctx context.Context) error {
+	_, name := f.decoder.Tables()
+	update, err := f.fetch(ctx, name, true, 0)
+	if errors.Is(err, ErrHistoryLost) || (err == nil && !f.apply(update)) {
+		update, err = f.fetch(ctx, name, false, 0)
+		if err == nil && !f.apply(update) {
+			err = errEarlierEra
+		}
+	}
+	return err
+}
+
+// FollowsStore reports whether this instance follows the store itself and its last
+// calls succeeded.
+func (f *Follower) FollowsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	healthy := !f.idle
+	for _, t := range f.tables {
+		healthy = healthy && t.healthy
+	}
+	return healthy
+}
