--- a/pkg/edge/brittle_digest_test.go
+++ b/pkg/edge/brittle_digest_test.go
@@ -51,3 +51,25 @@
 		t.Error("an older statement of another instance brings back one that has ended")
 	}
 }
+
+// TestEndOfBrittlenessIsTold guards against an instance without a place at brittle upstreams that forwards its requests for good, since it gets no answer that would end the statement.
+func TestEndOfBrittlenessIsTold(t *testing.T) {
+	owner, other := newTestPeers(), newTestPeers()
+	owner.self.Name, owner.self.Digests = "other", "10.0.0.2:7600"
+	owner.placer.RecordBrittle(pickBrittle(t, owner), 3)
+	tellDigest(t, owner, other)
+	if !knowsBrittle(other) {
+		t.Fatal("not told that upstreams are brittle")
+	}
+	later := owner.now().Add(time.Second)
+	for _, p := range []*peers{owner, other} {
+		p.now, p.placer.now = func() time.Time { return later }, func() time.Time { return later }
+	}
+	attempt := pickBrittle(t, owner)
+	owner.placer.Begin(attempt)
+	owner.placer.RecordNotBrittle(attempt)
+	tellDigest(t, owner, other)
+	if knowsBrittle(other) {
+		t.Error("not told that upstreams are not brittle any more")
+	}
+}
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -82,7 +82,7 @@
 	}
 	for _, l := range d.Loads {
 		hold := time.Duration(l.Ms) * time.Millisecond
-		if l.Brittle > 0 {
+		if l.Brittle > 0 || l.BrittleEnded {
 			at := before(l.AgoMs, p.now())
 			p.placer.adoptBrittle(placement.BrittleStatement{Upstream: l.Upstream, MaxRefusals: int(min(l.Brittle, math.MaxInt32)), At: at})
 		}
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -154,7 +154,7 @@
 func encodeBrittle(list []placement.BrittleStatement, now time.Time) []*rpc.Load {
 	var out []*rpc.Load
 	for _, s := range list {
-		out = append(out, &rpc.Load{Upstream: s.Upstream, Refused: true, Brittle: uint32(s.MaxRefusals), AgoMs: ago(s.At, now)})
+		out = append(out, &rpc.Load{Upstream: s.Upstream, Refused: true, Brittle: uint32(s.MaxRefusals), BrittleEnded: s.MaxRefusals == 0, AgoMs: ago(s.At, now)})
 	}
 	return out
 }
--- a/pkg/placement/brittle.go
+++ b/pkg/placement/brittle.go
@@ -20,6 +20,8 @@
 	// brittleMemory is how long a statement holds that is not received again. Only a
 	// service that is asked for nothing says nothing for so long.
 	brittleMemory = 10 * time.Minute
+	// brittleEndTold is for how long instances tell that a statement has ended.
+	brittleEndTold = time.Minute
 	// refusedBusyTime is how long no requests are sent to an upstream that refused one for
 	// lack of capacity.
 	refusedBusyTime = 60 * time.Millisecond
@@ -62,11 +64,12 @@
 // as instances tell it.
 type BrittleStatement struct {
 	Upstream    string
-	MaxRefusals int       // per second and upstream, from all instances together
-	At          time.Time // when an instance last received it
+	MaxRefusals int       // per second and upstream, from all instances together; 0: the upstreams are not brittle any more
+	At          time.Time // when an instance last received it, or an answer without it
 }
 
-// BrittleStatements returns the statements that hold, one per service.
+// BrittleStatements returns the statements that hold and those that have just ended, one
+// per service.
 func (b *Balancer) BrittleStatements(now time.Time) []BrittleStatement {
 	var out []BrittleStatement
 	for service, known := range b.brittle {
@@ -74,17 +77,30 @@
 			out = append(out, BrittleStatement{listed[0].ID, known.maxRefusals, known.statedAt})
 		}
 	}
+	for service, at := range b.brittleEnded {
+		if listed := b.view.ByService(service); len(listed) > 0 && b.brittle[service] == nil && now.Sub(at) <= brittleEndTold {
+			out = append(out, BrittleStatement{listed[0].ID, 0, at})
+		}
+	}
 	return out
 }
 
-// AdoptBrittle takes over a statement that another instance has received. One from before
-// the end of the last statement is ignored.
+// AdoptBrittle takes over a statement that another instance has received, or its end: one
+// without a place of its own may get no answer for long. One from before the end of the
+// last statement is ignored.
 func (b *Balancer) AdoptBrittle(s BrittleStatement, now time.Time) (began bool) {
 	u := b.view.ByID(s.Upstream)
-	if u == nil || s.MaxRefusals <= 0 || now.Sub(s.At) > brittleMemory || !s.At.After(b.brittleEnded[u.Service]) {
+	if u == nil || now.Sub(s.At) > brittleMemory || !s.At.After(b.brittleEnded[u.Service]) {
 		return false
 	}
 	known := b.brittle[u.Service]
+	if s.MaxRefusals <= 0 {
+		if known != nil && s.At.After(known.statedAt) {
+			delete(b.brittle, u.Service)
+			b.brittleEnded[u.Service] = s.At
+		}
+		return false
+	}
 	if known == nil {
 		known = &brittleness{}
 		b.brittle[u.Service] = known
@@ -132,7 +148,7 @@
 // requests late, so each keeps to its own places.
 func (b *Balancer) hasPlace(u *fleet.Upstream, now time.Time) bool {
 	known := b.brittle[u.Service]
-	if known == nil || u.Slots <= 0 {
+	if known == nil || u.Slots <= 0 || now.Sub(known.statedAt) > brittleMemory {
 		return true
 	}
 	return b.state(u).own.Requests < b.limits.OwnPlaces(u.ID, b.placesAt(u, known, now))
