--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -60,11 +60,26 @@
 	Resumes       string        // ID of the request that brought the first event of that stream
 }
 
-// Load is the load that an upstream reports in a response, in requests.
+// Load is the load that an upstream reports in a response.
 type Load struct {
-	Running, Waiting, Slots int
+	Running, Waiting, Slots int // requests
+	// WorkTimePercent states how long work takes on the upstream's machine at this moment;
+	// 100 is usual, 200 twice as long. 0 means not stated.
+	WorkTimePercent int
 }
 
+// Statement names an optional statement in the head of a response.
+type Statement string
+
+// Statements that are counted when they cannot be decoded.
+const (
+	LoadStatement      Statement = "load"
+	RateLimitStatement Statement = "rate_limit"
+	BrittleStatement   Statement = "brittle"
+	RetryStatement     Statement = "retry_after"
+	WeightsStatement   Statement = "weights_version"
+)
+
 // Response is what the head of an upstream's response states.
 type Response struct {
 	Status          int
@@ -83,4 +98,5 @@
 	KeepAlive       time.Duration // time after which the upstream closes the idle connection; 0: not stated
 	WeightsVersion  int           // version of the weights that run the request; 0: not stated
 	Load            *Load         // nil: not stated
+	Undecodable     []Statement   // present, but not decoded; they count as not stated
 }
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -14,11 +14,14 @@
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
-// ServiceMetrics counts the outcomes of requests as callers see them.
+// ServiceMetrics counts the outcomes of requests as callers see them, and what upstreams
+// state.
 type ServiceMetrics interface {
 	// RecordOutcome counts a request to the named route, with the number of tokens
 	// in its prompt (0 if unknown).
 	RecordOutcome(route string, promptTokens int, o metrics.Outcome)
+	// UndecodableStatement counts a statement of an upstream that could not be decoded.
+	UndecodableStatement(name string)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -262,7 +262,7 @@
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
-		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Log: deps.Log.Named("dispatch"), Now: i.now,
+		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -224,6 +224,9 @@
 }
 
 func (x *exchange) recordUpstreamState(attempt *placement.Attempt, decoded call.Response) {
+	for _, statement := range decoded.Undecodable {
+		x.h.Metrics.UndecodableStatement(string(statement))
+	}
 	if decoded.Load != nil {
 		x.h.Placer.RecordLoad(attempt.Upstream.ID, *decoded.Load)
 	}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -120,6 +120,12 @@
 	HelpersNamed(service string, names []string) []string
 }
 
+// Metrics counts what upstreams state. It must be safe for concurrent use.
+type Metrics interface {
+	// UndecodableStatement counts a statement that could not be decoded.
+	UndecodableStatement(name string)
+}
+
 // Handler sends requests to upstreams and relays the responses.
 type Handler struct {
 	Dependencies
@@ -137,6 +143,7 @@
 	Crashes       CrashTracker
 	Streams       StreamOrigins
 	Reach         Reachability
+	Metrics       Metrics
 	Log           hclog.Logger
 	Now           func() time.Time
 }
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -44,6 +44,7 @@
 	defPromptTokens = define(Counter, "prompt_tokens_total", "Prompt tokens of completed requests.", "customer", "class")
 	defCachedTokens = define(Counter, "cached_tokens_total", "Prompt tokens that the engine had cached.", "customer", "class")
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
+	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -51,6 +51,7 @@
 	m.QuotaWait(time.Millisecond)
 	m.RecordOutcome("r", 17000, InTime)
 	m.LogLinesDropped(1)
+	m.UndecodableStatement("load")
 	m.Order(Finished)
 	m.UnresolvedOrders(1)
 	m.ControlLeader(true)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -34,5 +34,9 @@
 	m.counter(defServed, m.routes.value(route), string(SizeOf(promptTokens)), string(o)).Inc(1)
 }
 
+// UndecodableStatement counts a statement of an upstream that could not be decoded. The
+// name is one of a fixed set.
+func (m *Metrics) UndecodableStatement(name string) { m.counter(defUndecodable, name).Inc(1) }
+
 // LogLinesDropped counts lines that did not fit into the queue of the log.
 func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
