--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -77,14 +77,16 @@
 		limits = p.nextRateLimits()
 		brittle = p.placer.brittleStatements()
 	}
+	d := &rpc.Digest{}
+	for _, s := range p.shared {
+		s.encode(d, partial)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastSequence++
 	now := p.now()
-	d := &rpc.Digest{
-		Sender: p.self, Incarnation: p.incarnation, Sequence: p.lastSequence, Leaving: p.leaving, Follows: follows, Partial: partial,
-		CutOff: cutOff,
-	}
+	d.Sender, d.Incarnation, d.Sequence = p.self, p.incarnation, p.lastSequence
+	d.Leaving, d.Follows, d.Partial, d.CutOff = p.leaving, follows, partial, cutOff
 	if partial {
 		d.Sender = &rpc.Address{Name: p.self.Name}
 	} else {
@@ -184,6 +186,9 @@
 			delete(p.byName, name)
 			p.limiter.removePeer(name)
 			p.placer.removeInstance(name)
+			for _, s := range p.shared {
+				s.forget(name)
+			}
 			p.log.Info("instance removed after silence", "instance", name)
 			continue
 		}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -108,6 +108,7 @@
 	crashes     *crashes
 	streams     *streams
 	cutOff      func() []string // services whose upstreams this instance does not reach
+	shared      []sharedState   // set before run
 	log         hclog.Logger
 	now         func() time.Time
 	sendNow     chan struct{} // requests a partial digest
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -105,6 +105,9 @@
 	if len(d.Departures) > 0 {
 		p.follower.Leave(decodeDepartures(d.Departures)...)
 	}
+	for _, s := range p.shared {
+		s.apply(name, d.Incarnation, d)
+	}
 	p.applyCrashes(d)
 	p.applyRateLimits(name, d.RateLimits)
 	p.streams.learn(d.Streams)
