Profiles of an instance on the metrics address (-pprof of edge)

Cause: what an instance among many spends its processor time on could not be seen on a running process.

Change: with -pprof, edge serves the profiles of net/http/pprof below /debug/pprof/ on the metrics address.

--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -28,6 +28,7 @@
 	streams
 	file     string
 	logLevel string
+	pprof    bool
 	settings *platform.Settings
 }
 
@@ -46,6 +47,7 @@
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
+	fs.BoolVar(&c.pprof, "pprof", false, "serve profiles of the process at "+edge.ProfilesPath+" on the metrics address")
 }
 
 // Validate reads the settings file.
@@ -91,7 +93,9 @@
 	log := newEdgeLog(c.settings.Name, c.logLevel, queue)
 	m := metrics.New()
 	defer func() { _ = m.Close() }()
-	instance, err := edge.New(edgeOptions(c.settings), edgeParts(c.settings, m, log))
+	options := edgeOptions(c.settings)
+	options.Profiles = c.pprof
+	instance, err := edge.New(options, edgeParts(c.settings, m, log))
 	if err != nil {
 		log.Error("cannot start", "error", err)
 		return subcommands.ExitFailure
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -37,6 +37,7 @@
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
 	config    routing.Config
+	profiles  bool // of instances that start
 }
 
 const (
@@ -178,6 +179,7 @@
 		ControlAddr: freeAddr(fleet.t), PeerAddr: freeAddr(fleet.t), Seeds: seeds, MemoryBytes: 128 << 20,
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
+		Profiles:      fleet.profiles,
 		InstanceTable: platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
 	}
 	dial := netopt.Dialer(time.Second).DialContext
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -57,6 +57,7 @@
 	CallerAddr          netip.AddrPort // listen address for callers
 	ReadinessAddr       netip.AddrPort // listen address for readiness checks and metrics
 	ReadinessPath       string         // URL path of the readiness check
+	Profiles            bool           // serves profiles of the process on ReadinessAddr
 	ControlAddr         netip.AddrPort // listen address for RPCs from other instances; zero: not started
 	PeerAddr            netip.AddrPort // UDP listen address for digests from other instances
 	Seeds               []string       // control addresses (IP:port) of other instances
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -124,6 +124,9 @@
 		return c.NoContent(http.StatusOK)
 	})
 	e.GET("/metrics", echo.WrapHandler(i.deps.MetricsHandler))
+	if i.options.Profiles {
+		serveProfiles(e)
+	}
 	handlers := map[netip.AddrPort]http.Handler{i.options.ReadinessAddr: e}
 	if i.options.ControlAddr.IsValid() {
 		handlers[i.options.ControlAddr] = rpc.NewEdgeServer(i.peers)
