Introductions go to the instances that lack them only

Cause: at a first contact each instance sent a full digest to all that it knew, so that a start of n instances cost up to n^3 datagrams. An instance that restarted got nothing until the next full digests.

An introduction takes no updates away from the others and tells the work that they were told last. A lost one is made up for by the next full digest.

The tests of pkg/edge for digests, starts, state and departures pass with the race detector.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -19,13 +19,6 @@
 	return p.leaderActiveAt
 }
 
-// requestIntroduction makes the sending goroutine send a full digest, which states the
-// address of this instance, to instances that may not know it.
-func (p *peers) requestIntroduction() {
-	p.sendFull.Store(true)
-	p.requestSend()
-}
-
 // requestSend makes the sending goroutine send a partial digest without waiting for
 // the next full one.
 func (p *peers) requestSend() {
@@ -46,7 +39,11 @@
 // send sends one digest to every known instance. A partial digest has no spent
 // tokens and only the work that has changed.
 func (p *peers) send(partial bool) {
-	datagrams, targets := p.nextDigest(partial)
+	p.write(p.nextDigest(partial))
+}
+
+// write sends datagrams to instances.
+func (p *peers) write(datagrams [][]byte, targets []netip.AddrPort) {
 	for _, raw := range datagrams {
 		for _, target := range targets {
 			// An error is ignored: the next digest makes up for a lost one.
@@ -58,49 +55,30 @@
 // nextDigest returns the next digest, encoded as one datagram or more, and the
 // addresses to send it to.
 func (p *peers) nextDigest(partial bool) ([][]byte, []netip.AddrPort) {
+	d := p.newDigest()
 	work := p.placer.ownWork()
-	var spent map[string]float64
+	held := p.follower.Positions()
+	var limits []rateLimit
 	if partial {
 		work = p.changedWork(work)
+		d.Partial, d.Sender = true, &rpc.Address{Name: p.self.Name}
 	} else {
-		spent = p.limiter.spent()
 		p.lastSentWork = work
-	}
-	held := p.follower.Positions()
-	follows := p.follower.FollowsStore()
-	contents := p.follower.OperatorNumbers()
-	quarantines := p.crashes.quarantines()
-	cutOff := p.cutOff()
-	var limits []rateLimit
-	var brittle []placement.BrittleStatement
-	if !partial {
+		p.addTotals(d)
 		limits = p.nextRateLimits()
-		brittle = p.placer.brittleStatements()
 	}
-	d := &rpc.Digest{}
 	for _, s := range p.shared {
 		s.encode(d, partial)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastSequence++
 	now := p.now()
-	d.Sender, d.Incarnation, d.Sequence = p.self, p.incarnation, p.lastSequence
-	d.Leaving, d.Follows, d.Partial, d.CutOff = p.leaving, follows, partial, cutOff
-	if partial {
-		d.Sender = &rpc.Address{Name: p.self.Name}
-	} else {
-		d.Contents = encodeContents(contents)
-		d.Quarantines = encodeQuarantines(quarantines, now)
-	}
+	p.number(d)
 	if !partial || !maps.Equal(held, p.lastSentPositions) {
 		d.Tables = encodePositions(held)
 		p.lastSentPositions = held
 	}
-	for customer, tokens := range spent {
-		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.bucketLevel(customer)})
-	}
-	d.Loads = append(nextUpdates(&p.updates.loads), encodeBrittle(brittle, now)...)
+	d.Loads = append(nextUpdates(&p.updates.loads), d.Loads...)
 	d.Weights = nextUpdates(&p.updates.weights)
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
@@ -108,12 +86,47 @@
 	d.Answers = nextUpdates(&p.updates.answers)
 	d.RateLimits = encodeRateLimits(append(nextUpdates(&p.updates.rateLimits), limits...), now)
 	d.Streams = encodeStreams(p.nextStreams(), now)
+	d.Work = encodeWork(work)
+	targets := p.expirePeers(now)
+	if !partial {
+		for _, other := range p.byName {
+			other.introducedTo = true
+		}
+	}
+	return p.encodeDigest(d), targets
+}
+
+// newDigest returns a digest with what every digest tells of its sender, without a
+// sequence number.
+func (p *peers) newDigest() *rpc.Digest {
+	return &rpc.Digest{Sender: p.self, Incarnation: p.incarnation, Follows: p.follower.FollowsStore(), CutOff: p.cutOff()}
+}
+
+// number gives a digest the next sequence number. The caller holds mu.
+func (p *peers) number(d *rpc.Digest) {
+	p.lastSequence++
+	d.Sequence, d.Leaving = p.lastSequence, p.leaving
+}
+
+// addTotals adds the totals and states to a digest that partial digests leave out.
+func (p *peers) addTotals(d *rpc.Digest) {
+	now := p.now()
+	d.Contents = encodeContents(p.follower.OperatorNumbers())
+	d.Quarantines = encodeQuarantines(p.crashes.quarantines(), now)
+	d.Loads = encodeBrittle(p.placer.brittleStatements(), now)
+	for customer, tokens := range p.limiter.spent() {
+		d.Spent = append(d.Spent, &rpc.Spending{Customer: customer, Tokens: tokens, Level: p.limiter.bucketLevel(customer)})
+	}
+}
+
+func encodeWork(work map[string]placement.Work) []*rpc.Work {
+	out := make([]*rpc.Work, 0, len(work))
 	for id, w := range work {
-		d.Work = append(d.Work, &rpc.Work{
+		out = append(out, &rpc.Work{
 			Upstream: id, Requests: uint32(max(0, w.Requests)), Prefill: uint32(max(0, w.PrefillTokens)), Memory: uint32(max(0, w.KVTokens)),
 		})
 	}
-	return p.encodeDigest(d), p.expirePeers(now)
+	return out
 }
 
 // changedWork returns the work that differs from what was last sent, and records it
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -90,6 +90,7 @@
 	lastDigest   *rpc.Digest    // nil: none has arrived
 	backoffUntil time.Time      // no state is requested before, since a State call failed
 	contents     []*rpc.Content // of the operator's rows, from the last full digest
+	introducedTo bool           // it was sent a full digest or an introduction since its process is known
 
 	placedIncarnation uint64 // incarnation that lastPlacedSerial belongs to
 	lastPlacedSerial  uint64 // serial number of the last placement received
@@ -112,7 +113,7 @@
 	log         hclog.Logger
 	now         func() time.Time
 	sendNow     chan struct{} // requests a partial digest
-	sendFull    atomic.Bool   // the next digest must be a full one
+	introduce   chan struct{} // requests introductions
 	fetchNow    chan struct{} // signals that another instance has newer state
 	isRelay     atomic.Bool   // this instance follows the store and others may fetch state from it
 
@@ -140,7 +141,7 @@
 func newPeers(self *rpc.Address, incarnation uint64, conn DigestConn, client *http.Client, p *placer, l *limiter, f *state.Follower, c *crashes, s *streams, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
 		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f, crashes: c, streams: s,
-		log: log, now: now, sendNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
+		log: log, now: now, sendNow: make(chan struct{}, 1), introduce: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
 		cutOff: func() []string { return nil },
 		byName: map[string]*peer{}, loadingUntil: map[string]time.Time{}, lastSentWork: map[string]placement.Work{},
 	}
@@ -167,7 +168,10 @@
 			timer.Reset(p.fullDigestInterval())
 		case <-p.sendNow:
 			sleep(ctx, p.partialDigestDelay())
-			p.send(!p.sendFull.Swap(false))
+			p.send(true)
+		case <-p.introduce:
+			sleep(ctx, introductionDelay)
+			p.sendIntroductions()
 		}
 	}
 }
@@ -341,6 +345,7 @@
 		p.limiter.addPeer(addr.Name)
 		p.placer.addInstance(addr.Name)
 		p.log.Info("instance discovered", "instance", addr.Name, "addr", addr.Digests)
+		p.requestIntroductions()
 	}
 	other.addr, other.udpAddr, other.controlAddr = addr, udpAddr, addr.GetControl()
 	return other
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -52,6 +52,10 @@
 	}
 	now := p.now()
 	firstContact := other.heardAt.IsZero()
+	if last != nil && d.Incarnation != last.Incarnation {
+		other.introducedTo = false // the new process knows nothing of this instance
+		p.requestIntroductions()
+	}
 	if d.Partial && last != nil && last.Incarnation == d.Incarnation {
 		d.Work = applyWorkChanges(last.Work, d.Work)
 		if len(d.Tables) == 0 {
@@ -70,11 +74,8 @@
 	p.trackLeader(d, now)
 	placements := other.newPlacements(d)
 	p.mu.Unlock()
-	if firstContact {
-		p.requestIntroduction()
-		if !p.introduced.Load() {
-			p.requestFetch()
-		}
+	if firstContact && !p.introduced.Load() {
+		p.requestFetch()
 	}
 	if !d.Partial {
 		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
--- a/pkg/edge/shared.go
+++ b/pkg/edge/shared.go
@@ -7,7 +7,8 @@
 // are safe for concurrent use.
 type sharedState interface {
 	// encode adds what is to be told to a digest. A partial one carries changes only and
-	// is sent often.
+	// is sent often. Introductions, which go to single instances, leave shared state out, so
+	// that a change that was told to one instance does not count as told to all.
 	encode(d *rpc.Digest, partial bool)
 	// apply takes over what a digest of another instance tells. incarnation identifies
 	// the process of the sender.
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -340,8 +340,8 @@
 	contentSourceChecks = 3
 )
 
-// addListedRows records the instances that rows of the store list and announces this
-// one to them.
+// addListedRows records the instances that rows of the store list. Those that are new
+// get an introduction.
 func (p *peers) addListedRows(rows []state.Row) {
 	for _, row := range rows {
 		addr := &rpc.Address{}
@@ -351,7 +351,6 @@
 		}
 		p.addListed(addr)
 	}
-	p.requestIntroduction()
 }
 
 // sleep waits for the duration d or until ctx ends.
