Long prompts are not given up while their upstream computes them

Cause: requests that may be repeated were given up after half the target latency without a first byte and sent to another upstream. With long prompts (17,000 tokens, target 1.5 s) that is less than an engine usually needs; each time the next one computed the prompt from its beginning.

Change: the wait is at least three times the expected time to first token, and at most twice the target latency.

--- a/pkg/filter/dispatch/firstbyte.go
+++ b/pkg/filter/dispatch/firstbyte.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/httpconn"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
 // startFirstByteTimer starts the timer that closes conn unless the first bytes of
@@ -17,23 +18,36 @@
 	if !attempt.BeginBy.IsZero() {
 		limit = max(attempt.BeginBy.Sub(x.h.Now()), time.Nanosecond)
 	}
-	return newFirstByteTimer(x.firstByteTimeout(), limit, conn, x.reserveRetry)
+	timeout := time.Duration(0)
+	if x.edge.Attempts < x.edge.Route.MaxAttempts {
+		timeout = firstByteTimeout(x.edge.Route, attempt.ExpectedTTFT)
+	}
+	return newFirstByteTimer(timeout, limit, conn, x.reserveRetry)
 }
 
-// firstByteTimeout returns how long to wait for the first bytes of the response
-// before retrying on another upstream; 0 if the request cannot be retried.
-func (x *exchange) firstByteTimeout() time.Duration {
-	route := x.edge.Route
-	if !route.Idempotent() || x.edge.Attempts >= route.MaxAttempts || route.TargetLatency <= 0 {
+const (
+	// firstByteTargetDivisor divides the target latency: half of it is spent waiting
+	// for the first bytes, so that another upstream can still meet the target.
+	firstByteTargetDivisor = 2
+	// expectedTTFTFactor is the multiple of the expected time to first token within
+	// which nearly all prompts begin to be answered. The next upstream would have to
+	// compute a prompt that is given up again from its beginning.
+	expectedTTFTFactor = 3
+	// firstByteTargetFactor bounds the wait, in target latencies.
+	firstByteTargetFactor = 2
+)
+
+// firstByteTimeout returns how long to wait for the first bytes of the response before
+// retrying on another upstream; 0 if requests of the route must not be repeated. expected
+// is the time to first token that the upstream is expected to need; 0: unknown.
+func firstByteTimeout(route *routing.Route, expected time.Duration) time.Duration {
+	if !route.Idempotent() || route.TargetLatency <= 0 {
 		return 0
 	}
-	return route.TargetLatency / firstByteTimeoutDivisor
+	wait := max(route.TargetLatency/firstByteTargetDivisor, expectedTTFTFactor*expected)
+	return min(wait, firstByteTargetFactor*route.TargetLatency)
 }
 
-// firstByteTimeoutDivisor divides the target latency: half of it is spent waiting
-// for the first bytes, so that another upstream can still meet the target.
-const firstByteTimeoutDivisor = 2
-
 // firstByteTimer closes the connection of an attempt unless it is stopped before
 // one of its timers fires.
 type firstByteTimer struct {
