Check of a configuration before it is sent (fescuestep config check)

Cause: nothing told an operator of entries that can never match, of limits that contradict each other or of what a new version changes before it was in force.

Change: pkg/configcheck examines a configuration and lists differences; the command prints both, and instances log the findings when they adopt a configuration. Keys are counted, never shown.

--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -12,6 +12,7 @@
 func commands(s streams) []entry {
 	return []entry{
 		{"configuration", newQuestionnaireGroup(s)},
+		{"configuration", newConfigGroup(s)},
 		{"configuration", newKeyGroup(s)},
 		{"running", &serveCmd{streams: s}},
 		{"running", &edgeCmd{streams: s}},
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/chain"
+	"github.com/fescuestep/fescuestep/pkg/configcheck"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
 	"github.com/fescuestep/fescuestep/pkg/filter/body"
@@ -319,6 +320,7 @@
 	now := i.now()
 	i.configuredAt.CompareAndSwap(nil, &now)
 	i.limiter.configure(s)
+	i.logFindings(s)
 	for _, c := range s.Customers() {
 		i.deps.Log.Debug("customer limit", "config", s.Version, "customer", c.Name, "rate", c.Rate, "burst", c.Burst)
 	}
@@ -327,6 +329,21 @@
 	i.snapshot.Store(s)
 }
 
+// maxLoggedFindings bounds the log lines per configuration.
+const maxLoggedFindings = 10
+
+// logFindings logs the mistakes in a configuration, which is adopted nevertheless: only
+// what can be served is concerned by them.
+func (i *Instance) logFindings(s *routing.Snapshot) {
+	findings := configcheck.Check(s.Config())
+	for _, f := range findings[:min(len(findings), maxLoggedFindings)] {
+		i.deps.Log.Warn("mistake in the configuration", "config", s.Version, "severity", f.Severity.String(), "entry", f.Entry, "finding", f.Message)
+	}
+	if more := len(findings) - maxLoggedFindings; more > 0 {
+		i.deps.Log.Warn("further mistakes in the configuration", "config", s.Version, "count", more)
+	}
+}
+
 // WeightsTargetChanged implements state.Sink. Requests may start on older weights
 // until WeightsDeadline after the target was set, which may have been while this instance
 // was away from the store or stood still.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -134,6 +134,8 @@
 	Customers []Customer
 	Keys      map[string]string // customer name by API key
 	Limits    Limits
+
+	SharedKeys []string // customers with a key that a later one in the list has, too; Keys has the later one
 }
 
 // Snapshot is an immutable, indexed Config.
@@ -147,6 +149,7 @@
 	keys         map[string]*Customer
 	keysRequired bool
 	sharers      string // see Sharers
+	config       Config
 }
 
 // New returns a snapshot of c, which must not be modified afterwards. Keys of
@@ -159,6 +162,7 @@
 		customers:    make(map[string]*Customer, len(c.Customers)),
 		keys:         make(map[string]*Customer, len(c.Keys)),
 		keysRequired: len(c.Customers) > 0,
+		config:       c,
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -182,6 +186,10 @@
 	return s
 }
 
+// Config returns the configuration that the snapshot was made from. It must not be
+// modified.
+func (s *Snapshot) Config() Config { return s.config }
+
 // sharers identifies the customers that share KV cache by those that do not.
 func sharers(customers []Customer) string {
 	var isolated []string
