Idle instances wake less often for rollouts and pauses

Cause: every instance listed all engines 25 times a second to see whether a rollout of weights is needed, and noted 20 times a second that it runs.

Change: without a rollout the check is made 5 times a second, and at once after a new target version or listing; during one nothing changes. The process notes 10 times a second that it runs: the begin of a pause is known to 100 ms instead of 50 ms, early rather than late; TestPauseMakesNewsOld allows one such interval, as before.

Measured: TestRolloutsAreBusyWhileNeeded and the tests of weights, pauses and graceful stops pass with the race detector.

--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -176,7 +176,7 @@
 	i.rollouts = &rolloutController{
 		instanceName: o.Name, enginesCheckFencing: o.EnginesCheckFencing, leaderOrderGap: o.LeaderOrderGap,
 		leaseStore: deps.Store, engineClient: deps.Engines, placer: i.placer, peers: i.peers, cutOff: i.reach.CutOff,
-		log: deps.Log.Named("rollout"), now: now, start: now(),
+		log: deps.Log.Named("rollout"), now: now, start: now(), wake: make(chan struct{}, 1),
 		rng:   rand.New(rand.NewPCG(seed, 2)),
 		lease: control.NewLease(leaseConfig(o), o.Name+"-"+strconv.FormatUint(seed, 16)),
 	}
@@ -342,6 +342,7 @@
 		since = i.now().Add(i.options.StartupGrace - i.options.WeightsDeadline)
 	}
 	i.placer.setTargetVersion(w.Model, w.Version, since)
+	i.rollouts.requestCheck()
 	i.peers.announceState()
 }
 
@@ -350,6 +351,7 @@
 func (i *Instance) UpstreamsChanged(v *fleet.View) {
 	i.placer.setView(v)
 	i.peers.requestSum()
+	i.rollouts.requestCheck()
 	i.streams.setServing(v)
 	i.peers.announceState()
 	i.deps.Log.Info("upstreams changed", "count", v.Len())
--- a/pkg/edge/pauses.go
+++ b/pkg/edge/pauses.go
@@ -8,7 +8,7 @@
 
 const (
 	// pauseTick is the interval at which the process notes that it runs.
-	pauseTick = 50 * time.Millisecond
+	pauseTick = 100 * time.Millisecond
 	// minPause is the time without a tick that counts as a pause of the process. Shorter
 	// ones come with load.
 	minPause = 500 * time.Millisecond
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -35,8 +35,11 @@
 }
 
 const (
-	// rolloutInterval is the time between steps of the rollout.
-	rolloutInterval = 40 * time.Millisecond
+	// rolloutInterval is the time between steps of the rollout, and idleRolloutInterval
+	// that between checks whether one is needed. A new target version or listing, the
+	// usual reasons for a rollout, is checked at once.
+	rolloutInterval     = 40 * time.Millisecond
+	idleRolloutInterval = 200 * time.Millisecond
 	// candidateDelay is how much longer an instance waits than the one ranked
 	// before it until it tries to take the lease, so that not all instances access
 	// the store at once.
@@ -64,6 +67,7 @@
 	log                 hclog.Logger
 	now                 func() time.Time
 	start               time.Time
+	wake                chan struct{} // requests a check whether a rollout is needed
 	rng                 *rand.Rand
 
 	mu            sync.Mutex
@@ -89,8 +93,8 @@
 // run performs rollouts until ctx ends. Once stopping is closed, it sends no more
 // load commands and releases the lease as soon as the outcome of those sent is known.
 func (r *rolloutController) run(ctx context.Context, stopping <-chan struct{}) {
-	ticker := time.NewTicker(rolloutInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(rolloutInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -98,12 +102,25 @@
 		case <-stopping:
 			r.handOverLease(ctx)
 			return
-		case <-ticker.C:
-			r.tick(ctx)
+		case <-r.wake:
+		case <-timer.C:
+		}
+		if r.tick(ctx) {
+			timer.Reset(rolloutInterval)
+		} else {
+			timer.Reset(idleRolloutInterval)
 		}
 	}
 }
 
+// requestCheck makes run check at once whether a rollout is needed.
+func (r *rolloutController) requestCheck() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // mayHandOver reports whether another instance may lead at once: no calls to engines are in
 // flight. Engines that do not check fencing tokens must not receive load commands of two
 // leaders in short succession, so leaderOrderGap must have passed since the last one. The
@@ -140,8 +157,9 @@
 }
 
 // tick performs one step of the rollout: it takes, renews or releases the lease and,
-// while it is held, starts the calls to engines that the plan asks for.
-func (r *rolloutController) tick(ctx context.Context) {
+// while it is held, starts the calls to engines that the plan asks for. It reports whether
+// the next step is due after rolloutInterval.
+func (r *rolloutController) tick(ctx context.Context) (busy bool) {
 	engines := r.listEngines()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,11 +173,11 @@
 	r.advanceLease(ctx, now, reachable && r.mayTakeLease(now, needed))
 	token, _, held := r.lease.Held(r.sinceStart(now))
 	if !held {
-		return
+		return needed || r.callsInFlight > 0 || r.lease.Releasing(r.sinceStart(now))
 	}
 	if !reachable && r.mayHandOver(now) {
 		r.releaseLease(ctx, now)
-		return
+		return true
 	}
 	if token != r.planToken || r.plan == nil {
 		r.plan, r.planToken, r.announced = rollout.NewPlan(&r.loads), token, map[string]int{}
@@ -174,6 +192,7 @@
 	if !needed && r.plan.Done() && now.Sub(r.plan.LastLoadCommand()) > r.leaderOrderGap {
 		r.releaseLease(ctx, now)
 	}
+	return true
 }
 
 // reachesAny reports whether this instance reaches any of the engines' services.
