Choice of an upstream by its current speed; capacities in digests

Cause: upstreams that share their machine take 2.5 times as long for 600 ms at a time and state it, but the choice ignored the figure. It also counted prompts measured meanwhile as a lasting slowdown for 10 s, and never learned that a plain upstream is slow.

Change: the cost of an upstream is its usual time multiplied by the slowdown of concurrency.Tracker, which replaces speedEstimate, queuedRequestCost and reportedLoad. Waiting for a slot is the learned duration of a request over the limit. Measured speeds are normalised by the stated slowdown, and ignored if it changed meanwhile. Plain services are measured when their answer is complete. Noticeable changes travel in the digests that are sent anyway, at most 12 upstreams each (Digest.capacities). Load statements of another upstream that has taken over the address are no longer recorded for the old one.

Tests of placement, concurrency, dispatch, edge and the emulator pass.

--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -25,20 +25,22 @@
 
 type loadCmd struct {
 	streams
-	profile   string
-	seed      uint64
-	duration  time.Duration
-	policies  list
-	faults    string
-	overload  bool
-	virtual   bool
-	edge      bool
-	instances int
-	rate      float64
-	targets   list
-	key       string
-	json      bool
-	report    string
+	profile  string
+	seed     uint64
+	duration time.Duration
+	policies list
+	faults   string
+	overload bool
+	virtual  bool
+	edge     bool
+
+	deployment string
+	instances  int
+	rate       float64
+	targets    list
+	key        string
+	json       bool
+	report     string
 }
 
 // list is a flag that may be repeated or hold several values after commas.
@@ -78,6 +80,7 @@
 	fs.StringVar(&c.faults, "faults", "none", `fault schedule: none, standard, or "time:kind:target:duration,..." with the kinds engine_crash, event_gap (a count instead of the duration), table_outage, key_revocation and instance_restart`)
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
+	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, or shared (machines that slow down for a while)")
 	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
@@ -118,9 +121,12 @@
 
 // playEdge plays the load against the model of engines.
 func (c *loadCmd) playEdge() error {
-	d := emulator.Small(1)
+	d, err := emulator.Named(c.deployment, 1)
+	if err != nil {
+		return err
+	}
 	if c.rate > 0 {
-		d = emulator.Small(c.rate / d.Rate())
+		d, _ = emulator.Named(c.deployment, c.rate/d.Rate())
 	}
 	if c.instances > 0 {
 		d.Instances = c.instances
--- a/pkg/concurrency/report.go
+++ b/pkg/concurrency/report.go
@@ -18,9 +18,9 @@
 	maxReportedAge = statementValidity
 	// maxReportedStep bounds the ratio by which one report changes the reported speed, so
 	// that an instance with a slow link to the upstream has little effect on the others.
-	maxReportedStep = 1.25
+	maxReportedStep = 1.5
 	// reportedWeight is the weight of a report in the reported speed and in the limit.
-	reportedWeight = 0.3
+	reportedWeight = 0.5
 )
 
 // Report returns what this instance tells the others.
@@ -29,7 +29,7 @@
 	if age := now.Sub(t.stated.at); t.stated.direct && t.stated.value > 0 && age <= maxReportedAge && t.trust.ok() {
 		r.Stated, r.Age = t.stated.value, max(0, age)
 	}
-	if t.relative.samples > 0 && now.Sub(t.relative.at) < speedDecayTime {
+	if t.relative.samples > 0 && now.Sub(t.relative.at) < t.cfg.DecayTime {
 		r.Learned = t.relative.slowdown(now)
 	}
 	if t.limit.value > 0 {
@@ -47,7 +47,7 @@
 	if r.Learned > 0 {
 		before := t.told.slowdown(now)
 		slowdown := min(max(r.Learned, before/maxReportedStep, minRatio), before*maxReportedStep, maxRatio)
-		t.told.add(1/slowdown, Config{FasterWeight: reportedWeight, SlowerWeight: reportedWeight}, now)
+		t.told.add(1/slowdown, Config{FasterWeight: reportedWeight, SlowerWeight: reportedWeight, DecayTime: t.cfg.DecayTime}, now)
 	}
 	if r.Limit > 0 {
 		limit := t.learnedLimit()
@@ -59,11 +59,11 @@
 // renews a statement of a slowdown that expires.
 func (r Report) Changed(before Report, sentAgo time.Duration) bool {
 	switch {
-	case r.Stated > 0 && before.Stated > 0 && differs(r.Stated, before.Stated), r.Stated > noticeableChange && before.Stated == 0:
+	case r.Stated > 0 && before.Stated > 0 && Differ(r.Stated, before.Stated), r.Stated > noticeableChange && before.Stated == 0:
 		return true
 	case r.Stated > noticeableChange && sentAgo > statementValidity/2:
 		return true
-	case r.Learned > 0 && differs(r.Learned, max(before.Learned, minRatio)) && (before.Learned > 0 || differs(r.Learned, 1)):
+	case r.Learned > 0 && Differ(r.Learned, max(before.Learned, minRatio)) && (before.Learned > 0 || Differ(r.Learned, 1)):
 		return true
 	}
 	return r.Limit != before.Limit
--- a/pkg/concurrency/speed.go
+++ b/pkg/concurrency/speed.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// speedDecayTime is the time constant with which a learned speed decays to the usual
-	// one. Without it, an upstream that was slow would get no requests with which its
-	// recovery could be measured.
-	speedDecayTime = 10 * time.Second
 	// statementValidity is how long a stated figure holds in full. Machines slow down for
 	// about 600 ms at a time.
 	statementValidity = 600 * time.Millisecond
@@ -33,6 +29,7 @@
 type movingSpeed struct {
 	speed   float64 // 0: nothing was measured
 	samples float64
+	decay   time.Duration
 	at      time.Time
 }
 
@@ -46,6 +43,7 @@
 	}
 	m.speed += weight * (sample - m.speed)
 	m.samples++
+	m.decay = cfg.DecayTime
 	m.at = now
 }
 
@@ -54,8 +52,15 @@
 	if m.speed == 0 {
 		return 1
 	}
-	share := math.Exp(-float64(max(0, now.Sub(m.at))) / float64(speedDecayTime))
-	return 1 / (1 + share*(m.speed-1))
+	return 1 / (1 + m.share(now)*(m.speed-1))
+}
+
+// share returns the share of the last measurements that has not decayed.
+func (m *movingSpeed) share(now time.Time) float64 {
+	if m.samples == 0 {
+		return 0
+	}
+	return math.Exp(-float64(max(0, now.Sub(m.at))) / float64(m.decay))
 }
 
 // statement is the slowdown that the upstream stated last.
@@ -68,13 +73,14 @@
 
 func (s *statement) set(value float64, at time.Time, direct bool) {
 	value = min(max(value, 1), maxStated)
-	if s.value == 0 || differs(value, s.value) {
+	if s.value == 0 || Differ(value, s.value) {
 		s.since = at
 	}
 	s.value, s.at, s.direct = value, at, direct
 }
 
-func differs(a, b float64) bool { return a > b*noticeableChange || b > a*noticeableChange }
+// Differ reports whether two slowdowns differ noticeably.
+func Differ(a, b float64) bool { return a > b*noticeableChange || b > a*noticeableChange }
 
 // factor returns the stated slowdown, decayed to 1 with its age.
 func (s *statement) factor(now time.Time) float64 {
--- a/pkg/concurrency/tracker.go
+++ b/pkg/concurrency/tracker.go
@@ -32,15 +32,20 @@
 	// FasterWeight and SlowerWeight are the weights of a measurement in the moving average
 	// of the speed, by whether it is faster or slower than the average.
 	FasterWeight, SlowerWeight float64
+	// DecayTime is the time constant with which a learned speed decays to the usual one.
+	// Without it, an upstream that was slow would get no requests with which its recovery
+	// could be measured.
+	DecayTime time.Duration
 }
 
 // EngineConfig is the configuration for model servers. A slower measurement counts less,
 // because the prompt may have waited for work of which this instance does not know.
-func EngineConfig(slots int) Config { return Config{slots, 0.5, 0.2} }
+func EngineConfig(slots int) Config { return Config{slots, 0.5, 0.2, 10 * time.Second} }
 
 // PlainConfig is the configuration for other upstreams. Requests of one service differ in
-// their work, so a single measurement counts little.
-func PlainConfig(slots int) Config { return Config{slots, 0.1, 0.1} }
+// their work, so a single measurement counts little, and they are short, so another one
+// costs little.
+func PlainConfig(slots int) Config { return Config{slots, 0.3, 0.1, 3 * time.Second} }
 
 // Sample is the measurement that the end of a request gives.
 type Sample struct {
@@ -98,6 +103,17 @@
 	t.raw.add(1/ratio, t.cfg, now)
 }
 
+// RecordUnslowed adds a measurement of another instance, in which the stated slowdown is
+// left out already.
+func (t *Tracker) RecordUnslowed(now time.Time, s Sample) {
+	if s.Took <= 0 || s.Usual <= 0 {
+		return
+	}
+	ratio := min(max(float64(s.Took)/float64(s.Usual), minRatio), maxRatio)
+	t.relative.add(1/ratio, t.cfg, now)
+	t.raw.add(1/(ratio*t.stated.factor(now)), t.cfg, now)
+}
+
 // RecordStatement records the load that the upstream stated in a response to this
 // instance.
 func (t *Tracker) RecordStatement(now time.Time, l call.Load) {
@@ -110,17 +126,13 @@
 // SlowdownFactor returns how many times as long as usual work takes at the upstream, in
 // [minRatio, maxRatio]. It is 1 if nothing is known.
 func (t *Tracker) SlowdownFactor(now time.Time) float64 {
-	return min(max(t.learned(now)*t.statedFactor(now), minRatio), maxRatio)
+	return min(max(t.learned(now)*t.StatedFactor(now), minRatio), maxRatio)
 }
 
-// LearnedFactor returns the part of SlowdownFactor that is expected to last: without what
-// the upstream stated about this moment.
-func (t *Tracker) LearnedFactor(now time.Time) float64 { return t.learned(now) }
-
 // Stretch returns how long work of the usual duration d takes if it begins now. The stated
 // slowdown applies for as long as it is expected to remain, the learned one to all of it.
 func (t *Tracker) Stretch(now time.Time, d time.Duration) time.Duration {
-	learned, stated := t.learned(now), t.statedFactor(now)
+	learned, stated := t.learned(now), t.StatedFactor(now)
 	work := float64(d) * learned
 	if slow := float64(expectedRemaining); work*stated > slow {
 		return time.Duration(slow + work - slow/stated)
@@ -128,9 +140,9 @@
 	return time.Duration(work * stated)
 }
 
-// statedFactor returns the stated slowdown, or 1 if the statements were found to predict
-// the measurements worse than their mean does.
-func (t *Tracker) statedFactor(now time.Time) float64 {
+// StatedFactor returns the part of SlowdownFactor that the upstream stated, or 1 if its
+// statements were found to predict the measurements worse than their mean does.
+func (t *Tracker) StatedFactor(now time.Time) float64 {
 	if !t.trust.ok() {
 		return 1
 	}
@@ -155,7 +167,11 @@
 	if t.told.samples == 0 {
 		return own.slowdown(now)
 	}
-	ownWeight, toldWeight := min(own.samples, maxOwnWeight), min(t.told.samples, maxToldWeight)
+	ownWeight := min(own.samples, maxOwnWeight) * own.share(now)
+	toldWeight := min(t.told.samples, maxToldWeight) * t.told.share(now)
+	if ownWeight+toldWeight == 0 {
+		return 1
+	}
 	log := (ownWeight*math.Log(own.slowdown(now)) + toldWeight*math.Log(t.told.slowdown(now))) / (ownWeight + toldWeight)
 	return math.Exp(log)
 }
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -236,6 +236,7 @@
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.crashes, i.streams, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
+	i.peers.shared = append(i.peers.shared, capacities{i.placer})
 	i.placer.onLimit = i.peers.rateLimitChanged
 	i.placer.onRefusal = i.peers.announceRefusal
 	i.placer.onLongPrompt = i.peers.announcePlacement
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -202,6 +202,9 @@
 		return placement.Failed, err
 	}
 	timer.stop() // the response is complete, whether or not the timer closed the connection
+	if success {
+		x.h.Placer.Answered(attempt)
+	}
 	buffered := &response{status: decoded.Status, header: resp.Header, body: body}
 	if decoded.Attested && isFramed(resp) && decoded.Status < http.StatusInternalServerError {
 		x.recordAnswered() // an upstream may fail before it runs the request
@@ -227,7 +230,7 @@
 	for _, statement := range decoded.Undecodable {
 		x.h.Metrics.UndecodableStatement(string(statement))
 	}
-	if decoded.Load != nil {
+	if decoded.Load != nil && !isFromAnother(attempt, decoded) {
 		x.h.Placer.RecordLoad(attempt.Upstream.ID, *decoded.Load)
 	}
 	if decoded.WeightsVersion > 0 && !decoded.Refused {
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -56,6 +56,8 @@
 	// FirstToken records that the upstream has computed the prompt. saved states
 	// whether it was also asked to save the prompt to the KV store.
 	FirstToken(attempt *placement.Attempt, saved bool)
+	// Answered records that the whole answer of a plain service has arrived.
+	Answered(attempt *placement.Attempt)
 	// Done ends an attempt.
 	Done(attempt *placement.Attempt, r placement.Result)
 	// RecordLoad records the load that an upstream stated.
--- a/pkg/load/emulator/emulator.go
+++ b/pkg/load/emulator/emulator.go
@@ -53,6 +53,7 @@
 	StoreKV   int     // room of the store in tokens
 	Classes   []Class
 	Exchange  Exchange
+	Slowdowns Slowdowns
 }
 
 // Exchange tells how instances learn of each other's work. The zero value is that of
@@ -191,7 +192,7 @@
 func newRun(d *Deployment, name string) *run {
 	r := &run{d: d, store: newLRU(), seen: map[uint64]bool{}, result: newResult(d, name)}
 	for i, slower := range d.Slowness {
-		r.engines = append(r.engines, &engine{spec: d.Engine, slower: slower, domain: i % d.Domains, memory: newLRU()})
+		r.engines = append(r.engines, &engine{spec: d.Engine, slower: slower, now: 1, domain: i % d.Domains, memory: newLRU()})
 	}
 	return r
 }
@@ -202,6 +203,7 @@
 		a := &arrivals[i]
 		r.events.after(a.at, func(now time.Duration) { r.place(now, a, false) })
 	}
+	r.slowDown(uint64(len(arrivals)), length+drainTime)
 	r.policy.start(length + drainTime)
 	for len(r.events.list) > 0 {
 		e := heap.Pop(&r.events).(event)
--- a/pkg/load/emulator/engine.go
+++ b/pkg/load/emulator/engine.go
@@ -45,6 +45,7 @@
 type engine struct {
 	spec    Spec
 	slower  float64 // factor on all its times
+	now     float64 // part of slower that lasts for a while only
 	domain  int
 	waiting []*job
 	running []*job
--- a/pkg/load/emulator/exchange.go
+++ b/pkg/load/emulator/exchange.go
@@ -6,6 +6,9 @@
 	"github.com/fescuestep/fescuestep/pkg/placement"
 )
 
+// maxReports is the number of reports of upstreams in a digest.
+const maxReports = 12
+
 // exchange models the digests between instances: each tells its own work and news with
 // a delay, and sums up what the others have told now and then.
 type exchange struct {
@@ -46,10 +49,17 @@
 func (x *exchange) send(now time.Duration, from int) {
 	news := x.pending[from]
 	x.pending[from] = nil
+	reports := x.list[from].CapacityReports(maxReports, epoch.Add(now))
 	work := x.list[from].OwnWork()
 	x.r.events.after(now+toEngine, func(now time.Duration) {
 		x.told[from], x.toldAt[from] = work, now
 		for i, book := range x.list {
+			for _, r := range reports {
+				if i != from {
+					r.Age += toEngine
+					book.MergeCapacity(r, epoch.Add(now))
+				}
+			}
 			for _, placed := range news {
 				if i != from {
 					book.ApplyAnnouncement(placed, epoch.Add(now))
--- a/pkg/load/emulator/policy.go
+++ b/pkg/load/emulator/policy.go
@@ -142,7 +142,7 @@
 	for i, e := range r.engines {
 		u := &fleet.Upstream{
 			ID: fmt.Sprintf("e%03d", i), Service: "llm", Addr: fmt.Sprintf("engine-%d", i),
-			Domain: domainName(e.domain), Weights: map[string]int{"m": 1},
+			Domain: domainName(e.domain), Slots: e.spec.Slots, Weights: map[string]int{"m": 1},
 		}
 		b.addrs[u.Addr] = i
 		listed = append(listed, u)
@@ -195,6 +195,8 @@
 
 func (b *books) first(now time.Duration, a *arrival, ticket any, saved bool) {
 	t := ticket.(*placement.Attempt)
+	engine := b.r.engines[b.addrs[t.Upstream.Addr]]
+	b.list[a.instance].RecordLoad(t.Upstream.ID, b.r.load(engine), epoch.Add(now))
 	speed := b.list[a.instance].FirstToken(t, saved, epoch.Add(now))
 	if !t.IsLong() {
 		return
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -28,6 +28,9 @@
 	idleAtSend     bool   // no other prompt was pending at the upstream when it was sent
 	prefillBegins  uint64 // of the upstream just after it was sent
 	sentAt         time.Time
+	statedAtSend   float64 // slowdown that the upstream stated when it was sent
+	runningAtSend  int     // requests of all instances at the upstream, itself included
+	measured       bool    // its time to the answer is recorded
 	work           Work
 	pendingPrefill int // prompt tokens still counted in the upstream's work
 	keys           []uint64
@@ -61,6 +64,7 @@
 	b.advanceBacklog(s, now)
 	s.own.add(a.work)
 	s.capacity.RecordStart(now)
+	a.statedAtSend, a.runningAtSend = s.capacity.StatedFactor(now), s.own.Requests+s.peers.Requests
 	s.backlog.tokens += float64(a.work.PrefillTokens)
 	a.pendingPrefill = a.work.PrefillTokens
 	s.prefillBegins++
@@ -95,7 +99,8 @@
 	sample := b.measuredSpeed(a, s, now)
 	b.prefixes.markComputed(a.keys, a.Upstream.ID, now)
 	if s != nil {
-		b.recordSpeed(s, sample, now)
+		sample = b.recordMeasured(s, sample, now)
+		b.noteCapacity(a.Upstream.ID, s, now)
 		s.own.PrefillTokens -= a.pendingPrefill
 		b.advanceBacklog(s, now)
 	}
@@ -126,7 +131,7 @@
 		return
 	}
 	s := b.state(u)
-	b.recordSpeed(s, n.Speed, now)
+	b.recordAnnounced(s, n.Speed, now)
 	if n.ReadyIn > 0 {
 		s.prefillBegins++
 	}
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -47,23 +47,19 @@
 	w.KVTokens += o.KVTokens
 }
 
-// maxLoadReportAge is the age up to which the load that an upstream reported in a
-// response is taken into account.
-const maxLoadReportAge = 400 * time.Millisecond
-
 // upstreamState is what this instance knows about one upstream beyond its listing.
 type upstreamState struct {
 	own     Work // of requests of this instance
 	peers   Work // of requests of the other instances
 	backlog backlog
-	speed   speedEstimate
 
-	capacity *concurrency.Tracker
+	capacity       *concurrency.Tracker
+	statedRequests int // running and waiting, as the upstream stated last
+	statedAt       time.Time
+	told           toldCapacity
 
 	prefillBegins uint64                     // number of times that prompts to compute were added to own or peers
 	weights       map[string]observedVersion // by model
-	reportedLoad  call.Load
-	reportedAt    time.Time
 	health        retry.OutlierState
 	busyUntil     time.Time // gets no new requests before, for example while it loads weights
 	room          learnedRoom
@@ -93,7 +89,9 @@
 	outlierConfig retry.OutlierConfig
 	meanSpeed     Speed // prefill speed, moving average over all engines
 
-	durations map[string]time.Duration // by service: mean time for which a request occupies its upstream
+	durations  map[string]time.Duration // by service: mean time for which a request occupies its upstream
+	plainTimes map[string]time.Duration // by plain service: usual time until an answer
+	untold     map[string]bool          // upstreams whose capacity is to be told
 
 	listingChanged   bool      // the view was replaced after listingChangedAt
 	listingChangedAt time.Time // when ExpireObservedWeights last noticed a new view; none arrives while the store is unreachable
@@ -146,6 +144,8 @@
 		prefixes:      newPrefixIndex(),
 		targets:       map[string][]targetVersion{},
 		durations:     map[string]time.Duration{},
+		plainTimes:    map[string]time.Duration{},
+		untold:        map[string]bool{},
 		outlierConfig: retry.OutlierConfig{ConsecutiveFailures: 3, BaseEjection: time.Second, MaxEjection: 4 * time.Second, SlowStartDuration: 0},
 	}
 }
@@ -197,11 +197,13 @@
 func (b *Balancer) RecordLoad(id string, load call.Load, now time.Time) {
 	if u := b.view.ByID(id); u != nil {
 		s := b.state(u)
-		s.reportedLoad, s.reportedAt = load, now
+		b.advanceBacklog(s, now)
+		s.statedRequests, s.statedAt = load.Running+load.Waiting, now
 		if u.Slots == 0 {
 			s.capacity.SetSlots(load.Slots)
 		}
 		s.capacity.RecordStatement(now, load)
+		b.noteCapacity(id, s, now)
 	}
 }
 
@@ -236,7 +238,7 @@
 		return 0
 	}
 	b.advanceBacklog(s, now)
-	return s.speed.expected(b.meanSpeed, now).timeFor(s.backlog.tokens)
+	return b.computeTime(s, s.backlog.tokens, now)
 }
 
 // SetPeerWork replaces the work of the other instances, summed by upstream ID. age
@@ -278,7 +280,7 @@
 
 // advanceBacklog updates the estimated backlog of an upstream to the current time.
 func (b *Balancer) advanceBacklog(s *upstreamState, now time.Time) {
-	s.backlog.advance(s.speed.expected(b.meanSpeed, now), s.pending(), now)
+	s.backlog.advance(b.currentSpeed(s, now), s.pending(), now)
 }
 
 // pending returns the number of prompt tokens of requests without a first token.
--- a/pkg/placement/estimate.go
+++ b/pkg/placement/estimate.go
@@ -25,18 +25,15 @@
 	l := b.lookup(p, e.weightsVersion, now)
 	e.keys = l.keys
 	e.cachedTokens = tokensOf(p.Parts[:b.prefixes.cachedParts(e.keys, u.ID, now)])
-	speed := s.speed.expected(b.meanSpeed, now)
+	speed := b.currentSpeed(s, now)
 	var transfer time.Duration
 	e.source, e.cachedAfterFetch, transfer = p.bestSource(l.sources, u, e.cachedTokens, speed)
 	e.computeTokens = max(0, p.PromptTokens-max(e.cachedTokens, e.cachedAfterFetch))
 	b.advanceBacklog(s, now)
-	e.cost = transfer + speed.timeFor(s.backlog.tokens+float64(e.computeTokens))
-	requests := s.own.Requests + s.peers.Requests
-	if now.Sub(s.reportedAt) < maxLoadReportAge {
-		requests = max(requests, s.reportedLoad.Running)
-		e.cost += queuedRequestCost * time.Duration(s.reportedLoad.Waiting)
-	}
-	e.cost += runningRequestCost * time.Duration(requests)
+	requests := s.requestsAt(now)
+	e.cost = transfer + b.computeTime(s, s.backlog.tokens+float64(e.computeTokens), now)
+	e.cost += s.capacity.Stretch(now, runningRequestCost*time.Duration(requests))
+	e.cost += b.slotWait(u, s, requests, now)
 	e.cost += b.memoryCost(s, p.Query)
 	e.cost += b.weightsCost(now, u, p.Model)
 	if u.Domain != b.cfg.Domain {
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -23,8 +23,6 @@
 	// runningRequestCost is the delay that one running request adds to the tokens of
 	// the others.
 	runningRequestCost = time.Millisecond
-	// queuedRequestCost is the delay that one queued request adds to the next.
-	queuedRequestCost = 30 * time.Millisecond
 	// memoryPressureShare is the share of an engine's KV cache memory above which
 	// requests are likely to be preempted. fullMemoryCost is the cost of full memory;
 	// between the two the cost grows linearly.
@@ -148,11 +146,8 @@
 func (b *Balancer) plainCost(now time.Time, u *fleet.Upstream) time.Duration {
 	s := b.state(u)
 	slots := max(1, u.Slots)
-	used := s.own.Requests + s.peers.Requests
-	if now.Sub(s.reportedAt) < maxLoadReportAge {
-		used = max(used, s.reportedLoad.Running+s.reportedLoad.Waiting)
-	}
-	cost := queuedRequestCost * time.Duration(used) / time.Duration(slots)
+	perRequest := b.plainTime(u, s, now)
+	cost := perRequest + perRequest*time.Duration(s.requestsAt(now))/time.Duration(slots)
 	cost += time.Duration(b.rng.Int64N(int64(time.Millisecond)))
 	if u.Domain != b.cfg.Domain {
 		cost += crossDomainCost
--- a/pkg/placement/speed.go
+++ b/pkg/placement/speed.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
-	"math"
 	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/concurrency"
 )
 
 const (
@@ -14,15 +15,6 @@
 	// meanFasterWeight and meanSlowerWeight are the weights of a sample in the moving
 	// average over all engines, by whether it is faster or slower than the average.
 	meanFasterWeight, meanSlowerWeight = 0.1, 0.03
-	// fasterSampleWeight and slowerSampleWeight are the weights of a sample in the speed
-	// of one engine, by whether it is faster or slower than the current estimate. Slower
-	// samples count less because the prompt may have waited for work that is unknown to
-	// this instance.
-	fasterSampleWeight, slowerSampleWeight = 0.5, 0.2
-	// speedDecayTime is the time constant with which the estimate of an engine's speed
-	// decays to the mean of all engines. Without it, an engine that was slow would get
-	// no requests with which its recovery could be measured.
-	speedDecayTime = 10 * time.Second
 )
 
 // Speed is the prefill speed of an engine in prompt tokens per millisecond; 0: unknown.
@@ -33,61 +25,57 @@
 	return time.Duration(tokens / float64(s) * float64(time.Millisecond))
 }
 
-// speedEstimate is a moving average of the measured speed of one engine.
-type speedEstimate struct {
-	speed     Speed
-	updatedAt time.Time
-}
-
-// addSample adds a measurement.
-func (e *speedEstimate) addSample(sample Speed, now time.Time) {
-	weight := Speed(fasterSampleWeight)
-	switch {
-	case e.speed == 0:
-		weight = 1
-	case sample < e.speed:
-		weight = slowerSampleWeight
-	}
-	e.speed += weight * (sample - e.speed)
-	e.updatedAt = now
-}
-
-// expected returns the expected current speed, given the mean speed of all engines.
-func (e *speedEstimate) expected(mean Speed, now time.Time) Speed {
-	if e.speed == 0 {
-		return mean
-	}
-	share := math.Exp(-float64(now.Sub(e.updatedAt)) / float64(speedDecayTime))
-	return mean + Speed(share)*(e.speed-mean)
-}
-
 // measuredSpeed returns the prefill speed of the engine in an attempt whose first token
 // arrives now, or 0 if the prompt was too short or took time that is not known: other
-// prompts were pending or came meanwhile, or the engine fetched KV cache.
+// prompts were pending or came meanwhile, the engine fetched KV cache, or the slowdown
+// that it states changed.
 func (b *Balancer) measuredSpeed(a *Attempt, s *upstreamState, now time.Time) Speed {
 	elapsedMS := float64(now.Sub(a.sentAt)) / float64(time.Millisecond)
 	fetched := a.CachedAfterFetch > a.CachedTokens
 	if s == nil || !a.idleAtSend || fetched || a.work.PrefillTokens < minSampleTokens || elapsedMS <= 0 {
 		return 0
 	}
-	if s.prefillBegins != a.prefillBegins {
+	if s.prefillBegins != a.prefillBegins || concurrency.Differ(s.capacity.StatedFactor(now), a.statedAtSend) {
 		return 0
 	}
 	return Speed(float64(a.work.PrefillTokens) / elapsedMS)
 }
 
-// recordSpeed adds a measured speed to the estimates; 0 is ignored.
-func (b *Balancer) recordSpeed(s *upstreamState, sample Speed, now time.Time) {
+// recordMeasured adds a speed that this instance measured to the estimates; 0 is ignored.
+// It returns the speed without the stated slowdown, which others may add to theirs.
+func (b *Balancer) recordMeasured(s *upstreamState, sample Speed, now time.Time) Speed {
 	if !(sample > 0) { // also ignores NaN
+		return 0
+	}
+	unslowed := b.recordMeanSpeed(sample * Speed(s.capacity.StatedFactor(now)))
+	s.capacity.RecordSample(now, b.speedSample(sample))
+	return unslowed
+}
+
+// recordAnnounced adds a speed that another instance announced; 0 is ignored.
+func (b *Balancer) recordAnnounced(s *upstreamState, unslowed Speed, now time.Time) {
+	if !(unslowed > 0) {
 		return
 	}
+	s.capacity.RecordUnslowed(now, b.speedSample(b.recordMeanSpeed(unslowed)))
+}
+
+// recordMeanSpeed adds a speed to the mean of all engines, and returns it within bounds.
+func (b *Balancer) recordMeanSpeed(sample Speed) Speed {
 	sample = min(max(sample, minSpeed), maxSpeed)
 	weight := Speed(meanFasterWeight)
 	if sample < b.meanSpeed {
 		weight = meanSlowerWeight
 	}
 	b.meanSpeed += weight * (sample - b.meanSpeed)
-	s.speed.addSample(sample, now)
+	return sample
+}
+
+// speedSample returns a measured speed as the time of some work; only the ratio to the
+// usual time counts.
+func (b *Balancer) speedSample(sample Speed) concurrency.Sample {
+	const usual = time.Second
+	return concurrency.Sample{Took: time.Duration(float64(usual) * float64(b.meanSpeed/sample)), Usual: usual, Running: 1}
 }
 
 // minBacklogShare is the minimum share of the pending prompt tokens that is assumed to
