--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/concurrency"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/movingrate"
 	"github.com/fescuestep/fescuestep/pkg/retry"
@@ -46,21 +47,19 @@
 	w.KVTokens += o.KVTokens
 }
 
-// maxLoadReportAge is the age up to which the load that an upstream reported in a
-// response is taken into account.
-const maxLoadReportAge = 400 * time.Millisecond
-
 // upstreamState is what this instance knows about one upstream beyond its listing.
 type upstreamState struct {
 	own     Work // of requests of this instance
 	peers   Work // of requests of the other instances
 	backlog backlog
-	speed   speedEstimate
+
+	capacity       *concurrency.Tracker
+	statedRequests int // running and waiting, as the upstream stated last
+	statedAt       time.Time
+	told           toldCapacity
 
 	prefillBegins uint64                     // number of times that prompts to compute were added to own or peers
 	weights       map[string]observedVersion // by model
-	reportedLoad  call.Load
-	reportedAt    time.Time
 	health        retry.OutlierState
 	busyUntil     time.Time // gets no new requests before, for example while it loads weights
 	room          learnedRoom
@@ -90,6 +89,10 @@
 	outlierConfig retry.OutlierConfig
 	meanSpeed     Speed // prefill speed, moving average over all engines
 
+	durations  map[string]time.Duration // by service: mean time for which a request occupies its upstream
+	plainTimes map[string]time.Duration // by plain service: usual time until an answer
+	untold     map[string]bool          // upstreams whose capacity is to be told
+
 	listingChanged   bool      // the view was replaced after listingChangedAt
 	listingChangedAt time.Time // when ExpireObservedWeights last noticed a new view; none arrives while the store is unreachable
 	instanceCount    int       // number of instances in the fleet
@@ -140,6 +143,9 @@
 		brittleEnded:  map[string]time.Time{},
 		prefixes:      newPrefixIndex(),
 		targets:       map[string][]targetVersion{},
+		durations:     map[string]time.Duration{},
+		plainTimes:    map[string]time.Duration{},
+		untold:        map[string]bool{},
 		outlierConfig: retry.OutlierConfig{ConsecutiveFailures: 3, BaseEjection: time.Second, MaxEjection: 4 * time.Second, SlowStartDuration: 0},
 	}
 }
@@ -158,10 +164,14 @@
 		if listed := b.view.ByID(id); listed != nil && listed != u {
 			s.dropUnconfirmedWeights()
 		}
+		if u.Slots > 0 {
+			s.capacity.SetSlots(u.Slots)
+		}
 		if s.startTimeMS != u.StartTimeMS {
 			// Requests in flight stay counted until they end.
 			own, peers := s.own, s.peers
-			*s = upstreamState{own: own, peers: peers, startTimeMS: u.StartTimeMS}
+			*s = *newState(u)
+			s.own, s.peers = own, peers
 			b.prefixes.removeEngine(id)
 		}
 	}
@@ -170,7 +180,7 @@
 func (b *Balancer) state(u *fleet.Upstream) *upstreamState {
 	s := b.states[u.ID]
 	if s == nil {
-		s = &upstreamState{startTimeMS: u.StartTimeMS}
+		s = newState(u)
 		b.states[u.ID] = s
 	}
 	return s
@@ -187,7 +197,13 @@
 func (b *Balancer) RecordLoad(id string, load call.Load, now time.Time) {
 	if u := b.view.ByID(id); u != nil {
 		s := b.state(u)
-		s.reportedLoad, s.reportedAt = load, now
+		b.advanceBacklog(s, now)
+		s.statedRequests, s.statedAt = load.Running+load.Waiting, now
+		if u.Slots == 0 {
+			s.capacity.SetSlots(load.Slots)
+		}
+		s.capacity.RecordStatement(now, load)
+		b.noteCapacity(id, s, now)
 	}
 }
 
@@ -222,7 +238,7 @@
 		return 0
 	}
 	b.advanceBacklog(s, now)
-	return s.speed.expected(b.meanSpeed, now).timeFor(s.backlog.tokens)
+	return b.computeTime(s, s.backlog.tokens, now)
 }
 
 // SetPeerWork replaces the work of the other instances, summed by upstream ID. age
@@ -264,7 +280,7 @@
 
 // advanceBacklog updates the estimated backlog of an upstream to the current time.
 func (b *Balancer) advanceBacklog(s *upstreamState, now time.Time) {
-	s.backlog.advance(s.speed.expected(b.meanSpeed, now), s.pending(), now)
+	s.backlog.advance(b.currentSpeed(s, now), s.pending(), now)
 }
 
 // pending returns the number of prompt tokens of requests without a first token.
