edge: rollouts of a service's software

An operator's order (row op/rollout/SERVICE) had no effect: requests went to upstreams of all versions alike, and nothing wrote status/rollout/SERVICE.

The follower passes orders and withdrawals on; one that a copy of the store lacks stays in force. dispatch chooses the version before the upstream, checks it again just before it writes, and records what attempts show. The holder of the leader lease writes record and status in one transaction that is conditional on the lease row and the record. An instance reports ready once it knows how far the rollouts are. /rollouts and 'fescuestep rollout status' show the state, 'fescuestep rollout play' plays versions in virtual time.

--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -20,6 +20,7 @@
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/platform"
 )
@@ -119,7 +120,10 @@
 		ShutdownGrace: s.Bounds.ShutdownGrace, WeightsDeadline: s.Bounds.WeightsApplyTime, StartupGrace: s.Bounds.StabilizationTime, LeaderOrderGap: s.Bounds.OrderLease,
 		EnginesCheckFencing: s.EnginesCheckFencing,
 		Retries:             edge.RetryBounds{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Extra: s.Bounds.RetryAllowance},
-		InstanceTable:       platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
+		Releases: release.Bounds{
+			ExposureShare: s.Bounds.ExposureShare, ExposureSlack: s.Bounds.ExposureSlack, RollbackTime: s.Bounds.RollbackTime,
+		},
+		InstanceTable: platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
 	}
 }
 
--- a/cmd/fescuestep/main.go
+++ b/cmd/fescuestep/main.go
@@ -16,6 +16,7 @@
 		{"running", &serveCmd{streams: s}},
 		{"running", &edgeCmd{streams: s}},
 		{"running", &demoCmd{streams: s}},
+		{"running", newRolloutGroup(s)},
 		{"testing", &standinCmd{streams: s}},
 		{"testing", &replayCmd{streams: s}},
 		{"testing", &loadCmd{streams: s}},
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -309,5 +309,11 @@
 	return l.commit(rng, LeaseRow{Holder: l.self, Token: l.row.Token, SentAt: now, Released: true})
 }
 
+// Condition is met while the row is the one last seen, so that a transaction with it takes
+// effect only if no other candidate has taken over the lease.
+func (l *Lease) Condition() external.Condition {
+	return external.Condition{Key: LeaseKey, Version: l.at.Version}
+}
+
 // Err returns the error of decoding the lease row, or nil.
 func (l *Lease) Err() error { return l.rowErr }
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -22,6 +22,9 @@
 	RecordOutcome(route string, promptTokens int, o metrics.Outcome)
 	// UndecodableStatement counts a statement of an upstream that could not be decoded.
 	UndecodableStatement(name string)
+	// ReleaseState sets the phase of the rollout of a service's software, as a number, and
+	// how many requests this instance got for the service and sent to the new version.
+	ReleaseState(service string, phase int, requests, exposed uint64)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -35,6 +35,7 @@
 func (discardSink) ConfigChanged(*routing.Snapshot)          {}
 func (discardSink) WeightsTargetChanged(state.WeightsTarget) {}
 func (discardSink) UpstreamsChanged(*fleet.View)             {}
+func (discardSink) ReleaseRequested(state.ReleaseRequest)    {}
 
 // newTestPeers returns the peers of an instance that has no UDP socket and one
 // listed engine, e1.
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/platform"
 	"github.com/fescuestep/fescuestep/platform/standin"
@@ -37,6 +38,7 @@
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
 	config    routing.Config
+	bounds    release.Bounds // of rollouts of software
 }
 
 const (
@@ -45,7 +47,7 @@
 )
 
 func newTestFleet(t *testing.T, engines int) *testFleet {
-	fleet := &testFleet{t: t, store: standin.NewStore()}
+	fleet := &testFleet{t: t, store: standin.NewStore(), bounds: release.DefaultBounds()}
 	server := &http.Server{Handler: fleet.store}
 	ln := listen(t)
 	fleet.storeAddr = ln.Addr().String()
@@ -178,6 +180,7 @@
 		ControlAddr: freeAddr(fleet.t), PeerAddr: freeAddr(fleet.t), Seeds: seeds, MemoryBytes: 128 << 20,
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
+		Releases:      fleet.bounds,
 		InstanceTable: platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
 	}
 	dial := netopt.Dialer(time.Second).DialContext
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -29,6 +29,7 @@
 	"github.com/fescuestep/fescuestep/pkg/httpconn"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
 	"github.com/fescuestep/fescuestep/pkg/placement"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
@@ -45,6 +46,7 @@
 type Store interface {
 	state.Store
 	LeaseStore
+	ReleaseStore
 	InstanceRegistry
 	QuarantineTable
 }
@@ -67,9 +69,10 @@
 	LeaderOrderGap      time.Duration  // minimum time between load commands of two successive leaders
 	EnginesCheckFencing bool           // engines reject load commands with a stale fencing token
 	Retries             RetryBounds
-	InstanceTable       string // store table in which instances are listed
-	QuarantineTable     string // store table that keeps quarantined parts of prompts
-	VersionTable        string // store table that keeps which versions of services' software have served
+	Releases            release.Bounds // of rollouts of services' software
+	InstanceTable       string         // store table in which instances are listed
+	QuarantineTable     string         // store table that keeps quarantined parts of prompts
+	VersionTable        string         // store table that keeps which versions of services' software have served
 }
 
 // Dependencies holds the collaborators of an Instance.
@@ -113,6 +116,7 @@
 	listener *listener
 	follower *state.Follower
 	peers    *peers
+	releases *releases
 	rollouts *rolloutController
 
 	instanceConns *httpconn.ConnPool // to other instances, for requests that this one forwards
@@ -162,6 +166,8 @@
 	i.streams = newStreams(deps.Log.Named("streams"), now)
 	i.versionRows = newVersionRows(deps.Store, o.VersionTable, i.streams, deps.Log.Named("streams"))
 	i.versionRows.config = i.snapshot.Load
+	i.releases = newReleases(o.Releases, deps.Store, deps.ServiceMetrics, deps.Log.Named("releases"), now)
+	i.releases.arrivedSince = i.pauses.earliest
 	i.follower = state.New(deps.Store, deps.Decoder, i, deps.Log.Named("state"), now)
 	if err := i.newPeers(); err != nil {
 		return nil, err
@@ -174,7 +180,7 @@
 	i.peers.cutOff = i.reach.cutOffServices
 	i.rollouts = &rolloutController{
 		instanceName: o.Name, enginesCheckFencing: o.EnginesCheckFencing, leaderOrderGap: o.LeaderOrderGap,
-		leaseStore: deps.Store, engineClient: deps.Engines, placer: i.placer, peers: i.peers, cutOff: i.reach.CutOff,
+		leaseStore: deps.Store, engineClient: deps.Engines, placer: i.placer, peers: i.peers, releases: i.releases, cutOff: i.reach.CutOff,
 		log: deps.Log.Named("rollout"), now: now, start: now(),
 		rng:   rand.New(rand.NewPCG(seed, 2)),
 		lease: control.NewLease(leaseConfig(o), o.Name+"-"+strconv.FormatUint(seed, 16)),
@@ -236,6 +242,8 @@
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.crashes, i.streams, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
+	i.peers.shared = append(i.peers.shared, i.releases)
+	i.releases.others, i.releases.onNews, i.releases.onLeader = i.peers.others, i.peers.requestSend, i.peers.noteLeader
 	i.placer.onLimit = i.peers.rateLimitChanged
 	i.placer.onRefusal = i.peers.announceRefusal
 	i.placer.onLongPrompt = i.peers.announcePlacement
@@ -262,7 +270,7 @@
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
-		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
+		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
@@ -307,6 +315,7 @@
 		i.peers.storeRestored()
 		i.versionRows.writeAgain()
 		i.crashRows.writeAgain()
+		i.releases.storeRestored()
 	}
 	i.peers.announceState()
 }
@@ -349,10 +358,14 @@
 func (i *Instance) UpstreamsChanged(v *fleet.View) {
 	i.placer.setView(v)
 	i.streams.setServing(v)
+	i.releases.setView(v)
 	i.peers.announceState()
 	i.deps.Log.Info("upstreams changed", "count", v.Len())
 }
 
+// ReleaseRequested implements state.Sink.
+func (i *Instance) ReleaseRequested(r state.ReleaseRequest) { i.releases.request(r) }
+
 // SetSeeds replaces the control addresses (IP:port) of the instances from which
 // this one fetches its first state if no other instance is known to have any.
 func (i *Instance) SetSeeds(seeds []string) { i.peers.setSeeds(seeds) }
--- a/pkg/edge/rollouts.go
+++ b/pkg/edge/rollouts.go
@@ -60,6 +60,7 @@
 	engineClient        EngineClient
 	placer              *placer
 	peers               *peers
+	releases            *releases
 	cutOff              func(service string) bool // reports whether this instance reaches no upstream of a service
 	log                 hclog.Logger
 	now                 func() time.Time
@@ -119,6 +120,7 @@
 func (r *rolloutController) handOverLease(ctx context.Context) {
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
+	r.releases.follow()
 	for {
 		r.mu.Lock()
 		now := r.now()
@@ -150,13 +152,16 @@
 	for _, e := range engines {
 		needed = needed || e.CurrentVersion < e.TargetVersion
 	}
+	needed = r.releases.needLeader() || needed
 	r.trackNeededSince(now, needed)
 	reachable := r.reachesAny(engines)
 	r.advanceLease(ctx, now, reachable && r.mayTakeLease(now, needed))
-	token, _, held := r.lease.Held(r.sinceStart(now))
+	token, until, held := r.lease.Held(r.sinceStart(now))
 	if !held {
+		r.releases.follow()
 		return
 	}
+	r.releases.lead(ctx, r.start.Add(until), token, r.lease.Condition())
 	if !reachable && r.mayHandOver(now) {
 		r.releaseLease(ctx, now)
 		return
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -42,6 +42,7 @@
 	wg.Go(func() { i.crashRows.run(background) })
 	wg.Go(func() { i.versionRows.run(background) })
 	wg.Go(func() { i.rollouts.run(background, ctx.Done()) })
+	wg.Go(func() { i.releases.run(background) })
 	wg.Go(func() { i.conns.Run(background) })
 	wg.Go(func() { i.instanceConns.Run(background) })
 	wg.Go(func() { i.reach.run(background) })
@@ -110,6 +111,9 @@
 	if i.draining.Load() || i.snapshot.Load() == nil || !i.follower.HasSynced() {
 		return false
 	}
+	if !i.releases.known() && i.now().Sub(*i.configuredAt.Load()) <= releaseKnownTimeout {
+		return false
+	}
 	return i.peers.introduced.Load() || i.now().Sub(*i.configuredAt.Load()) > introductionTimeout
 }
 
@@ -123,6 +127,7 @@
 		}
 		return c.NoContent(http.StatusOK)
 	})
+	e.GET(RolloutsPath, func(c echo.Context) error { return c.JSON(http.StatusOK, i.releases.reports()) })
 	e.GET("/metrics", echo.WrapHandler(i.deps.MetricsHandler))
 	handlers := map[netip.AddrPort]http.Handler{i.options.ReadinessAddr: e}
 	if i.options.ControlAddr.IsValid() {
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -29,11 +29,21 @@
 	errCallerWrite      = errors.New("writing to the caller failed")
 )
 
+// response is a buffered response of an upstream.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // makeAttempt sends the request to one upstream and relays the response. A nil error
 // means that the caller has received a final response.
 func (x *exchange) makeAttempt(ctx context.Context, attempt *placement.Attempt) (placement.Result, error) {
 	x.mayHaveRunBefore = x.mayHaveRun
 	conn, err := x.send(ctx, attempt)
+	if conn == nil && errors.Is(err, errVersionClosed) {
+		return placement.Refused, err
+	}
 	if conn == nil {
 		return x.resultOf(ctx, placement.Unreachable), err
 	}
@@ -74,7 +84,12 @@
 // connection is nil if no byte was sent.
 func (x *exchange) send(ctx context.Context, attempt *placement.Attempt) (*httpconn.Conn, error) {
 	connect := func(maxIdle time.Duration) (*httpconn.Conn, error) {
-		return x.connect(ctx, attempt.Upstream, maxIdle)
+		conn, err := x.connect(ctx, attempt.Upstream, maxIdle)
+		if err == nil && !x.h.Releases.MaySend(attempt.Upstream) {
+			x.h.Conns.Put(attempt.Upstream.Addr, conn, 0)
+			return nil, errVersionClosed
+		}
+		return conn, err
 	}
 	header := func() http.Header { return x.h.Dialect.EncodeRequest(x.r.HTTP.Header, x.sendOptions(attempt)) }
 	return x.sendOver(ctx, connect, header)
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/call"
@@ -26,6 +27,7 @@
 	"github.com/fescuestep/fescuestep/pkg/membudget"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/quarantine"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/streamversion"
 )
@@ -143,6 +145,7 @@
 	Crashes       CrashTracker
 	Streams       StreamOrigins
 	Reach         Reachability
+	Releases      Releases
 	Metrics       Metrics
 	Log           hclog.Logger
 	Now           func() time.Time
@@ -192,6 +195,7 @@
 	tried            map[string]bool       // by upstream ID
 	lastEventID      string                // ID of the last event relayed to the caller
 	origin           *streamversion.Origin // where the stream began; nil: it has no event
+	release          *release.Choice       // which version gets the request; nil: no rollout, or not chosen
 	mayHaveRun       bool                  // an upstream may have run the request
 	mayHaveRunBefore bool                  // mayHaveRun before the current attempt
 	errorResponse    *response             // last 5xx response, sent if no retry succeeds
@@ -204,13 +208,6 @@
 	retryReserved    atomic.Bool       // the next retry was already taken from the budget
 }
 
-// response is a buffered response of an upstream.
-type response struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // Handle sends the request to upstreams until it has a final response. It is the
 // last handler of the chain.
 func (h *Handler) Handle(ctx context.Context, r *chain.Request) error {
@@ -225,6 +222,7 @@
 	}
 	edge.Service = service.Name
 	x := &exchange{h: h, r: r, edge: edge, service: service, origin: origin, tried: map[string]bool{}, lastEventID: edge.Call.LastEventID}
+	x.chooseRelease()
 	defer x.releaseBuffers()
 	return x.run(ctx)
 }
@@ -252,6 +250,9 @@
 		if refused := x.refusedPart(); refused != nil {
 			return x.giveUp(ctx, last, refused)
 		}
+		if refused := x.refusedRelease(); refused != nil {
+			return x.giveUp(ctx, last, refused)
+		}
 		cutOff := x.isCutOff()
 		if cutOff {
 			if final, err := x.beyondReach(ctx, last); final {
@@ -260,6 +261,9 @@
 		}
 		attempt, expected, err := x.h.Placer.Pick(x.query())
 		if err != nil {
+			if x.leaveNewRelease(false) {
+				continue
+			}
 			if final, err := x.placedElsewhere(ctx, err); final {
 				return err
 			}
@@ -276,14 +280,19 @@
 		}
 		x.tried[attempt.Upstream.ID] = true
 		x.answer = answer{}
+		began := x.beginRelease(attempt)
 		result, err := x.makeAttempt(ctx, attempt)
 		x.h.Placer.Done(attempt, result)
+		x.recordRelease(ctx, attempt, began, result, err)
 		if err == nil {
 			return nil
 		}
 		last = err
 		x.logAttempt(attempt, result, err)
+		x.leaveNewRelease(true)
 		switch {
+		case errors.Is(err, errVersionClosed):
+			continue
 		case ctx.Err() != nil:
 			return x.contextError(ctx, err)
 		case x.endedUpstream(ctx, attempt, result, err):
@@ -330,7 +339,7 @@
 		Service: x.service, Model: c.Model, Parts: c.PromptParts,
 		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
 		Software: x.software(),
-		Exclude:  func(id string) bool { return x.tried[id] },
+		Exclude:  func(id string) bool { return x.tried[id] || x.releaseExcludes(id) },
 	}
 	if x.edge.Route.HasPrompt && c.Model != "" {
 		q.IsolatedCustomer, q.Sharers = x.isolatedCustomer(), x.edge.Routing.Sharers()
--- a/pkg/filter/dispatch/origin.go
+++ b/pkg/filter/dispatch/origin.go
@@ -47,12 +47,15 @@
 	return began.Service, &began, nil
 }
 
-// software returns the version at which alone the stream may go on; nil: any.
+// software returns the version at which alone the request may run; nil: any.
 func (x *exchange) software() *string {
-	if x.origin == nil {
-		return nil
+	switch {
+	case x.origin != nil:
+		return &x.origin.Software
+	case x.release != nil:
+		return x.release.Software
 	}
-	return &x.origin.Software
+	return nil
 }
 
 // recordOrigin records where the stream began when an attempt brings an event.
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -46,6 +46,8 @@
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
+	defReleasePhase = define(Gauge, "release_phase", "Phase of the rollout of a service's software: 0 observing, 1 shifting, 2 closing, 3 rolled back, 4 completed.", "service")
+	defReleaseShare = define(Gauge, "release_requests", "Requests of a service during the rollout of its software at this instance: all, and those exposed to the new version before the shift.", "service", "kind")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
 
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -38,5 +38,13 @@
 // name is one of a fixed set.
 func (m *Metrics) UndecodableStatement(name string) { m.counter(defUndecodable, name).Inc(1) }
 
+// ReleaseState sets the state of the rollout of a service's software.
+func (m *Metrics) ReleaseState(service string, phase int, requests, exposed uint64) {
+	name := m.pools.value(service)
+	m.gauge(defReleasePhase, name).Update(float64(phase))
+	m.gauge(defReleaseShare, name, "all").Update(float64(requests))
+	m.gauge(defReleaseShare, name, "exposed").Update(float64(exposed))
+}
+
 // LogLinesDropped counts lines that did not fit into the queue of the log.
 func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
--- a/pkg/release/leader.go
+++ b/pkg/release/leader.go
@@ -23,7 +23,7 @@
 	if rec == nil {
 		rec = &Record{}
 	}
-	r.recorded = rec
+	r.recorded, r.unsure = rec, false
 	r.known = true
 	if rec.To != r.order.To {
 		return
@@ -95,6 +95,10 @@
 		}
 	case Closing:
 		out = r.waitingForOld(now, peers)
+		// Upstreams may work for a moment on requests whose connections were closed.
+		if left := closeMargin - now.Sub(r.since); left > 0 {
+			out = append(out, fmt.Sprintf("the phase lasts for %s more", left.Round(time.Millisecond)))
+		}
 	case RolledBack, Completed:
 	}
 	return out
@@ -122,8 +126,8 @@
 // waitingForOld returns what may still run at the old version or be sent there.
 func (r *Rollout) waitingForOld(now time.Time, peers []Peer) []string {
 	var out []string
-	if r.running[0] > 0 {
-		out = append(out, fmt.Sprintf("%d requests of this instance run at the old version", r.running[0]))
+	if r.running > 0 {
+		out = append(out, fmt.Sprintf("%d requests of this instance run at the old version", r.running))
 	}
 	stated, silent := 1, 0
 	for _, p := range peers {
--- a/pkg/release/play/play.go
+++ b/pkg/release/play/play.go
@@ -93,6 +93,7 @@
 type instance struct {
 	name     string
 	rollout  *release.Rollout
+	running  map[string]int // by version
 	nextFull time.Duration
 	news     bool
 }
@@ -133,7 +134,7 @@
 	}
 	for i := range o.Instances {
 		in := &instance{
-			name: fmt.Sprintf("i%d", i), nextFull: time.Duration(r.rng.Int64N(int64(r.fullInterval()))),
+			name: fmt.Sprintf("i%d", i), running: map[string]int{}, nextFull: time.Duration(r.rng.Int64N(int64(r.fullInterval()))),
 			rollout: release.NewRollout(order, release.DefaultBounds(), o.Instances, true, r.start),
 		}
 		in.rollout.SetUpstreams(listed)
@@ -320,7 +321,8 @@
 
 func (r *run) send(in *instance, u *upstream, route string) {
 	u.running++
-	in.rollout.Begin(u.Software)
+	in.running[u.Software]++
+	in.rollout.SetRunning(in.running["v1"])
 	isNew := u.Software == "v2"
 	took := float64(serviceTime) * math.Exp(0.3*r.rng.NormFloat64()) * max(1, float64(u.running)/slots)
 	if u.slow {
@@ -368,8 +370,9 @@
 
 func (r *run) end(q request) {
 	q.u.running--
-	q.instance.rollout.End(q.u.Software)
-	q.instance.rollout.Record(q.sample)
+	q.instance.running[q.u.Software]--
+	q.instance.rollout.SetRunning(q.instance.running["v1"])
+	q.instance.rollout.RecordAnswer(q.u.ID, q.sample)
 }
 
 func (r *run) poisson(mean float64) int {
--- a/pkg/release/release.go
+++ b/pkg/release/release.go
@@ -88,7 +88,8 @@
 	// 3.7 s, during which the old version must stay usable.
 	PermitLife = 4 * time.Second
 	// permitLead is how long before the earliest shift requests to the old version need a
-	// permit. Instances may have learned of the order at times that far apart.
+	// permit. Instances may have learned of the order at times that far apart. Orders with
+	// little time leave half of the time before the shift, so that permits are known by then.
 	permitLead = 3 * time.Second
 	// rampTime is how long the share of the new version takes to rise to all requests.
 	rampTime = 3 * time.Second
@@ -106,3 +107,8 @@
 	d := float64(o.Duration)
 	return time.Duration(min(max(d*0.9-float64(shiftReserve), 0.35*d), 0.8*d))
 }
+
+// permitAfter returns how long after the order requests to the old version need a permit.
+func (o Order) permitAfter() time.Duration {
+	return max(o.shiftAfter()-permitLead, o.shiftAfter()/2)
+}
--- a/pkg/release/release_test.go
+++ b/pkg/release/release_test.go
@@ -108,7 +108,7 @@
 			t.Errorf("%s: the old version is chosen", name)
 		}
 	}
-	if !started(4).MaySend("v1", after(order.shiftAfter()-permitLead-1)) {
+	if !started(4).MaySend("v1", after(order.permitAfter()-1)) {
 		t.Error("the old version needs a permit before any shift")
 	}
 }
@@ -142,11 +142,12 @@
 	} {
 		r := started(len(c.peers) + 1)
 		r.Adopt(&Record{To: "v2", Phase: Closing}, start)
-		r.running[0] = c.own
+		r.SetRunning(c.own)
 		r.Hear("a", 1, closed, start)
 		r.Hear("b", 1, closed, start)
 		r.Hear("c", 1, c.third, start)
-		r.Lead(start, c.peers)
+		r.Lead(after(closeMargin), c.peers)
+		c.waited += closeMargin
 		write := r.Lead(after(c.waited), c.peers)
 		if got := write != nil && write.Phase == Completed; got != c.want {
 			t.Errorf("%s: completed %v; waits for %v", name, got, r.Waiting(after(c.waited), c.peers))
@@ -209,7 +210,7 @@
 			for n := range 1000 + 40 {
 				s := Sample{Group: "g", New: n >= 1000, Latency: 50 * time.Millisecond}
 				s.Bad = i >= 10 && i < 10+c.slices && (n < c.oldBad || n >= 1000 && n < 1000+c.newBad)
-				r.Record(s)
+				r.RecordAnswer("p", s)
 			}
 			r.Tick(after(time.Duration(i) * sliceTime))
 		}
@@ -219,6 +220,27 @@
 	}
 }
 
+// TestEndsOfUpstreams guards against a rollback for the end of single upstreams, and against ends that never count.
+func TestEndsOfUpstreams(t *testing.T) {
+	bad := Sample{Group: "g", New: true}
+	for name, c := range map[string]struct {
+		processes int
+		answers   bool
+		want      uint64
+	}{"few end": {endedProcesses - 1, false, 0}, "many end": {endedProcesses, false, 10 * endedProcesses}, "it goes on": {1, true, 10}} {
+		r := started(1)
+		for n := range 10 * c.processes {
+			r.RecordCut(fmt.Sprint(n%c.processes), bad)
+		}
+		if c.answers {
+			r.RecordAnswer("0", Sample{Group: "g", New: true})
+		}
+		if got := r.Totals()["g"].New.Bad; got != c.want {
+			t.Errorf("%s: %d bad answers, want %d", name, got, c.want)
+		}
+	}
+}
+
 // TestEvidenceOfRestartedInstances guards against totals that count twice or are lost when their instance restarts or a statement is repeated.
 func TestEvidenceOfRestartedInstances(t *testing.T) {
 	r := started(2)
--- a/pkg/release/rollout.go
+++ b/pkg/release/rollout.go
@@ -29,12 +29,14 @@
 	tokens   float64 // requests to the new version that this instance may still send
 	requests uint64  // of the service at this instance
 	exposed  uint64  // those sent to the new version before the shift
-	running  [2]int  // requests of this instance at the old and new version
+	running  int     // requests of this instance at the old version
 
 	evidence evidence
+	cuts     cuts
 	tester   tester
 
 	recorded *Record // as last read from the store or written; nil: unknown
+	unsure   bool    // the store may lack the end of the rollout
 }
 
 type heardStatement struct {
@@ -167,6 +169,34 @@
 	return r.toOld(now)
 }
 
+// OwnTotals returns the counts of this instance.
+func (r *Rollout) OwnTotals() Totals { return r.evidence.own }
+
+// Restarted drops the last statement of an instance whose process is another one now. What
+// the earlier one counted stays counted.
+func (r *Rollout) Restarted(sender string) { delete(r.heard, sender) }
+
+// Overdue reports whether the time limit of the order has passed without an end.
+func (r *Rollout) Overdue(now time.Time) bool { return !r.final && r.elapsed(now) > r.order.Duration }
+
+// Recorded reports whether it is known what the store holds.
+func (r *Rollout) Recorded() bool { return r.recorded != nil }
+
+// ForgetRecord makes the record count as unknown, since it may have changed.
+func (r *Rollout) ForgetRecord() { r.recorded = nil }
+
+// Settled reports whether the store holds the end of the rollout.
+func (r *Rollout) Settled() bool {
+	if r.recorded == nil {
+		return r.final && !r.unsure
+	}
+	return r.final && r.recorded.To == r.order.To && r.recorded.Phase == r.phase
+}
+
+// CheckRecord makes it unknown whether the store holds the end of the rollout, until it was
+// read or the holder of the lease states it.
+func (r *Rollout) CheckRecord() { r.recorded, r.unsure = nil, true }
+
 // Refund gives back what a request would have spent that was not sent to the new version.
 func (r *Rollout) Refund() {
 	if r.phase == Observing && r.exposed > 0 {
@@ -200,7 +230,7 @@
 		return true
 	case r.closed:
 		return false
-	case r.phase != Shifting && r.elapsed(now) < r.order.shiftAfter()-permitLead:
+	case r.phase != Shifting && r.elapsed(now) < r.order.permitAfter():
 		return true
 	}
 	return r.permitted(now)
@@ -226,21 +256,8 @@
 	return 2*fresh > r.members
 }
 
-// Begin records that a request is sent to a version, End that it ended there.
-func (r *Rollout) Begin(software string) { r.running[r.side(software)]++ }
-
-// End is the counterpart of Begin.
-func (r *Rollout) End(software string) { r.running[r.side(software)]-- }
-
-func (r *Rollout) side(software string) int {
-	if software == r.order.To {
-		return 1
-	}
-	return 0
-}
-
-// Record records what an attempt showed.
-func (r *Rollout) Record(s Sample) { r.evidence.record(s) }
+// SetRunning sets the number of requests of this instance at the old version.
+func (r *Rollout) SetRunning(n int) { r.running = n }
 
 // Tick evaluates the evidence. It reports whether the phase changed.
 func (r *Rollout) Tick(now time.Time) (changed bool) {
@@ -260,7 +277,7 @@
 func (r *Rollout) Statement(now time.Time, totals bool) Statement {
 	s := Statement{
 		Service: r.order.Service, To: r.order.To, Phase: r.phase, Known: r.known, Final: r.final, Closed: r.closed,
-		Leader: now.Before(r.leaderUntil), RunningOld: max(0, r.running[0]), Elapsed: r.elapsed(now), Reason: r.reason,
+		Leader: now.Before(r.leaderUntil), RunningOld: max(0, r.running), Elapsed: r.elapsed(now), Reason: r.reason,
 		Requests: r.requests, Exposed: r.exposed,
 	}
 	if totals {
@@ -284,6 +301,7 @@
 		return false // not known, or contradictory
 	}
 	r.known = true
+	r.unsure = r.unsure && !(s.Leader && s.Final)
 	before, wasFinal := r.phase, r.final
 	switch {
 	case r.final:
--- a/pkg/release/verdict.go
+++ b/pkg/release/verdict.go
@@ -48,7 +48,7 @@
 }
 
 var criteria = [...]criterion{
-	{"bad answers", 0.01, 0.1, 0.2, 2, func(c Counts, _ int) (n, bad uint64) { return c.Answers, c.Bad }},
+	{"bad answers", 0.01, 0.05, 0.2, 2, func(c Counts, _ int) (n, bad uint64) { return c.Answers, c.Bad }},
 	{"slow answers", 0.1, 0.3, 0.3, 4, func(c Counts, median int) (n, bad uint64) {
 		return c.Latency.from(0), c.Latency.from(median + slowBuckets)
 	}},
--- a/pkg/state/era_test.go
+++ b/pkg/state/era_test.go
@@ -259,3 +259,34 @@
 	slices.Sort(keys)
 	return strings.Join(keys, ",")
 }
+
+// TestOrdersOfRollouts guards against an order that counts as withdrawn because a copy of
+// the store lacks it, and against a withdrawal that is missed.
+func TestOrdersOfRollouts(t *testing.T) {
+	store := newRestorableStore()
+	runFollower(t, store, func(_ *Follower, sink *fakeSink) {
+		time.Sleep(time.Second)
+		old := store.copy()
+		store.put(operatorTable, "rollout/llm", "v2", false)
+		time.Sleep(time.Second)
+		store.restore(old)
+		time.Sleep(5 * time.Second)
+		store.put(operatorTable, "rollout/llm", "v3", false)
+		time.Sleep(time.Second)
+		store.put(operatorTable, "rollout/llm", "", true)
+		time.Sleep(time.Second)
+		var got []string
+		sink.mu.Lock()
+		defer sink.mu.Unlock()
+		for _, r := range sink.releases {
+			if r.Order == nil {
+				got = append(got, "withdrawn")
+				continue
+			}
+			got = append(got, r.Order.To)
+		}
+		if want := []string{"v2", "v3", "withdrawn"}; !slices.Equal(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+}
--- a/pkg/state/fakes_test.go
+++ b/pkg/state/fakes_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/history"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -122,6 +123,13 @@
 
 func (fakeDecoder) DecodeOperator(row Row) (OperatorRow, error) {
 	fields := strings.Fields(string(row.Value))
+	if service, ok := strings.CutPrefix(row.Key, "rollout/"); ok {
+		r := ReleaseRequest{Service: service, Order: &release.Order{Service: service, To: string(row.Value)}}
+		if row.Deleted {
+			r.Order = nil
+		}
+		return OperatorRow{Release: &r}, nil
+	}
 	if row.Deleted {
 		return OperatorRow{}, nil
 	}
@@ -149,6 +157,7 @@
 	targets  []WeightsTarget
 	view     *fleet.View
 	eras     []uint64
+	releases []ReleaseRequest
 }
 
 func (s *fakeSink) EraChanged(era uint64) {
@@ -175,6 +184,12 @@
 	s.view = v
 }
 
+func (s *fakeSink) ReleaseRequested(r ReleaseRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releases = append(s.releases, r)
+}
+
 func (s *fakeSink) last() (config uint64, upstreams int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -114,6 +114,10 @@
 		f.logRejected(row, err)
 		return
 	}
+	if decoded.Release != nil {
+		f.requestRelease(row, *decoded.Release, recent)
+		return
+	}
 	number, ok := decoded.number()
 	if known, adopted := f.operator[row.Key]; !ok || (adopted && number <= known.number) {
 		return
@@ -128,6 +132,21 @@
 	f.sink.WeightsTargetChanged(*decoded.Weights)
 }
 
+// requestRelease passes on the order of a rollout or its withdrawal. An order that a copy of
+// the store lacks stays in force.
+func (f *Follower) requestRelease(row Row, r ReleaseRequest, recent bool) {
+	if row.lost {
+		return
+	}
+	r.Recent = recent
+	if r.Order != nil {
+		f.log.Info("rollout ordered", "service", r.Service, "to", r.Order.To, "duration", r.Order.Duration.String(), "version", row.Version)
+	} else {
+		f.log.Info("rollout withdrawn", "service", r.Service, "version", row.Version)
+	}
+	f.sink.ReleaseRequested(r)
+}
+
 // number returns the number that orders the contents of a row. It returns false for
 // a row that is not used.
 func (r OperatorRow) number() (uint64, bool) {
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/history"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -29,6 +30,8 @@
 	Value   []byte
 	Version uint64 // version of the transaction that wrote it; increases across all tables of an era
 	Deleted bool   // never set in results of Store.Rows
+
+	lost bool // deleted by the return of the store to an older copy
 }
 
 // Page is the result of a read.
@@ -57,8 +60,17 @@
 	NotBefore time.Time
 }
 
+// ReleaseRequest is the operator's order to move the traffic of a service to another
+// version of its upstreams' software, or its withdrawal.
+type ReleaseRequest struct {
+	Service string
+	Order   *release.Order // nil: withdrawn
+	Recent  bool           // received as a change; otherwise it may have been written long ago
+}
+
 // OperatorRow is a decoded row of the operator's table. At most one field is set.
 type OperatorRow struct {
+	Release *ReleaseRequest
 	Config  *routing.Snapshot
 	Weights *WeightsTarget
 }
@@ -82,6 +94,9 @@
 	ConfigChanged(s *routing.Snapshot)
 	WeightsTargetChanged(w WeightsTarget)
 	UpstreamsChanged(v *fleet.View)
+	// ReleaseRequested is called for each new or withdrawn order, and again when it is
+	// written again.
+	ReleaseRequested(r ReleaseRequest)
 }
 
 // Follower keeps the tables of one instance up to date, from the store or from
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -179,7 +179,7 @@
 	var out []Row
 	for key, row := range earlier {
 		if !row.Deleted && !listed[key] {
-			out = append(out, Row{Key: key, Version: full.At.Version, Deleted: true})
+			out = append(out, Row{Key: key, Version: full.At.Version, Deleted: true, lost: true})
 		}
 	}
 	return out
