--- a/cmd/fescuestep/rollout.go
+++ b/cmd/fescuestep/rollout.go
@@ -147,6 +147,7 @@
 func (c *rolloutPlayCmd) SetFlags(fs *flag.FlagSet) {
 	fs.IntVar(&c.seeds, "seeds", 20, "number of seeds per kind and number of instances")
 	fs.IntVar(&c.workers, "workers", 2, "runs at the same time")
+	fs.BoolVar(&c.options.Plain, "plain", false, "play a plain service instead of a model")
 	fs.IntVar(&c.options.Upstreams, "upstreams", 80, "upstreams of each version")
 	fs.Float64Var(&c.options.Rate, "rate", 600, "requests per second")
 	fs.DurationVar(&c.options.Duration, "duration", time.Minute, "time limit of the rollout")
--- a/pkg/edge/releases.go
+++ b/pkg/edge/releases.go
@@ -100,6 +100,9 @@
 		phase, _ := known.Phase()
 		r.log.Warn("rollout replaced by another order", "service", req.Service, "was_to", known.Order().To, "phase", phase.String(), "to", req.Order.To)
 	}
+	if delay := release.VerdictDelay(members); delay > r.bounds.RollbackTime {
+		r.log.Warn("the verdict on a new version may take longer than it should", "expected", delay.String(), "bound", r.bounds.RollbackTime.String(), "instances", members)
+	}
 	r.byService[req.Service] = &serviceRelease{Rollout: release.NewRollout(*req.Order, r.bounds, members, req.Recent, now)}
 	r.updateUpstreams(req.Service)
 	r.active.Store(true)
--- a/pkg/release/choice.go
+++ b/pkg/release/choice.go
@@ -73,8 +73,12 @@
 
 const (
 	// windowsBeforeShift is the number of windows before the shift. With the average share
-	// of 0.04, each prompt prefix goes to the new version in about one of them.
+	// of 0.045, each prompt prefix goes to the new version in about one of them.
 	windowsBeforeShift = 25
+	// fewUpstreamsFactor makes windows longer if only a part of them is active: with a time
+	// limit of 60 s, windows of 1.4 s were too short to find a slow version within one, and
+	// its last request came 4.9 s after the 50th bad answer.
+	fewUpstreamsFactor = 2
 	minWindow          = 250 * time.Millisecond
 	maxWindow          = 4 * time.Second
 )
@@ -90,10 +94,14 @@
 // keys change from window to window, so that each prefix and route is observed, and a prefix
 // stays at one version for the length of a window.
 func (p *plan) takes(key uint64, elapsed time.Duration, o Order) bool {
-	length := min(max(o.shiftAfter()/windowsBeforeShift, minWindow), maxWindow)
+	length := o.shiftAfter() / windowsBeforeShift
+	if p.duty < 1 {
+		length *= fewUpstreamsFactor
+	}
+	length = min(max(length, minWindow), maxWindow)
 	window := float64(elapsed / length)
-	active := math.Floor(window * p.duty)
-	if math.Floor((window+1)*p.duty) <= active {
+	active := math.Floor(window*p.duty + 0.5)
+	if math.Floor((window+1)*p.duty+0.5) <= active {
 		return false
 	}
 	_, x := math.Modf(unit(key) + active*goldenRatio)
--- a/pkg/release/play/play.go
+++ b/pkg/release/play/play.go
@@ -46,6 +46,7 @@
 	Rate      float64       // requests per second of the service
 	Duration  time.Duration // of the order
 	Seed      uint64
+	Plain     bool // the routes of a plain service instead of those of a model
 }
 
 // Result is what a run showed.
@@ -261,15 +262,28 @@
 	}
 }
 
-// routes are the shares of the routes' requests, and how many prefixes each has; 0: none.
-var routes = []struct {
+// route has a share of the requests, with a number of prefixes; 0: none.
+type route struct {
 	name     string
 	share    float64
 	prefixes int
-}{{"long", 0.12, 12}, {"short", 0.6, 200}, {"order", 0.18, 0}, {"read", 0.1, 0}}
+}
+
+var (
+	modelRoutes = []route{{"long", 0.15, 12}, {"short", 0.85, 200}}
+	plainRoutes = []route{{"order", 0.7, 0}, {"read", 0.3, 0}}
+)
+
+func (o Options) routes() []route {
+	if o.Plain {
+		return plainRoutes
+	}
+	return modelRoutes
+}
 
 func (r *run) request(at time.Time) {
 	in := r.instances[r.rng.IntN(len(r.instances))]
+	routes := r.routes()
 	x, route := r.rng.Float64(), 0
 	for x > routes[route].share && route < len(routes)-1 {
 		x -= routes[route].share
@@ -363,7 +377,7 @@
 		average := r.Rate * serviceTime.Seconds() / float64(r.Upstreams)
 		return float64(u.running) >= max(2, 0.6*average)
 	case "on one route":
-		return route == "short"
+		return route == r.routes()[1].name
 	}
 	return false
 }
--- a/pkg/release/release.go
+++ b/pkg/release/release.go
@@ -79,10 +79,17 @@
 	return Bounds{ExposureShare: 0.1, ExposureSlack: 50, RollbackTime: 5 * time.Second}
 }
 
+// VerdictDelay returns about how long after it is clear that a version is bad all of n
+// instances know it: evidence counts over a few slices, and instances tell it within 0.8 s
+// and the time between two digests.
+func VerdictDelay(n int) time.Duration {
+	return 4*sliceTime + 800*time.Millisecond + time.Duration(n)*time.Millisecond
+}
+
 const (
 	// spentShare is the part of the bounds on exposure that is granted. The goal is to
 	// stay under half.
-	spentShare = 0.4
+	spentShare = 0.45
 	// PermitLife is how long after a statement of another instance this one may rely on
 	// it to send requests to the old version. A takeover of the leader lease takes up to
 	// 3.7 s, during which the old version must stay usable.
--- a/pkg/release/verdict.go
+++ b/pkg/release/verdict.go
@@ -21,6 +21,10 @@
 const (
 	falseRollback   = 1e-3
 	falseAcceptance = 1e-3
+	// smallGroupAcceptance holds instead for groups with less than a smallGroupShare of the
+	// answers, which would take longer than the whole rollout otherwise.
+	smallGroupAcceptance = 1e-2
+	smallGroupShare      = 0.15
 
 	// sliceTime is the time between two evaluations. Instances state their counts a few
 	// times per second.
@@ -180,7 +184,6 @@
 	for _, pair := range totals {
 		answers += pair.Old.Answers
 	}
-	limit := math.Log(falseAcceptance)
 	var out []string
 	if answers == 0 {
 		return []string{"no answers of the old version to compare with"}
@@ -189,6 +192,10 @@
 		if float64(pair.Old.Answers) < minGroupShare*float64(answers) {
 			continue
 		}
+		limit := math.Log(falseAcceptance)
+		if float64(pair.Old.Answers) < smallGroupShare*float64(answers) {
+			limit = math.Log(smallGroupAcceptance)
+		}
 		median := pair.Old.Latency.median()
 		for i, k := range criteria {
 			n, bad := k.count(pair.New, median)
