--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/fescuestep/fescuestep/pkg/metrics"
 	"github.com/fescuestep/fescuestep/pkg/metrics/collect"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/release"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/platform"
 	"github.com/fescuestep/fescuestep/platform/standin"
@@ -37,7 +38,8 @@
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
 	config    routing.Config
-	profiles  bool // of instances that start
+	profiles  bool           // of instances that start
+	bounds    release.Bounds // of rollouts of software
 }
 
 const (
@@ -46,7 +48,7 @@
 )
 
 func newTestFleet(t *testing.T, engines int) *testFleet {
-	fleet := &testFleet{t: t, store: standin.NewStore()}
+	fleet := &testFleet{t: t, store: standin.NewStore(), bounds: release.DefaultBounds()}
 	server := &http.Server{Handler: fleet.store}
 	ln := listen(t)
 	fleet.storeAddr = ln.Addr().String()
@@ -180,6 +182,7 @@
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
 		Profiles:      fleet.profiles,
+		Releases:      fleet.bounds,
 		InstanceTable: platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
 	}
 	dial := netopt.Dialer(time.Second).DialContext
