Test of idle rollouts knows rollouts of software

Cause: the controller asks the rollouts of software whether a leader is needed; the test built it without them and ended with a nil pointer. Change: the test has them. Measured: TestRolloutsAreBusyWhileNeeded passes.

--- a/pkg/edge/rollouts_test.go
+++ b/pkg/edge/rollouts_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/control"
+	"github.com/fescuestep/fescuestep/pkg/release"
 )
 
 // TestRolloutsAreBusyWhileNeeded guards against an instance that wakes 25 times a second
@@ -17,7 +18,8 @@
 	r := &rolloutController{
 		instanceName: "self", placer: p.placer, peers: p, cutOff: func(string) bool { return true },
 		log: hclog.NewNullLogger(), now: p.now, start: p.now(), wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(1, 2)),
-		lease: control.NewLease(control.DefaultLeaseConfig(), "self"),
+		lease:    control.NewLease(control.DefaultLeaseConfig(), "self"),
+		releases: newReleases(release.DefaultBounds(), nil, nil, hclog.NewNullLogger(), p.now),
 	}
 	if r.tick(t.Context()) {
 		t.Error("busy without a target version")
