--- a/pkg/edge/releaserows.go
+++ b/pkg/edge/releaserows.go
@@ -70,6 +70,7 @@
 	now := r.now()
 	for _, s := range r.byService {
 		s.SetLeader(until)
+		s.SetRunning(r.runningOld(s))
 		if s.calling {
 			continue
 		}
--- a/pkg/release/leader.go
+++ b/pkg/release/leader.go
@@ -12,6 +12,7 @@
 	Phase   Phase
 	Elapsed time.Duration
 	Reason  string
+	Renews  bool // it changes nothing of the status
 }
 
 // ended reports whether a phase ends a rollout.
@@ -68,7 +69,7 @@
 	case r.recorded.To != r.order.To:
 		next = Observing
 	case len(r.Waiting(now, peers)) > 0:
-		return nil
+		return r.renewal(now)
 	case r.phase == Observing:
 		r.enter(Shifting, now)
 		return nil
@@ -80,7 +81,26 @@
 	if r.recorded.To == r.order.To && r.recorded.Phase == next {
 		return nil
 	}
-	return &Record{To: r.order.To, Phase: next, Elapsed: r.elapsed(now), Reason: r.reason}
+	return r.record(next, now)
+}
+
+func (r *Rollout) record(p Phase, now time.Time) *Record {
+	return &Record{
+		To: r.order.To, Phase: p, Elapsed: r.elapsed(now), Reason: r.reason,
+		Renews: r.recorded.To == r.order.To && !ended(p),
+	}
+}
+
+// renewInterval is the time after which the record is written again while the new version
+// is observed: a fleet that starts anew goes on from there.
+const renewInterval = 5 * time.Second
+
+// renewal returns the record with the time that has passed since, if it is due.
+func (r *Rollout) renewal(now time.Time) *Record {
+	if r.phase != Observing || r.elapsed(now)-r.recorded.Elapsed < renewInterval {
+		return nil
+	}
+	return r.record(Observing, now)
 }
 
 // Waiting returns what the next phase waits for, in order; none when the rollout has ended.
