--- a/pkg/release/verdict.go
+++ b/pkg/release/verdict.go
@@ -67,7 +67,7 @@
 		if n, bad := k.count(c, median); n >= minOld && i == 0 {
 			p0 = max(k.floor, upperLimit(n, bad))
 		} else if n >= minOld {
-			p0 = max(p0, upperLimit(n, bad))
+			p0 = max(p0, float64(bad)/float64(n)) // a limit would be too high for so few answers
 		}
 	}
 	p0 = min(p0, 0.9)
