--- a/pkg/concurrency/limit.go
+++ b/pkg/concurrency/limit.go
@@ -8,11 +8,16 @@
 )
 
 const (
-	// queuedRatio is the ratio to the unqueued latency above which a request has queued,
-	// and unqueuedRatio the one below which it has not.
-	queuedRatio, unqueuedRatio = 1.5, 1.25
-	// limitWeight is the weight of a measurement in the limit.
-	limitWeight = 0.1
+	// queuedRatio is the ratio to the unqueued latency, on average over limitSamples
+	// requests, above which requests queue. Single latencies vary by more than that, and
+	// a limit that followed each of them used 0.63 of the slots.
+	queuedRatio  = 1.3
+	limitSamples = 8
+	// highLoadShare is the share of the limit from which a measurement counts for it.
+	highLoadShare = 0.7
+	// limitWeight is the weight of limitSamples measurements in a limit that falls;
+	// limitGrowth is the share by which it grows, at least one request.
+	limitWeight, limitGrowth = 0.5, 0.05
 	// minLimitShare is the least share of its slots to which the limit of an upstream
 	// falls. It keeps capacity for measurements if everything is slow at once, or if
 	// statements claim so.
@@ -25,6 +30,9 @@
 type limitEstimate struct {
 	value float64 // 0: nothing was learned; the number of slots applies
 
+	samples            int // since the last change, with the sums:
+	ratios, concurrent float64
+
 	full   float64 // requests that ran while others waited, as the upstream stated
 	fullAt time.Time
 }
@@ -39,13 +47,24 @@
 
 // addSample adds the ratio of a measured to the expected unqueued latency with so many
 // requests running.
-func (l *limitEstimate) addSample(running int, ratio float64, slots int, _ time.Time) {
-	limit, n := l.learned(slots), float64(running)
+func (l *limitEstimate) addSample(running int, ratio float64, slots int) {
+	limit := l.learned(slots)
+	if running < 2 && limit >= 2 || float64(running) < highLoadShare*limit {
+		return
+	}
+	l.samples++
+	l.ratios += ratio
+	l.concurrent += float64(running)
+	if l.samples < limitSamples {
+		return
+	}
+	ratio, n := l.ratios/limitSamples, l.concurrent/limitSamples
+	l.samples, l.ratios, l.concurrent = 0, 0, 0
 	switch {
-	case running > 1 && ratio > queuedRatio && n/ratio < limit:
+	case ratio > queuedRatio && n/ratio < limit:
 		l.value = limit + limitWeight*(n/ratio-limit)
-	case ratio < unqueuedRatio && n >= limit*(1-limitWeight) && limit < float64(slots):
-		l.value = limit + limitWeight*max(1, n-limit)
+	case ratio <= queuedRatio && limit < float64(slots):
+		l.value = limit + max(1, limitGrowth*limit)
 	}
 }
 
--- a/pkg/concurrency/tracker.go
+++ b/pkg/concurrency/tracker.go
@@ -45,7 +45,7 @@
 // PlainConfig is the configuration for other upstreams. Requests of one service differ in
 // their work, so a single measurement counts little, and they are short, so another one
 // costs little.
-func PlainConfig(slots int) Config { return Config{slots, 0.3, 0.1, 3 * time.Second} }
+func PlainConfig(slots int) Config { return Config{slots, 0.2, 0.2, 3 * time.Second} }
 
 // Sample is the measurement that the end of a request gives.
 type Sample struct {
@@ -93,7 +93,7 @@
 		return
 	}
 	ratio := min(max(float64(s.Took)/float64(s.Usual), minRatio), maxRatio)
-	t.limit.addSample(s.Running, ratio/t.SlowdownFactor(now), t.slots(), now)
+	t.limit.addSample(s.Running, ratio/t.SlowdownFactor(now), t.slots())
 	if s.Running > 1 && float64(s.Running) > lowLoadShare*t.learnedLimit() {
 		return // the latency may be that of a queue
 	}
--- a/pkg/load/emulator/emulator.go
+++ b/pkg/load/emulator/emulator.go
@@ -139,6 +139,9 @@
 	heap.Push(e, event{at, e.seq, run})
 }
 
+// next removes the earliest event.
+func (e *events) next() event { return heap.Pop(e).(event) }
+
 // Choice is where a policy sends a request.
 type Choice struct {
 	Engine  int
@@ -206,7 +209,7 @@
 	r.slowDown(uint64(len(arrivals)), length+drainTime)
 	r.policy.start(length + drainTime)
 	for len(r.events.list) > 0 {
-		e := heap.Pop(&r.events).(event)
+		e := r.events.next()
 		e.run(e.at)
 	}
 	return r.result
