Slow plain upstreams are tried again less often

Cause: the learned speed of a plain upstream decayed to the usual one within 3 s. At 196 requests/s through 24 instances one that takes four times as long got 1.5% of them, so the p99 of all callers was its time.

Change: it decays within 5 s. load -edge -deployment plain plays 6 plain upstreams of which one is slow.

--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -80,7 +80,7 @@
 	fs.StringVar(&c.faults, "faults", "none", `fault schedule: none, standard, or "time:kind:target:duration,..." with the kinds engine_crash, event_gap (a count instead of the duration), table_outage, key_revocation and instance_restart`)
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
-	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, or shared (machines that slow down for a while); limits tries ways of learning the limit of one upstream")
+	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, or shared (machines that slow down for a while); limits tries ways of learning the limit of one upstream, plain has one slow upstream of a plain service")
 	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
@@ -129,6 +129,10 @@
 		}
 		return nil
 	}
+	if c.deployment == "plain" {
+		emulator.WritePlain(c.out, c.seed, c.duration, max(1, c.instances))
+		return nil
+	}
 	d, err := emulator.Named(c.deployment, 1)
 	if err != nil {
 		return err
--- a/pkg/concurrency/tracker.go
+++ b/pkg/concurrency/tracker.go
@@ -45,7 +45,7 @@
 // PlainConfig is the configuration for other upstreams. Requests of one service differ in
 // their work, so a single measurement counts little, and they are short, so another one
 // costs little.
-func PlainConfig(slots int) Config { return Config{slots, 0.2, 0.2, 3 * time.Second} }
+func PlainConfig(slots int) Config { return Config{slots, 0.2, 0.2, 5 * time.Second} }
 
 // Sample is the measurement that the end of a request gives.
 type Sample struct {
