--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -80,7 +80,7 @@
 	fs.StringVar(&c.faults, "faults", "none", `fault schedule: none, standard, or "time:kind:target:duration,..." with the kinds engine_crash, event_gap (a count instead of the duration), table_outage, key_revocation and instance_restart`)
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
-	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, or shared (machines that slow down for a while); limits tries ways of learning the limit of one upstream, plain has one slow upstream of a plain service")
+	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, or shared (machines that slow down for a while and state it; shared-unstated and shared-false do not state it, or the reverse); limits tries ways of learning the limit of one upstream, plain has one slow upstream of a plain service")
 	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -22,6 +22,9 @@
 	RecordOutcome(route string, promptTokens int, o metrics.Outcome)
 	// UndecodableStatement counts a statement of an upstream that could not be decoded.
 	UndecodableStatement(name string)
+	// RecordCapacity records the capacity of a service's upstreams as this instance knows
+	// it.
+	RecordCapacity(service string, c metrics.Capacity)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -45,6 +45,8 @@
 	wg.Go(func() { i.conns.Run(background) })
 	wg.Go(func() { i.instanceConns.Run(background) })
 	wg.Go(func() { i.reach.run(background) })
+	capacity := &capacityWatch{i.placer, i.deps.ServiceMetrics, i.deps.Log.Named("capacity"), map[string]bool{}}
+	wg.Go(func() { capacity.run(background) })
 	acceptErr := make(chan error, 2)
 	go func() { acceptErr <- i.listener.accept(callers) }()
 	go func() { acceptErr <- i.forwards.accept(forwards) }()
--- a/pkg/load/emulator/slowdowns.go
+++ b/pkg/load/emulator/slowdowns.go
@@ -94,6 +94,14 @@
 		return Grown(load, 65), nil
 	case "shared":
 		return SharedMachines(load, 24), nil
+	case "shared-unstated":
+		d := SharedMachines(load, 24)
+		d.Slowdowns.Stated = false
+		return d, nil
+	case "shared-false":
+		d := SharedMachines(load, 24)
+		d.Slowdowns.False = true
+		return d, nil
 	}
-	return nil, errors.Newf("unknown deployment %q, have small, grown, shared", name)
+	return nil, errors.Newf("unknown deployment %q, have small, grown, shared, shared-unstated, shared-false", name)
 }
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -45,6 +45,8 @@
 	defCachedTokens = define(Counter, "cached_tokens_total", "Prompt tokens that the engine had cached.", "customer", "class")
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
+	defSlow         = define(Gauge, "slow_upstreams", "Upstreams of edge instances at which work takes 1.5 times the usual time or longer.", "pool")
+	defRoom         = define(Gauge, "room", "Concurrent requests that the upstreams of edge instances run without queueing, from all instances together, by kind: free or total.", "pool", "kind")
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -52,6 +52,7 @@
 	m.RecordOutcome("r", 17000, InTime)
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
+	m.RecordCapacity("llm", Capacity{Upstreams: 4, Slow: 1, Free: 2, Total: 8})
 	m.Order(Finished)
 	m.UnresolvedOrders(1)
 	m.ControlLeader(true)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -38,5 +38,19 @@
 // name is one of a fixed set.
 func (m *Metrics) UndecodableStatement(name string) { m.counter(defUndecodable, name).Inc(1) }
 
+// Capacity is the capacity of a service's upstreams.
+type Capacity struct {
+	Upstreams, Slow int // upstreams, and those that are slow now
+	Free, Total     int // concurrent requests from all instances
+}
+
+// RecordCapacity records the capacity of a service's upstreams.
+func (m *Metrics) RecordCapacity(service string, c Capacity) {
+	pool := m.routes.value(service)
+	m.gauge(defSlow, pool).Update(float64(c.Slow))
+	m.gauge(defRoom, pool, "free").Update(float64(c.Free))
+	m.gauge(defRoom, pool, "total").Update(float64(c.Total))
+}
+
 // LogLinesDropped counts lines that did not fit into the queue of the log.
 func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -30,7 +30,8 @@
 	u := servers[rng.IntN(len(servers))]
 	lasts := time.Duration(300+rng.IntN(2500)) * time.Millisecond
 	m := []mode{delay, silence, oneWay, refuse}[rng.IntN(4)]
-	switch rng.IntN(17) {
+	percent := rng.IntN(100_000)
+	switch rng.IntN(19) {
 	case 0:
 		return fault{"kill " + p.name, false, func() { p.signal(syscall.SIGKILL); <-p.end() }, func() { s.restart(p) }, lasts}
 	case 1:
@@ -61,6 +62,10 @@
 		return fault{u.ID + " sends bytes without end", false, func() { u.SetHandler(noise) }, func() { u.SetHandler(nil) }, lasts}
 	case 15:
 		return fault{u.ID + " is silent", false, func() { u.SetSilent(lasts) }, nothing, lasts}
+	case 16:
+		return fault{u.ID + " slows down and states it", false, func() { u.SetStatesWorkTime(true); u.SlowDown(2.5, lasts) }, func() { u.SetStatesWorkTime(false) }, lasts}
+	case 17:
+		return fault{u.ID + " states a false speed", false, func() { u.SetFalseWorkTime(percent) }, func() { u.SetStatesWorkTime(false) }, lasts}
 	}
 	return fault{"configuration changed", true, func() { s.mustApply(func(c *routing.Config) { c.Customers[0].Priority++ }) }, nothing, 0}
 }
