--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -25,6 +25,9 @@
 	// ReleaseState sets the phase of the rollout of a service's software, as a number, and
 	// how many requests this instance got for the service and sent to the new version.
 	ReleaseState(service string, phase int, requests, exposed uint64)
+	// RecordCapacity records the capacity of a service's upstreams as this instance knows
+	// it.
+	RecordCapacity(service string, c metrics.Capacity)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
