Stand-in of a slow stream says that it closes its connection

Cause: TestSlowStreamIsWhole failed in 3 of 34 runs: the handler closed its connection after the stream without saying so, and the next request on the kept connection got a reset and, as it may have run, 502. Change: the head says Connection: close, as a server that closes does.

--- a/pkg/edge/endless_test.go
+++ b/pkg/edge/endless_test.go
@@ -148,7 +148,9 @@
 func streamWith(write func(r *http.Request, out *bufio.Writer) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		hijack(w, func(out *bufio.Writer) error {
-			_, _ = out.WriteString(head(r) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			// The connection closes after the stream; a request that follows on it
+			// within the same millisecond would get a reset, not an answer.
+			_, _ = out.WriteString(head(r) + "Connection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 			return write(r, out)
 		})
 	}
