One guard over the connections of all listeners

Cause: nothing bounded connections and header fields; a body reserved its announced length, so that stalled ones kept all others out; net/http waits without limit for a body that its handler does not read; a reader that takes nothing kept its answer; serve took requests with two ways to tell their end.

Change: pkg/callerguard wraps the connections of edge (callers, forwards, readiness and metrics, control) and serve (callers, peers, administration, metrics), counts them, their heads and bodies in one callerbudget and ends those that give way. Heads are limited in fields (one for each 16 bytes that a head may have). Bodies grow as they arrive, must arrive before the deadline of their request, and are read after route, key and rate; one that gives way is answered 503, as not run. Readers that take nothing for -write-stall are ended, and at once if the memory for buffered responses is short. The collector's limit leaves room for the program's mapped pages (RssFile 23.5 MB) on small instances. Settings -caller-memory, -caller-connections, -max-header-fields and -write-stall of edge and serve, -memory-limit and -descriptor-limit of serve; counter caller_connections_ended_total; one log line in 10 s. pkg/framing.Conn is replaced by callerguard.Conn.

--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -15,6 +15,7 @@
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/edge"
 	"github.com/fescuestep/fescuestep/pkg/logging"
 	"github.com/fescuestep/fescuestep/pkg/metrics"
@@ -29,6 +30,7 @@
 	file     string
 	logLevel string
 	settings *platform.Settings
+	limits   settings.CallerLimits
 }
 
 func (*edgeCmd) Name() string            { return "edge" }
@@ -46,6 +48,7 @@
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
+	c.limits.Register(fs)
 }
 
 // Validate reads the settings file.
@@ -61,7 +64,7 @@
 		return settings.Errors{err}
 	}
 	c.settings = loaded
-	return nil
+	return c.limits.Validate()
 }
 
 var errNoSettingsFile = errors.Newf("-settings-file or the variable %s must name the settings file", platform.SettingsVariable)
@@ -74,6 +77,11 @@
 	// memoryLimitShare of the instance's memory is the garbage collector's soft
 	// limit; the rest is for what the collector does not see.
 	memoryLimitShare = 0.7
+	// mappedProgram is the memory of the program's own mapped pages, which the collector
+	// does not see: RssFile was 23.5 MB. It decides only below 96 MB.
+	mappedProgram = 28 << 20
+	// minMemoryLimit keeps the collector from running all the time on tiny instances.
+	minMemoryLimit = 32 << 20
 	// gcPercent trades processor time, of which little is used, for memory.
 	gcPercent = 40
 	// storeDialTimeout bounds connections to the store and to engines.
@@ -85,13 +93,16 @@
 
 func (c *edgeCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(c.settings.MemoryLimitBytes) * memoryLimitShare))
+	debug.SetMemoryLimit(collectorLimit(c.settings.MemoryLimitBytes))
 	queue := logging.NewQueue(c.out, logQueue)
 	defer queue.Close(logWait)
 	log := newEdgeLog(c.settings.Name, c.logLevel, queue)
 	m := metrics.New()
 	defer func() { _ = m.Close() }()
-	instance, err := edge.New(edgeOptions(c.settings), edgeParts(c.settings, m, log))
+	options := edgeOptions(c.settings)
+	options.Callers.Bytes, options.Callers.Connections = int64(c.limits.Memory), c.limits.Connections
+	options.Callers.Fields, options.Callers.WriteStall = c.limits.Fields, c.limits.WriteStall
+	instance, err := edge.New(options, edgeParts(c.settings, m, log))
 	if err != nil {
 		log.Error("cannot start", "error", err)
 		return subcommands.ExitFailure
@@ -105,6 +116,12 @@
 	return subcommands.ExitSuccess
 }
 
+// collectorLimit returns the garbage collector's soft limit for a process with so much
+// memory.
+func collectorLimit(memory int64) int64 {
+	return max(minMemoryLimit, min(int64(float64(memory)*memoryLimitShare), memory-mappedProgram))
+}
+
 func newEdgeLog(name, level string, out io.Writer) hclog.Logger {
 	return logging.New(logging.Options{Name: name, Level: level, JSON: true, Output: out})
 }
@@ -116,6 +133,7 @@
 		PeerAddr:      netip.AddrPortFrom(s.CallerAddr.Addr(), s.FirstPeerPort),
 		Seeds:         s.Seeds,
 		MemoryBytes:   s.MemoryLimitBytes,
+		Callers:       edge.CallerOptions{Descriptors: s.MaxFileDescriptors},
 		ShutdownGrace: s.Bounds.ShutdownGrace, WeightsDeadline: s.Bounds.WeightsApplyTime, StartupGrace: s.Bounds.StabilizationTime, LeaderOrderGap: s.Bounds.OrderLease,
 		EnginesCheckFencing: s.EnginesCheckFencing,
 		Retries:             edge.RetryBounds{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Extra: s.Bounds.RetryAllowance},
@@ -132,6 +150,7 @@
 		Engines:        platform.NewEngineClient(s.Name, dial),
 		RequestMetrics: collect.Requests(m),
 		ServiceMetrics: m,
+		CountEnded:     func(r callerguard.Reason) { m.ConnectionEnded(string(r)) },
 		MetricsHandler: m.Handler(),
 		Log:            log,
 	}
--- a/cmd/fescuestep/serve.go
+++ b/cmd/fescuestep/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -37,6 +38,7 @@
 		JSON:   c.settings.LogFormat == "json",
 		Output: c.err,
 	})
+	debug.SetMemoryLimit(collectorLimit(int64(c.settings.MemoryLimit)))
 	i, err := instance.New(&c.settings, instance.Options{Log: log})
 	if err != nil {
 		return fail(c.streams, err)
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/control"
 	"github.com/fescuestep/fescuestep/pkg/filter/accounting"
@@ -61,11 +62,12 @@
 	PeerAddr            netip.AddrPort // UDP listen address for digests from other instances
 	Seeds               []string       // control addresses (IP:port) of other instances
 	MemoryBytes         int64          // memory limit of the process; a quarter of it may hold request bodies
-	ShutdownGrace       time.Duration  // from the stop signal until the process is killed
-	WeightsDeadline     time.Duration  // after a new target version, until requests may start on that version only
-	StartupGrace        time.Duration  // after a start, until the platform's time limits apply
-	LeaderOrderGap      time.Duration  // minimum time between load commands of two successive leaders
-	EnginesCheckFencing bool           // engines reject load commands with a stale fencing token
+	Callers             CallerOptions
+	ShutdownGrace       time.Duration // from the stop signal until the process is killed
+	WeightsDeadline     time.Duration // after a new target version, until requests may start on that version only
+	StartupGrace        time.Duration // after a start, until the platform's time limits apply
+	LeaderOrderGap      time.Duration // minimum time between load commands of two successive leaders
+	EnginesCheckFencing bool          // engines reject load commands with a stale fencing token
 	Retries             RetryBounds
 	InstanceTable       string // store table in which instances are listed
 	QuarantineTable     string // store table that keeps quarantined parts of prompts
@@ -82,7 +84,8 @@
 	ListenDigests  func(netip.AddrPort) (DigestConn, error) // opens the socket for digests; nil: by UDP
 	RequestMetrics accounting.Metrics
 	ServiceMetrics ServiceMetrics
-	MetricsHandler http.Handler // serves /metrics on the readiness address
+	CountEnded     func(callerguard.Reason) // counts connections that are refused or ended; may be nil
+	MetricsHandler http.Handler             // serves /metrics on the readiness address
 	Log            hclog.Logger
 }
 
@@ -111,6 +114,7 @@
 	reach    *reachability
 	pauses   *pauses
 	listener *listener
+	guard    *callerguard.Guard // of the connections that others open
 	follower *state.Follower
 	peers    *peers
 	rollouts *rolloutController
@@ -179,9 +183,12 @@
 		rng:   rand.New(rand.NewPCG(seed, 2)),
 		lease: control.NewLease(leaseConfig(o), o.Name+"-"+strconv.FormatUint(seed, 16)),
 	}
+	i.guard = newGuard(o, deps.Log.Named("guard"), deps.CountEnded)
 	handler := i.chain()
-	i.listener = newListener(handler, deps.Dialect, deps.Log.Named("callers"), now)
-	i.forwards = newListener(handler, deps.Dialect, deps.Log.Named("forwards"), now)
+	i.listener = newListener(handler, deps.Dialect, i.guard, "callers", deps.Log.Named("callers"), now)
+	i.forwards = newListener(handler, deps.Dialect, i.guard, "forwards", deps.Log.Named("forwards"), now)
+	i.listener.limitFields(o.Callers.Fields)
+	i.forwards.limitFields(o.Callers.Fields)
 	i.forwards.isInstance = i.peers.isInstance
 	return i, nil
 }
@@ -263,14 +270,14 @@
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
 		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
-	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor})
+	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor, EvictReaders: i.guard.EvictReaders})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
 		onlyFromCallers{accounting.New(deps.RequestMetrics, i.now)},
 		hostroute.New(deps.Dialect, i.snapshot.Load),
 		customerkey.Filter{},
+		onlyFromCallers{ratelimit.New(i.limiter)}, // before the body is read; a charge for a request that does not run is given back
 		body.New(i.options.MemoryBytes/bodyMemoryDivisor),
-		onlyFromCallers{ratelimit.New(i.limiter)},
 	)
 }
 
--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -14,9 +14,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
-	"github.com/fescuestep/fescuestep/pkg/framing"
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
@@ -36,10 +36,15 @@
 type listener struct {
 	handler        chain.Handler
 	refusalEncoder RefusalEncoder
+	guard          *callerguard.Guard
+	guardOptions   callerguard.ListenerOptions
 	isInstance     func(addr string) bool // reports whether a request from an address (IP:port) was forwarded by another instance; nil: the listener is for callers
 	log            hclog.Logger
 	now            func() time.Time
 
+	maxFields atomic.Int64 // header fields of a request
+	fields    int          // maxFields by the settings; 0: by the size of heads
+
 	draining atomic.Bool  // responses close their connections
 	refusing atomic.Bool  // new requests are refused
 	running  atomic.Int64 // requests in flight
@@ -54,8 +59,9 @@
 	closed  bool           // shutdown has begun; no more servers are started
 }
 
-func newListener(handler chain.Handler, encoder RefusalEncoder, log hclog.Logger, now func() time.Time) *listener {
-	l := &listener{handler: handler, refusalEncoder: encoder, log: log, now: now, accepting: make(chan struct{})}
+func newListener(handler chain.Handler, encoder RefusalEncoder, guard *callerguard.Guard, name string, log hclog.Logger, now func() time.Time) *listener {
+	l := &listener{handler: handler, refusalEncoder: encoder, guard: guard, log: log, now: now, accepting: make(chan struct{})}
+	l.guardOptions = callerguard.ListenerOptions{Name: name, Fields: func() int { return int(l.maxFields.Load()) }}
 	l.setLimits(routing.DefaultLimits())
 	return l
 }
@@ -67,7 +73,11 @@
 	if l.closed || (l.current != nil && l.limits == limits) {
 		return
 	}
-	server := &http.Server{
+	l.maxFields.Store(int64(l.fields))
+	if l.fields == 0 {
+		l.maxFields.Store(int64(callerguard.DefaultFields(limits.HeaderBytes)))
+	}
+	server := callerguard.Protect(&http.Server{
 		Handler:           http.HandlerFunc(l.serve),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
@@ -75,7 +85,7 @@
 		ConnContext:       withConn,
 		ConnState:         l.trackConn,
 		ErrorLog:          l.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	})
 	next := newConnListener()
 	previous := l.current
 	l.limits, l.current = limits, next
@@ -106,8 +116,13 @@
 			time.Sleep(socketRetryDelay)
 			continue
 		}
-		if !l.deliver(framing.NewConn(conn)) {
+		guarded := l.guard.Wrap(conn, l.guardOptions)
+		if guarded == nil {
 			_ = conn.Close()
+			continue
+		}
+		if !l.deliver(guarded) {
+			_ = guarded.Close()
 		}
 	}
 }
--- a/pkg/edge/listener_test.go
+++ b/pkg/edge/listener_test.go
@@ -58,7 +58,7 @@
 		_, err := io.WriteString(r.Writer, "answer")
 		return err
 	}
-	return newListener(handler, platform.HeaderCodec{}, hclog.NewNullLogger(), time.Now)
+	return newListener(handler, platform.HeaderCodec{}, newGuard(Options{MemoryBytes: 128 << 20}, hclog.NewNullLogger(), nil), "callers", hclog.NewNullLogger(), time.Now)
 }
 
 // exchangeOver sends a request over a connection and returns the status of the
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -11,8 +11,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
-	"github.com/fescuestep/fescuestep/pkg/framing"
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/netopt"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
@@ -113,6 +114,16 @@
 	return i.peers.introduced.Load() || i.now().Sub(*i.configuredAt.Load()) > introductionTimeout
 }
 
+// controlReadTimeout limits the time in which a whole request to a control server arrives,
+// and maxControlBytes the size of its body; calls of other instances have small ones.
+const (
+	controlReadTimeout = 5 * time.Second
+	maxControlBytes    = 64 << 10
+)
+
+// controlFields is the number of header fields of requests to control servers.
+func controlFields() int { return callerguard.DefaultFields(routing.DefaultLimits().HeaderBytes) }
+
 // controlServers starts the HTTP servers for readiness checks and metrics, and for
 // RPCs from other instances.
 func (i *Instance) controlServers(ctx context.Context) ([]*http.Server, error) {
@@ -126,7 +137,7 @@
 	e.GET("/metrics", echo.WrapHandler(i.deps.MetricsHandler))
 	handlers := map[netip.AddrPort]http.Handler{i.options.ReadinessAddr: e}
 	if i.options.ControlAddr.IsValid() {
-		handlers[i.options.ControlAddr] = rpc.NewEdgeServer(i.peers)
+		handlers[i.options.ControlAddr] = http.MaxBytesHandler(rpc.NewEdgeServer(i.peers), maxControlBytes)
 	}
 	var servers []*http.Server
 	for addr, handler := range handlers {
@@ -134,10 +145,10 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "cannot listen on %s", addr)
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout, IdleTimeout: time.Minute}
+		server := callerguard.Protect(&http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout, ReadTimeout: controlReadTimeout, IdleTimeout: time.Minute})
 		servers = append(servers, server)
 		go func() {
-			if err := server.Serve(framing.Listener{Listener: ln}); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(i.guard.Listen(ln, callerguard.ListenerOptions{Name: addr.String(), Fields: controlFields})); !errors.Is(err, http.ErrServerClosed) {
 				i.deps.Log.Error("control server stopped", "addr", addr.String(), "error", err)
 			}
 		}()
--- a/pkg/filter/body/body.go
+++ b/pkg/filter/body/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/membudget"
@@ -21,8 +22,8 @@
 // Filter reads the bodies of requests into memory.
 type Filter struct{ budget *membudget.Budget }
 
-// New returns a filter that holds at most budget bytes of bodies in memory at a
-// time.
+// New returns a filter that takes the memory for bodies from the guard of a request's
+// connection, or, without one, holds at most budget bytes of bodies at a time.
 func New(budget int64) *Filter { return &Filter{budget: membudget.New(budget)} }
 
 // Name returns the name of the filter.
@@ -35,11 +36,21 @@
 			return next(ctx, r)
 		}
 		limit := r.Edge.Routing.Limits.BodyBytes
-		buffer, err := f.budget.Read(r.HTTP.Body, r.HTTP.ContentLength, limit)
+		var memory membudget.Reserver = f.budget
+		if conn := callerguard.FromContext(r.HTTP.Context()); conn != nil {
+			memory = conn
+		}
+		// A body that arrives after the request's deadline is of no use. Without deadline
+		// support (tests with a recorder) the read has no limit.
+		control := http.NewResponseController(r.Writer)
+		_ = control.SetReadDeadline(r.Deadline)
+		buffer, err := membudget.Read(memory, r.HTTP.Body, r.HTTP.ContentLength, limit)
 		if err != nil {
+			r.Writer.Header().Set("Connection", "close") // the rest of the body is unread
 			return readError(err, limit)
 		}
 		defer buffer.Release()
+		_ = control.SetReadDeadline(time.Time{})
 		r.Body = buffer.Bytes
 		return next(ctx, r)
 	}
@@ -49,7 +60,7 @@
 	switch {
 	case errors.Is(err, membudget.ErrTooLarge):
 		return code.New(code.BodyTooLarge, "the body exceeds %d bytes", limit)
-	case errors.Is(err, membudget.ErrExhausted):
+	case errors.Is(err, membudget.ErrExhausted), errors.Is(err, callerguard.ErrEvicted):
 		return code.New(code.QueueFull, "bodies of other requests fill the memory").WithRetryAfter(retryAfterFull)
 	}
 	var tooLarge *http.MaxBytesError
--- a/pkg/filter/customerkey/customerkey.go
+++ b/pkg/filter/customerkey/customerkey.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
@@ -31,6 +32,9 @@
 		if edge.Customer == nil {
 			return code.New(code.KeyUnknown, "the key is not known")
 		}
+		if conn := callerguard.FromContext(r.HTTP.Context()); conn != nil {
+			conn.Identify(edge.Customer.Name)
+		}
 		r.Customer = &config.Customer{ID: edge.Customer.Name, Class: edge.Route.Kind.String()}
 		return next(ctx, r)
 	}
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -152,11 +152,14 @@
 type Options struct {
 	Domain        string // failure domain of the instance
 	ResponseBytes int64  // memory for responses that are read whole, over all requests
+	// EvictReaders ends callers that don't read their responses and reports whether there
+	// were any; nil: there are never.
+	EvictReaders func() bool
 }
 
 // New returns a handler.
 func New(deps Dependencies, o Options) *Handler {
-	return &Handler{deps, o.Domain, membudget.New(o.ResponseBytes)}
+	return &Handler{deps, o.Domain, membudget.New(o.ResponseBytes).OnExhausted(o.EvictReaders)}
 }
 
 const (
--- a/pkg/filter/dispatch/fingerprint.go
+++ b/pkg/filter/dispatch/fingerprint.go
@@ -1,42 +1,51 @@
 package dispatch
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"io"
 	"strconv"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/quarantine"
 )
 
 // fingerprint identifies requests that are alike: method, host, target, caller and body.
-// It is the same at all instances.
+// It is the same at all instances and after restarts, so it has no key of a process; the
+// hash is a cryptographic one, so that no caller can make a request that ends upstreams
+// look like one of another customer.
 func fingerprint(r *chain.Request) uint64 {
-	h := xxh3.New()
+	h := sha256.New()
 	writeField(h, r.HTTP.Method)
 	writeField(h, r.HTTP.Host)
 	writeField(h, r.HTTP.RequestURI)
 	writeField(h, caller(r.Edge))
 	_, _ = h.Write(r.Body) // never fails
-	return h.Sum64()
+	return sum64(h)
 }
 
 // promptFingerprint identifies requests that are alike and have the same prompt, which is
 // stated in headers.
 func promptFingerprint(request uint64, c *call.Request) uint64 {
-	h := xxh3.NewSeed(request)
+	h := sha256.New()
+	writeField(h, strconv.FormatUint(request, 16))
 	writeField(h, c.Model)
 	for _, part := range c.PromptParts {
 		writeField(h, part.ID)
 	}
-	return h.Sum64()
+	return sum64(h)
 }
 
+// sum64 returns the first 64 bits of a hash: finding a second request with the same ones
+// takes 2^64 tries.
+func sum64(h hash.Hash) uint64 { return binary.BigEndian.Uint64(h.Sum(nil)) }
+
 // writeField adds a text with its length, so that no two sequences of texts run together
 // to the same bytes.
-func writeField(h *xxh3.Hasher, text string) {
-	_, _ = h.WriteString(strconv.Itoa(len(text)) + ":" + text) // never fails
+func writeField(h hash.Hash, text string) {
+	_, _ = io.WriteString(h, strconv.Itoa(len(text))+":"+text) // never fails
 }
 
 // caller returns the name of the customer, which may have several keys, or "" on public
--- a/pkg/filter/route/body.go
+++ b/pkg/filter/route/body.go
@@ -9,7 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
+	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
+	"github.com/fescuestep/fescuestep/pkg/membudget"
 )
 
 // bodyCopies is the maximum number of copies of its body that a request holds:
@@ -32,8 +35,8 @@
 	used  atomic.Int64
 }
 
-// reserve reports whether n bytes were free and reserves them.
-func (b *memoryBudget) reserve(n int64) bool {
+// Reserve reports whether n bytes were free and reserves them.
+func (b *memoryBudget) Reserve(n int64) bool {
 	if b.used.Add(n) > b.limit {
 		b.used.Add(-n)
 		return false
@@ -41,11 +44,25 @@
 	return true
 }
 
-func (b *memoryBudget) release(n int64) { b.used.Add(-n) }
+// Release gives back n bytes.
+func (b *memoryBudget) Release(n int64) { b.used.Add(-n) }
+
+// memoryFor returns where the memory for the body of a request comes from: the guard of
+// its connection or, without one, the budget of the filter.
+func (f *Filter) memoryFor(r *chain.Request) membudget.Reserver {
+	conn := callerguard.FromContext(r.HTTP.Context())
+	if conn == nil {
+		return &f.budget
+	}
+	if r.Customer != nil {
+		conn.Identify(r.Customer.ID)
+	}
+	return conn
+}
 
 // readBody reads the body within the limits. held is the number of bytes of the
 // budget that the caller must release, also after an error.
-func (f *Filter) readBody(w http.ResponseWriter, req *http.Request) (body []byte, held int64, err error) {
+func (f *Filter) readBody(w http.ResponseWriter, req *http.Request, memory membudget.Reserver) (body []byte, held int64, err error) {
 	if req.Body == nil || req.Body == http.NoBody {
 		return nil, 0, nil
 	}
@@ -55,7 +72,7 @@
 	// Without deadline support (tests with a recorder) the read has no timeout.
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(f.limits.ReadTimeout))
-	body, held, err = f.readChunks(w, req)
+	body, held, err = f.readChunks(w, req, memory)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, held, nil
@@ -65,14 +82,13 @@
 	return nil, held, err
 }
 
-func (f *Filter) readChunks(w http.ResponseWriter, req *http.Request) (body []byte, held int64, err error) {
+func (f *Filter) readChunks(w http.ResponseWriter, req *http.Request, memory membudget.Reserver) (body []byte, held int64, err error) {
 	first := min(max(minFirstBuffer, req.ContentLength+1), maxFirstBuffer) // one extra byte, to read io.EOF without growing
 	for {
 		if len(body) == cap(body) {
 			grow := max(first, int64(cap(body)))
-			if !f.budget.reserve(grow * bodyCopies) {
-				return nil, held, code.New(code.QueueFull, "the instance has no memory for another request body").
-					WithRetryAfter(time.Second)
+			if !memory.Reserve(grow * bodyCopies) {
+				return nil, held, errNoMemory()
 			}
 			held += grow * bodyCopies
 			body = append(make([]byte, 0, int64(cap(body))+grow), body...)
@@ -96,7 +112,14 @@
 	return code.New(code.BodyTooLarge, "the body exceeds %d bytes", f.limits.MaxBody)
 }
 
+func errNoMemory() error {
+	return code.New(code.QueueFull, "the instance has no memory for another request body").WithRetryAfter(time.Second)
+}
+
 func readError(err error) error {
+	if errors.Is(err, callerguard.ErrEvicted) {
+		return errNoMemory()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return code.New(code.BodyReadTimeout, "the body was not received in time").WithCause(err)
 	}
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -78,8 +78,9 @@
 		if match.Application != nil && r.Customer != nil && !r.Customer.MayUse(match.Application.ID) {
 			return code.New(code.NotPermitted, "the customer may not use %s", match.Application.ID)
 		}
-		body, held, err := f.readBody(r.Writer, r.HTTP)
-		defer f.budget.release(held)
+		memory := f.memoryFor(r)
+		body, held, err := f.readBody(r.Writer, r.HTTP, memory)
+		defer memory.Release(held)
 		if err != nil {
 			return err
 		}
--- a/pkg/framing/framing.go
+++ b/pkg/framing/framing.go
@@ -48,6 +48,28 @@
 	oldVersion bool // HTTP/1.0
 	chunked    bool
 	hasLength  bool
+
+	headBytes int
+	fields    int
+	requests  int // complete ones so far
+}
+
+// Progress is how far the requests on a connection have come.
+type Progress struct {
+	Complete  int  // requests received so far
+	Partial   bool // a request has begun and is not complete
+	InBody    bool // its head is complete
+	HeadBytes int  // of its head so far
+	Fields    int  // header fields so far, with those of its trailer
+}
+
+// Progress returns how far the requests have come.
+func (s *Scanner) Progress() Progress {
+	inHead := s.state == requestLine || s.state == headerLine
+	return Progress{
+		Complete: s.requests, Partial: s.headBytes > 0, InBody: !inHead,
+		HeadBytes: s.headBytes, Fields: s.fields,
+	}
 }
 
 // Scan checks the next bytes of the connection. It returns how many of them come before
@@ -80,10 +102,13 @@
 	return int(n)
 }
 
-// begin expects a request.
-func (s *Scanner) begin() { *s = Scanner{line: s.line[:0]} }
+// begin expects a request after a complete one.
+func (s *Scanner) begin() { *s = Scanner{line: s.line[:0], requests: s.requests + 1} }
 
 func (s *Scanner) scanByte(c byte) (ok bool) {
+	if s.state == requestLine || s.state == headerLine || s.state == trailerLine {
+		s.headBytes++
+	}
 	switch {
 	case s.afterCR:
 		return c == '\n' && s.endLine()
@@ -111,6 +136,7 @@
 		if length == 0 {
 			return s.endHead()
 		}
+		s.fields++
 		return s.endHeader(line, length)
 	case chunkSize:
 		return s.endChunkSize(line, length)
@@ -122,6 +148,7 @@
 			s.begin()
 			return true
 		}
+		s.fields++
 		name, _, ok := cutHeader(line)
 		return ok && !framesRequest(name)
 	}
--- a/pkg/hostile/crowd.go
+++ b/pkg/hostile/crowd.go
@@ -16,6 +16,7 @@
 // Target is where a crowd sends its requests.
 type Target struct {
 	Addr   string // IP:port
+	Host   string // empty: hostile.example
 	Method string // of requests with a body
 	Path   string
 	Header string // header lines, each with CR LF
--- a/pkg/hostile/edge_test.go
+++ b/pkg/hostile/edge_test.go
@@ -37,7 +37,7 @@
 	ip string
 }
 
-func startEdge(t *testing.T, descriptors int) *edge {
+func startEdge(t *testing.T, memoryMB, descriptors int) *edge {
 	t.Helper()
 	store := standin.NewStore()
 	server := &http.Server{Handler: store}
@@ -71,7 +71,7 @@
 	pid := os.Getpid()
 	e := &edge{ip: fmt.Sprintf("127.%d.%d.77", 210+pid%20, pid/20%250)}
 	text := standin.Settings{Name: "edge-0", Zone: "z1", IP: e.ip, Store: ln.Addr().String()}.TOML()
-	text = strings.Replace(text, "memory_mb = 128", fmt.Sprintf("memory_mb = %d", edgeMemoryMB), 1)
+	text = strings.Replace(text, "memory_mb = 128", fmt.Sprintf("memory_mb = %d", memoryMB), 1)
 	text = strings.Replace(text, "fd_limit = 4100", fmt.Sprintf("fd_limit = %d", descriptors), 1)
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -155,7 +155,7 @@
 // survive plays a crowd and checks that the instance lives within its settings and answers.
 func survive(t *testing.T, k Kind, descriptors int) {
 	t.Helper()
-	e := startEdge(t, descriptors)
+	e := startEdge(t, edgeMemoryMB, descriptors)
 	crowd, err := Start(t.Context(), k, edgeClients, e.targets(k)...)
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/hostile/kinds.go
+++ b/pkg/hostile/kinds.go
@@ -68,7 +68,11 @@
 
 // head returns the request line and header lines without the empty line.
 func (t Target) head(method, id string) string {
-	return method + " " + t.Path + " HTTP/1.1\r\nHost: hostile.example\r\nRequest-Id: " + id + "\r\n" + t.Header
+	host := t.Host
+	if host == "" {
+		host = "hostile.example"
+	}
+	return method + " " + t.Path + " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: " + id + "\r\n" + t.Header
 }
 
 func (t Target) lengthHead(length int) string {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/config"
 	"github.com/fescuestep/fescuestep/pkg/controller/configsync"
 	"github.com/fescuestep/fescuestep/pkg/controller/members"
@@ -46,6 +47,7 @@
 	log       hclog.Logger
 	self      config.Member
 	listeners listeners
+	guard     *callerguard.Guard // of the connections at all listeners
 	tls       tlsConfigs
 	record    *recording // nil unless inputs are recorded
 
@@ -70,7 +72,8 @@
 // New binds the listeners and builds an instance. Run must be called to
 // release them.
 func New(s *settings.Serve, o Options) (*Instance, error) {
-	i := &Instance{settings: s, log: o.Log}
+	i := &Instance{settings: s, log: o.Log, metrics: metrics.New()}
+	i.guard = newGuard(s, i.metrics, o.Log.Named("guard"))
 	var err error
 	if i.tls, err = loadTLS(s, o.Log); err != nil {
 		return nil, err
@@ -78,7 +81,7 @@
 	if i.record, err = openRecording(s.RecordFile); err != nil {
 		return nil, err
 	}
-	if i.listeners, err = bind(s, i.tls); err != nil {
+	if i.listeners, err = bind(s, i.tls, i.guard); err != nil {
 		return nil, errors.CombineErrors(err, i.record.close())
 	}
 	i.self = config.Member{
@@ -113,7 +116,6 @@
 
 func (i *Instance) build(o Options) {
 	seed := seedOf(i.self)
-	i.metrics = metrics.New()
 	table := collect.Table(i.table, i.metrics)
 	objects := collect.Objects(i.objects, i.metrics)
 	list := collect.List(i.list, i.metrics)
@@ -280,7 +282,7 @@
 }
 
 // bind opens all listeners or none and reports every one that failed.
-func bind(s *settings.Serve, t tlsConfigs) (l listeners, err error) {
+func bind(s *settings.Serve, t tlsConfigs, g *callerguard.Guard) (l listeners, err error) {
 	open := func(name, addr string, config *tls.Config) net.Listener {
 		if addr == "" {
 			return nil
@@ -290,6 +292,9 @@
 			err = errors.CombineErrors(err, errors.Wrapf(listenErr, "-listen-%s", name))
 			return nil
 		}
+		ln = g.Listen(ln, callerguard.ListenerOptions{
+			Name: name, Fields: headerFields(s), Opaque: config != nil || name == "peers" && t.peers != nil, HTTP2: name == "peers",
+		})
 		if config != nil {
 			ln = tls.NewListener(ln, config)
 		}
--- a/pkg/instance/services.go
+++ b/pkg/instance/services.go
@@ -12,8 +12,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/admin"
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/member"
 	"github.com/fescuestep/fescuestep/pkg/peer"
+	"github.com/fescuestep/fescuestep/pkg/router/listener"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/pkg/tlsconf"
 )
@@ -21,9 +23,14 @@
 const (
 	observeInterval = time.Second
 	headerTimeout   = 5 * time.Second
-	stopTimeout     = 3 * time.Second // for calls under way when a listener stops
+	readTimeout     = 30 * time.Second // for a whole request; longer than the longest call takes
+	stopTimeout     = 3 * time.Second  // for calls under way when a listener stops
 )
 
+// maxPeerBytes is the size of the body of a call from another instance; the largest ones
+// list the keys that a questionnaire may have.
+const maxPeerBytes = 4 << 20
+
 // tlsConfigs are the TLS configurations of the listeners, nil without TLS.
 type tlsConfigs struct {
 	callers, peers, peerClient, admin, metrics *tls.Config
@@ -65,6 +72,10 @@
 	services := peer.Services{Syncer: i.sync, Joiner: i.members, QuotaGranter: i.limiter}
 	server := peer.NewServer(services, string(i.settings.PeerCredential), i.tls.peers)
 	server.ErrorLog = i.connectionLog()
+	server.Handler = http.MaxBytesHandler(server.Handler, maxPeerBytes)
+	server.MaxHeaderBytes = listener.DefaultOptions().MaxHeader
+	server.IdleTimeout = i.settings.IdleTimeout
+	callerguard.Protect(server)
 	return serveUntil(ctx, server, func() error { return peer.Serve(server, i.listeners.peers) })
 }
 
@@ -95,17 +106,19 @@
 		return nil
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", i.metrics.Handler())
+	mux.Handle("GET /metrics", i.metrics.Handler())
 	return i.serveHTTP(ctx, i.listeners.metrics, mux)
 }
 
 func (i *Instance) serveHTTP(ctx context.Context, ln net.Listener, h http.Handler) error {
-	server := &http.Server{
+	server := callerguard.Protect(&http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		MaxHeaderBytes:    listener.DefaultOptions().MaxHeader,
 		IdleTimeout:       i.settings.IdleTimeout,
 		ErrorLog:          i.connectionLog(),
-	}
+	})
 	return serveUntil(ctx, server, func() error { return server.Serve(ln) })
 }
 
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -16,13 +17,41 @@
 	ErrExhausted = errors.New("memory budget is exhausted")
 )
 
-// initialBufferBytes is the size of the first buffer for data of unknown length.
-const initialBufferBytes = 4 << 10
+// Bounds of the first buffer in bytes. Data of a known length up to maxFirstBuffer is read
+// without copying; so are all responses of upstreams. Memory for longer bodies is reserved
+// as bytes arrive, so that senders that announce much and send nothing hold little.
+const (
+	initialBufferBytes = 4 << 10
+	maxFirstBuffer     = 64 << 10
+	growthFactor       = 4 // of data of a known length
+)
+
+// Reserver is what memory is reserved from.
+type Reserver interface {
+	// Reserve reserves n bytes, or returns false.
+	Reserve(n int64) bool
+	Release(n int64)
+}
 
 // Budget is a number of bytes that buffers share. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	held  atomic.Int64
+	limit    int64
+	held     atomic.Int64
+	makeRoom func() bool // reports whether held bytes will be released soon; may be nil
+}
+
+const (
+	// roomWait is how long Read waits at most for bytes that makeRoom has promised, and
+	// roomPoll the time between looks.
+	roomWait = 100 * time.Millisecond
+	roomPoll = 5 * time.Millisecond
+)
+
+// OnExhausted sets a function that Read calls when the budget is exhausted. It reports
+// whether bytes will be released soon. It must be set before the budget is used.
+func (b *Budget) OnExhausted(makeRoom func() bool) *Budget {
+	b.makeRoom = makeRoom
+	return b
 }
 
 // New returns a budget of limit bytes.
@@ -31,6 +60,23 @@
 // Held returns the number of bytes that are reserved.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
+// Reserve implements Reserver.
+func (b *Budget) Reserve(n int64) bool {
+	if b.reserve(n) {
+		return true
+	}
+	if b.makeRoom == nil || n > b.limit || !b.makeRoom() {
+		return false
+	}
+	for range roomWait / roomPoll {
+		time.Sleep(roomPoll)
+		if b.reserve(n) {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *Budget) reserve(n int64) bool {
 	if b.held.Add(n) > b.limit {
 		b.held.Add(-n)
@@ -39,10 +85,13 @@
 	return true
 }
 
+// Release implements Reserver.
+func (b *Budget) Release(n int64) { b.held.Add(-n) }
+
 // Buffer is data that counts against a budget until Release is called.
 type Buffer struct {
 	Bytes    []byte
-	budget   *Budget
+	budget   Reserver
 	reserved int64
 }
 
@@ -52,13 +101,13 @@
 	if f == nil {
 		return
 	}
-	f.budget.held.Add(-f.reserved)
+	f.budget.Release(f.reserved)
 	f.reserved = 0
 }
 
 // grow reserves n more bytes.
 func (f *Buffer) grow(n int64) error {
-	if !f.budget.reserve(n) {
+	if !f.budget.Reserve(n) {
 		return ErrExhausted
 	}
 	f.reserved += n
@@ -69,11 +118,21 @@
 // It fails with ErrTooLarge for more than limit bytes, with ErrExhausted, or with
 // the error of r. On success the caller must release the buffer.
 func (b *Budget) Read(r io.Reader, length, limit int64) (*Buffer, error) {
+	return read(b, r, length, limit, length)
+}
+
+// Read is like Budget.Read and reserves the memory from b. It reserves the memory for long
+// data as bytes arrive.
+func Read(b Reserver, r io.Reader, length, limit int64) (*Buffer, error) {
+	return read(b, r, length, limit, min(length, maxFirstBuffer))
+}
+
+func read(b Reserver, r io.Reader, length, limit, first int64) (*Buffer, error) {
 	if length > limit {
 		return nil, ErrTooLarge
 	}
 	f := &Buffer{budget: b}
-	err := f.read(r, length, limit)
+	err := f.read(r, length, limit, first)
 	if err != nil {
 		f.Release()
 		return nil, err
@@ -81,16 +140,21 @@
 	return f, nil
 }
 
-func (f *Buffer) read(r io.Reader, length, limit int64) error {
+func (f *Buffer) read(r io.Reader, length, limit, first int64) error {
 	if length < 0 {
 		return f.readToEnd(r, limit)
 	}
-	if err := f.grow(length); err != nil {
-		return err
+	for size := first; ; size = min(length, growthFactor*size) {
+		have := int64(len(f.Bytes))
+		if err := f.grow(size - have); err != nil {
+			return err
+		}
+		// The old buffer is garbage after the copy and is not counted.
+		f.Bytes = append(make([]byte, 0, size), f.Bytes...)[:size]
+		if _, err := io.ReadFull(r, f.Bytes[have:]); err != nil || size == length {
+			return err
+		}
 	}
-	f.Bytes = make([]byte, length)
-	_, err := io.ReadFull(r, f.Bytes)
-	return err
 }
 
 func (f *Buffer) readToEnd(r io.Reader, limit int64) error {
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -33,6 +33,40 @@
 	}
 }
 
+// TestAnnouncedBytesAreNotHeld guards against a budget that is used up by senders that announce much and send little, and against long data that is read wrong.
+func TestAnnouncedBytesAreNotHeld(t *testing.T) {
+	b := New(4 << 20)
+	reader, writer := io.Pipe()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := Read(b, reader, 3<<20, 4<<20)
+		failed <- err
+	}()
+	_, _ = writer.Write([]byte("x"))
+	if held := b.Held(); held > maxFirstBuffer {
+		t.Errorf("%d bytes are held for one", held)
+	}
+	_ = writer.Close()
+	if err := <-failed; !errors.Is(err, io.ErrUnexpectedEOF) || b.Held() != 0 {
+		t.Errorf("error %v, %d bytes stay reserved", err, b.Held())
+	}
+	text := strings.Repeat("0123456789", 100_000)
+	buffer, err := Read(b, strings.NewReader(text), int64(len(text)), 4<<20)
+	if err != nil || string(buffer.Bytes) != text || b.Held() != int64(len(text)) {
+		t.Errorf("error %v, %d bytes held", err, b.Held())
+	}
+}
+
+// TestExhaustedBudgetAsksForRoom guards against responses that fail while readers which take nothing hold the memory.
+func TestExhaustedBudgetAsksForRoom(t *testing.T) {
+	b := New(100)
+	held, _ := b.Read(strings.NewReader(strings.Repeat("x", 90)), 90, 100)
+	b.OnExhausted(func() bool { held.Release(); return true })
+	if _, err := b.Read(strings.NewReader(strings.Repeat("x", 50)), 50, 100); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestBuffersShareTheBudget guards against a process that is killed for its memory
 // because many requests hold a large body at the same time.
 func TestBuffersShareTheBudget(t *testing.T) {
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -46,6 +46,7 @@
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
+	defEnded        = define(Counter, "caller_connections_ended_total", "Connections refused or ended for what they hold, by reason: refused (no room), evicted (gave way to others), fields (too many header fields), framing (ambiguous) or slow_reader.", "reason")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
 
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -38,5 +38,9 @@
 // name is one of a fixed set.
 func (m *Metrics) UndecodableStatement(name string) { m.counter(defUndecodable, name).Inc(1) }
 
+// ConnectionEnded counts a connection that was refused or ended for what it holds. The
+// reason is one of a fixed set.
+func (m *Metrics) ConnectionEnded(reason string) { m.counter(defEnded, reason).Inc(1) }
+
 // LogLinesDropped counts lines that did not fit into the queue of the log.
 func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -18,7 +18,9 @@
 // MaxParts bounds the parts of a request that are told to other instances.
 const MaxParts = 64
 
-// PartOf returns the identity of a part of prompts to a model.
+// PartOf returns the identity of a part of prompts to a model. Callers state the IDs of
+// parts themselves and share them, so one that wants another's part to be blamed can state
+// its ID; a hash without collisions would not prevent that.
 func PartOf(model, id string) Part { return Part(xxh3.HashString(model + "\x00" + id)) }
 
 // PartOfAnyModel returns the identity of a part of prompts to whatever model.
--- a/pkg/router/listener/listener.go
+++ b/pkg/router/listener/listener.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
+	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/config"
@@ -72,13 +73,13 @@
 	e.GET("/healthz", l.healthz)
 	e.GET("/readyz", l.readyz)
 	e.Any("/*", l.serve)
-	l.server = &http.Server{
+	l.server = callerguard.Protect(&http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		MaxHeaderBytes:    o.MaxHeader,
 		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	})
 	return l
 }
 
--- a/pkg/settings/serve.go
+++ b/pkg/settings/serve.go
@@ -34,6 +34,9 @@
 	ShutdownTimeout   time.Duration // how long running requests may take after that
 	LogLevel          string
 	LogFormat         string
+	MemoryLimit       Size // of the process
+	DescriptorLimit   int  // of the process; 0: as the system says
+	Limits            CallerLimits
 	RecordFile        string // empty: nothing is recorded
 	PeerCredential    Secret
 	AdminCredential   Secret
@@ -79,6 +82,10 @@
 func (s *Serve) registerLimits(fs *flag.FlagSet) {
 	s.BodyLimit = 8 << 20 // a family history of 1 M tokens takes about 4 MiB
 	fs.Var(&s.BodyLimit, "body-limit", "largest request body")
+	s.MemoryLimit = 256 << 20
+	fs.Var(&s.MemoryLimit, "memory-limit", "memory of the instance, from which the limits for callers are derived")
+	fs.IntVar(&s.DescriptorLimit, "descriptor-limit", 0, "file descriptors of the instance; 0: the limit that the process has")
+	s.Limits.Register(fs)
 	fs.DurationVar(&s.BodyTimeout, "body-timeout", 30*time.Second, "time to receive a request body")
 	fs.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "time to receive the headers of a request")
 	fs.DurationVar(&s.IdleTimeout, "idle-timeout", 2*time.Minute, "time after which an unused connection is closed")
@@ -117,6 +124,13 @@
 }
 
 func (s *Serve) validateLimits() (wrong Errors) {
+	wrong = s.Limits.Validate()
+	if s.MemoryLimit < 64<<20 {
+		wrong = append(wrong, errors.New("-memory-limit: must be at least 64MiB"))
+	}
+	if s.DescriptorLimit != 0 && s.DescriptorLimit < 64 {
+		wrong = append(wrong, errors.New("-descriptor-limit: must be 0 or at least 64"))
+	}
 	if s.BodyLimit < 1<<10 || s.BodyLimit > 1<<30 {
 		wrong = append(wrong, errors.New("-body-limit: must be between 1KiB and 1GiB"))
 	}
