--- a/pkg/callerbudget/budget.go
+++ b/pkg/callerbudget/budget.go
@@ -38,6 +38,7 @@
 	listener string
 	address  string
 	customer string // of the last request with a valid key; empty: none
+	owner    string // the customer, if one is known, or else the address
 	phase    Phase
 	began    time.Time // of the phase
 	movedAt  time.Time // last progress in it
@@ -73,7 +74,7 @@
 // Open adds a connection. It returns those that must be closed first. If it returns nil,
 // the new connection must be refused.
 func (b *Budget) Open(now time.Time, listener, address string) (h *Holder, evicted []*Holder) {
-	h = &Holder{listener: listener, address: address, phase: Receiving, began: now, movedAt: now, counted: true}
+	h = &Holder{listener: listener, address: address, owner: address, phase: Receiving, began: now, movedAt: now, counted: true}
 	if b.open-b.leaving >= b.limits.Connections {
 		if b.leaving <= b.limits.Connections/maxLeavingDivisor {
 			evicted = b.evict(now, h, ConnectionBytes, shortage{connections: 1})
@@ -141,15 +142,15 @@
 func (b *Budget) add(h *Holder, n int64) {
 	h.held += n
 	b.held += n
-	b.byOwner[h.owner()] += n
+	b.byOwner[h.owner] += n
 }
 
 func (b *Budget) release(h *Holder, n int64) {
 	n = min(n, h.held)
 	h.held -= n
 	b.held -= n
-	if b.byOwner[h.owner()] -= n; b.byOwner[h.owner()] <= 0 {
-		delete(b.byOwner, h.owner())
+	if b.byOwner[h.owner] -= n; b.byOwner[h.owner] <= 0 {
+		delete(b.byOwner, h.owner)
 	}
 }
 
@@ -176,14 +177,9 @@
 	}
 	held := h.held
 	b.release(h, held)
-	h.customer = customer
-	b.add(h, held)
-}
-
-// owner is the customer, if one is known, or else the address.
-func (h *Holder) owner() string {
-	if h.customer != "" {
-		return "customer " + h.customer
+	h.customer, h.owner = customer, h.address
+	if customer != "" {
+		h.owner = "customer " + customer
 	}
-	return h.address
+	b.add(h, held)
 }
--- a/pkg/callerbudget/rank.go
+++ b/pkg/callerbudget/rank.go
@@ -61,7 +61,7 @@
 // rank returns the place of a connection that holds so many bytes. It returns false for
 // those that never give way.
 func (b *Budget) rank(now time.Time, h *Holder, held int64) (rank, bool) {
-	r := rank{shares: -bits.Len64(uint64(b.byOwner[h.owner()])), weight: -held}
+	r := rank{shares: -bits.Len64(uint64(b.byOwner[h.owner])), weight: -held}
 	if h.customer != "" {
 		r.keyed = 1
 	}
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -30,7 +30,7 @@
 	u := servers[rng.IntN(len(servers))]
 	lasts := time.Duration(300+rng.IntN(2500)) * time.Millisecond
 	m := []mode{delay, silence, oneWay, refuse}[rng.IntN(4)]
-	switch rng.IntN(17) {
+	switch rng.IntN(18) {
 	case 0:
 		return fault{"kill " + p.name, false, func() { p.signal(syscall.SIGKILL); <-p.end() }, func() { s.restart(p) }, lasts}
 	case 1:
@@ -59,6 +59,8 @@
 		return fault{u.ID + " wants no requests", false, func() { u.SetRetryAfter(lasts) }, func() { u.SetRetryAfter(0) }, lasts}
 	case 14:
 		return fault{u.ID + " sends bytes without end", false, func() { u.SetHandler(noise) }, func() { u.SetHandler(nil) }, lasts}
+	case 16:
+		return s.hostileCallers(p, rng, lasts)
 	case 15:
 		return fault{u.ID + " is silent", false, func() { u.SetSilent(lasts) }, nothing, lasts}
 	}
