--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -50,6 +50,7 @@
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
 	defReleasePhase = define(Gauge, "release_phase", "Phase of the rollout of a service's software: 0 observing, 1 shifting, 2 closing, 3 rolled back, 4 completed.", "service")
 	defReleaseShare = define(Gauge, "release_requests", "Requests of a service during the rollout of its software at this instance: all, and those exposed to the new version before the shift.", "service", "kind")
+	defEnded        = define(Counter, "caller_connections_ended_total", "Connections refused or ended for what they hold, by reason: refused (no room), evicted (gave way to others), fields (too many header fields), framing (ambiguous) or slow_reader.", "reason")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
 )
 
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -52,6 +52,7 @@
 	m.RecordOutcome("r", 17000, InTime)
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
+	m.ConnectionEnded("evicted")
 	m.ReleaseState("llm", 1, 100, 4)
 	m.RecordCapacity("llm", Capacity{Upstreams: 4, Slow: 1, Free: 2, Total: 8})
 	m.Order(Finished)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -60,5 +60,9 @@
 	m.gauge(defRoom, pool, "total").Update(float64(c.Total))
 }
 
+// ConnectionEnded counts a connection that was refused or ended for what it holds. The
+// reason is one of a fixed set.
+func (m *Metrics) ConnectionEnded(reason string) { m.counter(defEnded, reason).Inc(1) }
+
 // LogLinesDropped counts lines that did not fit into the queue of the log.
 func (m *Metrics) LogLinesDropped(n int64) { m.counter(defLogDropped).Inc(n) }
--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -31,7 +31,7 @@
 	lasts := time.Duration(300+rng.IntN(2500)) * time.Millisecond
 	m := []mode{delay, silence, oneWay, refuse}[rng.IntN(4)]
 	percent := rng.IntN(100_000)
-	switch rng.IntN(19) {
+	switch rng.IntN(20) {
 	case 0:
 		return fault{"kill " + p.name, false, func() { p.signal(syscall.SIGKILL); <-p.end() }, func() { s.restart(p) }, lasts}
 	case 1:
@@ -64,6 +64,8 @@
 		return fault{u.ID + " is silent", false, func() { u.SetSilent(lasts) }, nothing, lasts}
 	case 16:
 		return fault{u.ID + " slows down and states it", false, func() { u.SetStatesWorkTime(true); u.SlowDown(2.5, lasts) }, func() { u.SetStatesWorkTime(false) }, lasts}
+	case 18:
+		return s.hostileCallers(p, rng, lasts)
 	case 17:
 		return fault{u.ID + " states a false speed", false, func() { u.SetFalseWorkTime(percent) }, func() { u.SetStatesWorkTime(false) }, lasts}
 	}
