--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -15,6 +15,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/fescuestep/fescuestep/pkg/concurrency"
 	"github.com/fescuestep/fescuestep/pkg/fair"
 )
 
@@ -22,7 +23,7 @@
 	// openShare is the share of a service's room below which requests are admitted without
 	// regard to shares. The rest covers what the other instances have admitted within the
 	// age of what is known of them.
-	openShare = 0.8
+	openShare = 0.9
 	// longTokens is the number of prompt tokens from which a request is long. It is the
 	// number from which placement announces a prompt to the other instances.
 	longTokens = 4096
@@ -39,13 +40,6 @@
 	shareInterval = 20 * time.Millisecond
 )
 
-// Room is how many requests the upstreams of a service take well, over all instances.
-type Room struct {
-	Total float64       // requests at once; 0: unknown
-	Free  float64       // of these; negative while more run
-	Wait  time.Duration // expected time until one is free; 0 if one is, or unknown
-}
-
 // Request is a request that asks for admission.
 type Request struct {
 	ID               uint64 // unique among the requests of this instance
@@ -120,20 +114,21 @@
 
 // service is what is known of one service.
 type service struct {
-	name        string
-	room        Room
-	admitted    int // of this instance since room was set, without those that ended
-	running     int // of this instance
-	flows       map[flowKey]*flow
-	holds       [2]hold // of short and long requests
-	queue       *fair.Queue[*request]
-	waiting     map[uint64]*request
-	nextUntil   time.Time // when the first waiting request is refused at the latest
-	quota       float64   // requests that this instance may run at once
-	credit      float64   // slot-seconds below quota that were not used
-	creditAt    time.Time
-	sharesAt    time.Time
-	retrySpread float64 // position in the sequence that spreads distant retries, in [0, 1)
+	name             string
+	room             concurrency.Room
+	admitted         int // of this instance since room was set, without those that ended
+	running          int // of this instance
+	runningElsewhere int // of the other instances, as they told
+	flows            map[flowKey]*flow
+	holds            [2]hold // of short and long requests
+	queue            *fair.Queue[*request]
+	waiting          map[uint64]*request
+	nextUntil        time.Time // when the first waiting request is refused at the latest
+	quota            float64   // requests that this instance may run at once
+	credit           float64   // slot-seconds below quota that were not used
+	creditAt         time.Time
+	sharesAt         time.Time
+	retrySpread      float64 // position in the sequence that spreads distant retries, in [0, 1)
 }
 
 // flowKey identifies a flow. class combines the priorities and whether its requests are
@@ -171,8 +166,10 @@
 	return s
 }
 
-// SetRoom replaces the room of a service.
-func (c *Controller) SetRoom(name string, room Room) {
+// SetRoom replaces the room of a service over all instances. While its total is 0, which
+// means that it is not known or that no upstream takes requests, every request is admitted
+// and the choice of an upstream tells the caller why there is none.
+func (c *Controller) SetRoom(name string, room concurrency.Room) {
 	s := c.service(name)
 	s.room, s.admitted = room, 0
 }
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -32,6 +32,8 @@
 	// maxCredit bounds the unused slot-seconds that an instance may use later. It covers
 	// one request of the usual length.
 	maxCredit = 0.1
+	// rounding covers errors in the sum of shares.
+	rounding = 1e-6
 )
 
 // hold is how long requests run on average.
@@ -74,18 +76,24 @@
 
 func (s *service) holdOf(f *flow) float64 { return s.holds[isLong(f.key.class)].seconds }
 
-// used returns how many requests run at the upstreams, over all instances.
-func (s *service) used() float64 { return s.room.Total - s.room.Free + float64(max(0, s.admitted)) }
+// used returns how many requests run at the upstreams, over all instances. The room states
+// it at short intervals, but does not count instances that this one does not hear of.
+func (s *service) used() int {
+	return max(s.room.Total-s.room.Free+max(0, s.admitted), s.running+s.runningElsewhere)
+}
+
+// total returns how many requests the upstreams take, over all instances.
+func (s *service) total() float64 { return float64(s.room.Total) }
 
 // hasRoom reports whether another request may be sent now.
 func (s *service) hasRoom(c *Controller, now time.Time) bool {
-	if s.room.Total <= 0 || s.used()+1 <= openShare*s.room.Total {
+	if s.room.Total <= 0 || float64(s.used()+1) <= openShare*s.total() {
 		return true
 	}
 	s.updateShares(c, now)
 	s.advanceCredit(now)
 	running := float64(s.running)
-	return running+1 <= s.quota || (running < s.quota && s.credit > 0)
+	return running+1 <= s.quota+rounding || (running < s.quota && s.credit > 0)
 }
 
 // advanceCredit adds the slot-seconds by which this instance stayed below its quota. With
@@ -123,30 +131,27 @@
 		}
 	}
 	usual := upTo(1, 1)
-	rest := s.room.Total - s.divide(flows, leastShare*s.room.Total, usual)
+	rest := s.total() - s.divide(flows, leastShare*s.total(), usual)
 	rest -= s.divideByPriority(flows, rest, usual)
 	rest -= s.divideByPriority(flows, rest, upTo(usualMargin, usualDeviations))
 	rest -= s.divideByPriority(flows, rest, func(f *flow) float64 { return f.demand })
 	scale := 1.0
-	if given := s.room.Total - rest; rest > 0 && given > 0 {
-		scale = s.room.Total / given
+	if given := s.total() - rest; rest > 0 && given > 0 {
+		scale = s.total() / given
 	}
 	s.quota = 0
-	stale := c.staleInstances(now)
-	live := float64(len(c.others) - stale + 1)
 	own, all := 0.0, 0.0
 	for _, f := range flows {
 		own += f.arrivals.PerSecond(now) * s.holdOf(f)
 		all += f.totalArrivals(now) * s.holdOf(f)
 	}
-	mean := 1 / live
+	mean := 1 / float64(len(c.others)+1)
 	if all > 0 {
 		mean = own / all
 	}
 	for _, f := range flows {
 		part := (f.arrivals.PerSecond(now) + priorArrivals*mean) / (f.totalArrivals(now) + priorArrivals)
-		// An instance that was not heard of lately is taken to need as much as the mean.
-		f.ownShare = f.share * scale * part / (1 + float64(stale)/live)
+		f.ownShare = f.share * scale * part
 		s.quota += f.ownShare
 	}
 }
--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// staleAfter is the age from which what an instance told is not used any more. Digests
-	// come at least every 800 ms in a fleet of 80.
-	staleAfter = 2500 * time.Millisecond
+	// staleAfter is the age from which what an instance told is not used any more. Until then
+	// it is taken to use as much as it told last: most instances that are not heard of are
+	// partitioned, and if theirs counted as free, each half of a fleet would use all.
+	staleAfter = 20 * time.Second
 	// learnTime is how long the usual rate of a flow is the mean since its first request.
 	learnTime = 10 * time.Second
 	// usualDrift bounds the change of the usual rate per second after that, as a share. A
@@ -131,13 +132,19 @@
 			continue // this instance has no request for the service
 		}
 		if f := s.flow(key.flowKey, now); f.key == key.flowKey {
-			f.others.add(next, 1)
-			f.others.add(last, -1)
+			s.move(f, last, next)
 			known.rows[key] = next
 		}
 	}
 }
 
+// move replaces what another instance told of a flow.
+func (s *service) move(f *flow, last, next row) {
+	f.others.add(next, 1)
+	f.others.add(last, -1)
+	s.runningElsewhere += next.Running - last.Running
+}
+
 // isIdle reports whether nothing is left but rounding errors.
 func (r *row) isIdle() bool { return r.Running == 0 && r.Waiting == 0 && r.PerSecond < 1e-6 }
 
@@ -151,7 +158,7 @@
 func (c *Controller) clear(known *report) {
 	for key, last := range known.rows {
 		if s := c.services[key.service]; s != nil && s.flows[key.flowKey] != nil {
-			s.flows[key.flowKey].others.add(last, -1)
+			s.move(s.flows[key.flowKey], last, row{})
 		}
 	}
 	clear(known.rows)
@@ -165,16 +172,6 @@
 	}
 }
 
-// staleInstances returns the number of instances that were not heard of lately.
-func (c *Controller) staleInstances(now time.Time) (n int) {
-	for _, known := range c.others {
-		if now.Sub(known.at) > staleAfter {
-			n++
-		}
-	}
-	return n
-}
-
 // goldenStep is the step of a sequence in [0, 1) whose members are evenly spread however
 // many there are.
 const goldenStep = 0.6180339887498949
