Replication of prompt prefixes in demand

Cause: one prefix may be in 0.3 of a route's requests; further engines get a copy only when the requests queue at those that have one.

Change: where it is called for (Balancer.ReplicatePrefixes), the demand for a prefix, own and told, determines how many engines of the shared ranking count as its owners, and now and then one request is sent to an owner without a copy. Forgotten within seconds without demand. Nothing calls for it yet.

--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -22,6 +22,7 @@
 	CachedAfterFetch int    // leading tokens that it has after fetching from FetchFrom; 0: it fetches none that are known
 	PrefixHash       uint64 // identifies the shared parts; the same for all versions of the weights
 
+	hasOwner       bool    // the prompt has an owner, see owners
 	newTokens      float64 // tokens that are new to the upstream
 	newStoreTokens float64 // tokens that are new to the store
 
@@ -66,6 +67,7 @@
 	s.prefillBegins++
 	a.prefillBegins = s.prefillBegins
 	b.recordPlaced(a, now)
+	b.recordDemand(a, now)
 	b.prefixes.recordInsert(a.Upstream.ID, a.newTokens*b.requestWeight(a.IsLong()))
 	b.prefixes.addCopies(a.keys, a.Upstream.ID, now, now.Add(a.ExpectedTTFT))
 	return true
--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -87,7 +87,8 @@
 	throttles     map[string]throttle // by upstream ID
 	limits        *upstreamrate.Limits
 	brittle       map[string]*brittleness // by service
-	brittleEnded  map[string]time.Time    // by service: when an answer last ended a statement
+	replication   replication
+	brittleEnded  map[string]time.Time // by service: when an answer last ended a statement
 	prefixes      *prefixIndex
 	targets       map[string][]targetVersion // by model, in ascending order
 	outlierConfig retry.OutlierConfig
--- a/pkg/placement/pick.go
+++ b/pkg/placement/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -170,6 +171,8 @@
 	sharedParts  int // number of parts but the last, which is not shared
 	sharedTokens int
 	lookups      map[int]*promptLookup // by version of the weights
+	replicas     []*fleet.Upstream     // owners because the prefix is in demand, see setReplicas
+	demand       float64               // requests per second for the prefix, if replicas are set
 }
 
 // promptLookup holds the keys of a prompt's parts for one version of the weights, and
@@ -208,6 +211,10 @@
 	p := newPrompt(q)
 	owners := b.owners(p)
 	engines := b.view.ByService(q.Service.Name)
+	b.setReplicas(now, engines, p)
+	if e, ok := b.seedReplica(now, p); ok {
+		return b.newAttempt(now, e, p), e.cost, nil
+	}
 	sampled := b.sample(engines, b.candidateCount(len(engines), now))
 	best := b.bestEngine(now, engines, p, owners, sampled)
 	if best.upstream == nil && sampled != nil {
@@ -225,6 +232,9 @@
 	var best, wished estimate
 	for _, u := range engines {
 		rank := owners.rank(u)
+		if slices.Contains(p.replicas, u) {
+			rank = 0
+		}
 		if sampled != nil && !sampled[u.ID] && rank == maxOwnerRank && !b.hasCached(now, u, p) {
 			continue
 		}
@@ -274,6 +284,7 @@
 		return a
 	}
 	a.PrefixHash = p.keysFor(0)[p.sharedParts-1]
+	a.hasOwner = p.sharedTokens >= minSharedTokens
 	if e.source != nil {
 		a.FetchFrom = e.source.addr
 	}
