Admission before an upstream is chosen; usage and prefix demand in digests

Cause: pkg/admission and the replication of prefixes were not called.

Change: dispatch asks for admission once per request before it chooses an upstream. It is in use for services whose upstreams state how long work takes, or with -admission on; other requests pass without any change. Refusals are queue_full, deadline_unreachable or shutting_down, not run and with a time to return. Cancelled callers leave the queue; a shutdown refuses those that wait. Metrics admission_total and admission_wait_seconds. A request whose running time has grown meanwhile beyond its deadline is refused rather than sent.

--- a/cmd/fescuestep/demo.go
+++ b/cmd/fescuestep/demo.go
@@ -64,7 +64,7 @@
 // startEdge assembles an instance as the edge command does.
 func startEdge(s *platform.Settings, log hclog.Logger) (edgedemo.Instance, error) {
 	m := metrics.New()
-	instance, err := edge.New(edgeOptions(s), edgeParts(s, m, log))
+	instance, err := edge.New(edgeOptions(s, edge.AdmissionAuto), edgeParts(s, m, log))
 	if err != nil {
 		return nil, errors.CombineErrors(err, m.Close())
 	}
--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -26,9 +26,10 @@
 
 type edgeCmd struct {
 	streams
-	file     string
-	logLevel string
-	settings *platform.Settings
+	file      string
+	logLevel  string
+	admission string
+	settings  *platform.Settings
 }
 
 func (*edgeCmd) Name() string            { return "edge" }
@@ -45,6 +46,7 @@
 
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
+	fs.StringVar(&c.admission, "admission", string(edge.AdmissionAuto), "auto, on or off: requests wait or are refused when the upstreams of their service have no room: auto where upstreams state how long work takes there")
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
 }
 
@@ -61,6 +63,9 @@
 		return settings.Errors{err}
 	}
 	c.settings = loaded
+	if !edge.AdmissionMode(c.admission).Valid() {
+		return settings.Errors{errors.Newf("-admission is %q, want auto, on or off", c.admission)}
+	}
 	return nil
 }
 
@@ -91,7 +96,7 @@
 	log := newEdgeLog(c.settings.Name, c.logLevel, queue)
 	m := metrics.New()
 	defer func() { _ = m.Close() }()
-	instance, err := edge.New(edgeOptions(c.settings), edgeParts(c.settings, m, log))
+	instance, err := edge.New(edgeOptions(c.settings, edge.AdmissionMode(c.admission)), edgeParts(c.settings, m, log))
 	if err != nil {
 		log.Error("cannot start", "error", err)
 		return subcommands.ExitFailure
@@ -109,9 +114,10 @@
 	return logging.New(logging.Options{Name: name, Level: level, JSON: true, Output: out})
 }
 
-func edgeOptions(s *platform.Settings) edge.Options {
+func edgeOptions(s *platform.Settings, admission edge.AdmissionMode) edge.Options {
 	return edge.Options{
-		Name: s.Name, Domain: s.Domain,
+		Admission: admission,
+		Name:      s.Name, Domain: s.Domain,
 		CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, ReadinessPath: platform.ReadinessPath, ControlAddr: s.ControlAddr,
 		PeerAddr:      netip.AddrPortFrom(s.CallerAddr.Addr(), s.FirstPeerPort),
 		Seeds:         s.Seeds,
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -36,6 +36,9 @@
 	// idleFlowTime is how long a flow without requests is kept, so that the other instances
 	// are told that it has none.
 	idleFlowTime = 30 * time.Second
+	// holdMargin is the multiple of the mean time that requests run which must be left before
+	// the deadline, because that time varies.
+	holdMargin = 1.5
 	// shareInterval is the minimum time between two calculations of the shares.
 	shareInterval = 20 * time.Millisecond
 )
@@ -218,7 +221,7 @@
 // that. A request that waits for longer than its target is late in any case, and would
 // delay those behind it too.
 func (s *service) waitLimit(r *request, now time.Time) (time.Duration, Reason) {
-	limit := r.Deadline.Sub(now) - seconds(s.holdOf(r.flow))
+	limit := r.Deadline.Sub(now) - seconds(holdMargin*s.holdOf(r.flow))
 	if r.Target > 0 && r.Target < limit {
 		return r.Target, QueueFull
 	}
@@ -271,6 +274,9 @@
 // Waiting returns the number of waiting requests of a service.
 func (c *Controller) Waiting(name string) int { return len(c.service(name).waiting) }
 
+// Used returns how many requests to a service run, over all instances as far as is known.
+func (c *Controller) Used(name string) int { return c.service(name).used() }
+
 // Poll returns the decisions on requests that waited and do not any more.
 func (c *Controller) Poll(now time.Time) []Outcome {
 	var out []Outcome
@@ -286,6 +292,12 @@
 				return s.charge(r.flow), true
 			})
 			s.forgetWaiting(r)
+			if limit := r.Deadline.Sub(now) - seconds(holdMargin*s.holdOf(r.flow)); limit < 0 {
+				// Requests run for longer now than when it arrived.
+				delete(c.requests, r.ID)
+				out = append(out, Outcome{r.ID, now.Sub(r.arrived), Decision{Action: Refuse, Reason: DeadlineMiss, RetryAfter: s.retryAfter(r.flow, 0, now)}})
+				continue
+			}
 			c.start(r, now)
 			out = append(out, Outcome{r.ID, now.Sub(r.arrived), Decision{Action: Admit}})
 		}
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -37,9 +37,16 @@
 )
 
 // hold is how long requests run on average.
-type hold struct{ seconds float64 }
+type hold struct {
+	seconds float64
+	samples float64
+}
 
-func (h *hold) add(sample float64) { h.seconds += holdWeight * (max(sample, 0.001) - h.seconds) }
+// add takes over how long a request ran. The first samples replace the assumed value.
+func (h *hold) add(sample float64) {
+	h.samples++
+	h.seconds += max(holdWeight, 1/h.samples) * (max(sample, 0.001) - h.seconds)
+}
 
 // flow is the requests of one customer, priority and length.
 type flow struct {
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -22,6 +22,8 @@
 	RecordOutcome(route string, promptTokens int, o metrics.Outcome)
 	// UndecodableStatement counts a statement of an upstream that could not be decoded.
 	UndecodableStatement(name string)
+	// RecordAdmission counts the decision on a request to a service that waited for so long.
+	RecordAdmission(service string, d metrics.Decision, waited time.Duration)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -36,6 +36,7 @@
 	coreLink  *link // of instances that start, to the store and to other instances; nil: TCP and UDP
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
+	admission edge.AdmissionMode // of instances that start
 	config    routing.Config
 }
 
@@ -174,7 +175,8 @@
 // startInstanceBehind starts an instance that dials upstreams over a link; nil: by TCP.
 func (fleet *testFleet) startInstanceBehind(l *link, name string, seeds ...string) *testInstance {
 	o := edge.Options{
-		Name: name, Domain: "z1", CallerAddr: freeAddr(fleet.t), ReadinessAddr: freeAddr(fleet.t), ReadinessPath: platform.ReadinessPath,
+		Admission: fleet.admission,
+		Name:      name, Domain: "z1", CallerAddr: freeAddr(fleet.t), ReadinessAddr: freeAddr(fleet.t), ReadinessPath: platform.ReadinessPath,
 		ControlAddr: freeAddr(fleet.t), PeerAddr: freeAddr(fleet.t), Seeds: seeds, MemoryBytes: 128 << 20,
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -67,9 +67,10 @@
 	LeaderOrderGap      time.Duration  // minimum time between load commands of two successive leaders
 	EnginesCheckFencing bool           // engines reject load commands with a stale fencing token
 	Retries             RetryBounds
-	InstanceTable       string // store table in which instances are listed
-	QuarantineTable     string // store table that keeps quarantined parts of prompts
-	VersionTable        string // store table that keeps which versions of services' software have served
+	InstanceTable       string        // store table in which instances are listed
+	QuarantineTable     string        // store table that keeps quarantined parts of prompts
+	Admission           AdmissionMode // empty: AdmissionAuto
+	VersionTable        string        // store table that keeps which versions of services' software have served
 }
 
 // Dependencies holds the collaborators of an Instance.
@@ -109,6 +110,7 @@
 	crashes  *crashes
 	streams  *streams
 	reach    *reachability
+	admitter *admitter
 	pauses   *pauses
 	listener *listener
 	follower *state.Follower
@@ -168,6 +170,10 @@
 	}
 	i.conns = httpconn.NewConnPool(deps.DialUpstream, maxIdlePerUpstream, now)
 	i.instanceConns = httpconn.NewConnPool(instanceDialer(o.PeerAddr.Addr()).DialContext, maxIdlePerInstance, now)
+	i.admitter = newAdmitter(o.Admission, o.Name, i.placer.room, deps.ServiceMetrics, deps.Log.Named("admission"), now)
+	i.placer.onWorkTime = i.admitter.recordWorkTime
+	i.admitter.onInUse = i.placer.replicatePrefixes
+	i.peers.shared = append(i.peers.shared, usageState{i.admitter}, demandState{i.placer})
 	i.reach = newReachability(i.conns, i.placer.currentView, deps.Log.Named("reach"), now)
 	i.reach.helpers, i.reach.helpersNamed = i.peers.helpers, i.peers.helpersNamed
 	i.reach.onChange = i.peers.requestSend
@@ -262,7 +268,7 @@
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
-		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
+		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Admission: i.admitter, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
--- a/pkg/edge/placer.go
+++ b/pkg/edge/placer.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/call"
+	"github.com/fescuestep/fescuestep/pkg/concurrency"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	"github.com/fescuestep/fescuestep/pkg/upstreamrate"
@@ -22,6 +23,7 @@
 	onLongPrompt func(placement.Announcement) // called when a long prompt was sent to an engine and when the engine has computed it
 	onLeaving    func(*fleet.Upstream)        // called when an upstream first states that it leaves
 	onRefusal    func(placement.Refusal)      // called when a brittle upstream refused a request for want of room
+	onWorkTime   func(service string)         // called when an upstream states how long work takes there
 	onLimit      func(upstreamrate.Statement) // called when an upstream names another limit than before, or none
 
 	mu       sync.Mutex
@@ -32,7 +34,7 @@
 func newPlacer(balancer *placement.Balancer, log hclog.Logger, now func() time.Time) *placer {
 	return &placer{
 		log: log, now: now, balancer: balancer, view: fleet.NewView(nil), onLongPrompt: func(placement.Announcement) {}, onLeaving: func(*fleet.Upstream) {}, onLimit: func(upstreamrate.Statement) {},
-		onRefusal: func(placement.Refusal) {},
+		onRefusal: func(placement.Refusal) {}, onWorkTime: func(string) {},
 	}
 }
 
@@ -90,8 +92,39 @@
 // RecordLoad records the load that an upstream reported.
 func (p *placer) RecordLoad(id string, load call.Load) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.balancer.RecordLoad(id, load, p.now())
+	u := p.view.ByID(id)
+	p.mu.Unlock()
+	if load.WorkTimePercent > 0 && u != nil {
+		p.onWorkTime(u.Service)
+	}
+}
+
+// prefixDemand returns the prefixes for which most requests arrive here, at most n.
+func (p *placer) prefixDemand(n int) []placement.PrefixDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.PrefixDemand(n, p.now())
+}
+
+func (p *placer) setPrefixDemand(instance string, demand []placement.PrefixDemand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.SetPrefixDemand(instance, demand, p.now())
+}
+
+// replicatePrefixes turns the replication of prefixes on for a service for a while.
+func (p *placer) replicatePrefixes(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.ReplicatePrefixes(service, p.now())
+}
+
+// room returns the capacity of a service's upstreams over all instances.
+func (p *placer) room(service string) concurrency.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Room(service, p.now())
 }
 
 // RecordWeights records the version of a model's weights that an upstream has.
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -45,6 +45,7 @@
 	wg.Go(func() { i.conns.Run(background) })
 	wg.Go(func() { i.instanceConns.Run(background) })
 	wg.Go(func() { i.reach.run(background) })
+	wg.Go(func() { i.admitter.run(background) })
 	acceptErr := make(chan error, 2)
 	go func() { acceptErr <- i.listener.accept(callers) }()
 	go func() { acceptErr <- i.forwards.accept(forwards) }()
@@ -87,6 +88,7 @@
 	time.Sleep(min(drainDuration, i.options.ShutdownGrace/3))
 	i.listener.refuseNew()
 	i.forwards.refuseNew()
+	i.admitter.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.options.ShutdownGrace-shutdownReserve))
 	defer cancel()
 	var forwardsErr error
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -143,6 +143,7 @@
 	Crashes       CrashTracker
 	Streams       StreamOrigins
 	Reach         Reachability
+	Admission     Admission
 	Metrics       Metrics
 	Log           hclog.Logger
 	Now           func() time.Time
@@ -201,6 +202,7 @@
 	helperRetryAfter time.Duration     // what another instance asked for that refused the request
 	waitedForPrefix  bool              // waitForPrefix has waited once
 	counted          bool              // countRequest has counted the request
+	endAdmission     func()            // nil: the request was not admitted yet
 	retryReserved    atomic.Bool       // the next retry was already taken from the budget
 }
 
@@ -226,6 +228,7 @@
 	edge.Service = service.Name
 	x := &exchange{h: h, r: r, edge: edge, service: service, origin: origin, tried: map[string]bool{}, lastEventID: edge.Call.LastEventID}
 	defer x.releaseBuffers()
+	defer x.releaseAdmission()
 	return x.run(ctx)
 }
 
@@ -258,8 +261,12 @@
 				return err
 			}
 		}
+		if err := x.admit(ctx); err != nil {
+			return x.giveUp(ctx, last, err)
+		}
 		attempt, expected, err := x.h.Placer.Pick(x.query())
 		if err != nil {
+			x.releaseAdmission() // another instance decides if it gets the request
 			if final, err := x.placedElsewhere(ctx, err); final {
 				return err
 			}
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -44,6 +44,8 @@
 	defPromptTokens = define(Counter, "prompt_tokens_total", "Prompt tokens of completed requests.", "customer", "class")
 	defCachedTokens = define(Counter, "cached_tokens_total", "Prompt tokens that the engine had cached.", "customer", "class")
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
+	defAdmission    = define(Counter, "admission_total", "Requests of services with admission by service and decision: admitted at once, admitted after waiting, refused since their customer's queue is full, that could not be answered before the deadline or at a shutdown, left while waiting.", "service", "decision")
+	defAdmWait      = define(Histogram, "admission_wait_seconds", "Time that admitted requests waited for room at the upstreams of a service.", "service")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defLogDropped   = define(Counter, "log_lines_dropped_total", "Log lines dropped because the output was too slow.")
 	defOutputTokens = define(Counter, "output_tokens_total", "Tokens generated.", "customer", "class")
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -27,6 +27,7 @@
 	instruments sync.Map // counters, gauges and histograms by name and label values
 	pools       labels
 	routes      labels
+	services    labels
 	customers   customers
 }
 
@@ -49,6 +50,7 @@
 	m := &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
 	m.pools.most = maxPools
 	m.routes.most = maxPools
+	m.services.most = maxPools
 	m.customers.init(m)
 	return m
 }
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -52,6 +52,7 @@
 	m.RecordOutcome("r", 17000, InTime)
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
+	m.RecordAdmission("llm", AdmittedLater, time.Millisecond)
 	m.Order(Finished)
 	m.UnresolvedOrders(1)
 	m.ControlLeader(true)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -1,5 +1,7 @@
 package metrics
 
+import "time"
+
 // Outcomes of a request as its caller sees it.
 const (
 	InTime Outcome = "in_time" // first token or whole answer within the route's target
@@ -34,6 +36,28 @@
 	m.counter(defServed, m.routes.value(route), string(SizeOf(promptTokens)), string(o)).Inc(1)
 }
 
+// Decisions of admission.
+const (
+	AdmittedAtOnce    Decision = "admitted"
+	AdmittedLater     Decision = "waited"
+	RefusedQueueFull  Decision = "refused_queue_full"
+	RefusedDeadline   Decision = "refused_deadline"
+	RefusedAtShutdown Decision = "refused_shutdown"
+	LeftQueue         Decision = "left"
+)
+
+// Decision is the decision on a request that asks for admission.
+type Decision string
+
+// RecordAdmission counts the decision on a request to a service that waited for so long.
+func (m *Metrics) RecordAdmission(service string, d Decision, waited time.Duration) {
+	service = m.services.value(service)
+	m.counter(defAdmission, service, string(d)).Inc(1)
+	if d == AdmittedLater {
+		m.histogram(defAdmWait, service).RecordDuration(waited)
+	}
+}
+
 // UndecodableStatement counts a statement of an upstream that could not be decoded. The
 // name is one of a fixed set.
 func (m *Metrics) UndecodableStatement(name string) { m.counter(defUndecodable, name).Inc(1) }
