--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -33,6 +33,7 @@
 	overload  bool
 	virtual   bool
 	edge      bool
+	hot       bool
 	instances int
 	rate      float64
 	targets   list
@@ -79,6 +80,7 @@
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
 	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
+	fs.BoolVar(&c.hot, "hot", false, "with -edge: 89 engines with few slots, some slow, and one prompt part in 0.3 of the long prompts")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
 	fs.Var(&c.targets, "target", "base URL of a running instance, repeatable; replaces the embedded instances")
@@ -118,9 +120,13 @@
 
 // playEdge plays the load against the model of engines.
 func (c *loadCmd) playEdge() error {
-	d := emulator.Small(1)
+	deployment := emulator.Small
+	if c.hot {
+		deployment = emulator.Hot
+	}
+	d := deployment(1)
 	if c.rate > 0 {
-		d = emulator.Small(c.rate / d.Rate())
+		d = deployment(c.rate / d.Rate())
 	}
 	if c.instances > 0 {
 		d.Instances = c.instances
--- a/pkg/load/emulator/emulator.go
+++ b/pkg/load/emulator/emulator.go
@@ -30,6 +30,7 @@
 type Level struct {
 	Things int // different parts
 	Size   Size
+	Hot    float64 // share of the requests that have the first thing whatever is drawn
 }
 
 // Size is a log-normal number of tokens.
@@ -93,6 +94,9 @@
 			prefix := class.Name
 			for l, level := range class.Shared {
 				thing := rng.IntN(level.Things)
+				if level.Hot > 0 && rng.Float64() < level.Hot {
+					thing = 0
+				}
 				prefix += "/" + strconv.Itoa(thing)
 				a.add(prefix, sizes[l][thing])
 			}
--- a/pkg/load/emulator/policy.go
+++ b/pkg/load/emulator/policy.go
@@ -21,16 +21,21 @@
 	Fescuestep    = "fescuestep"     // the placement of edge instances
 	LeastRequests = "least_requests" // the engine with the fewest requests, as told in digests
 	InstantCounts = "instant_counts" // the same with the counts of all instances at once, which no fleet has
+	Replication   = "replication"    // fescuestep with replication of prefixes in demand
 	PrefixHash    = "prefix_hash"    // always the engine to which the shared parts hash
 )
 
 // Policies returns the names of all policies.
-func Policies() []string { return []string{Fescuestep, LeastRequests, InstantCounts, PrefixHash} }
+func Policies() []string {
+	return []string{Fescuestep, Replication, LeastRequests, InstantCounts, PrefixHash}
+}
 
 func (r *run) usePolicy(name string, seed uint64) error {
 	switch name {
 	case Fescuestep:
 		r.policy = newBooks(r, seed)
+	case Replication:
+		r.policy = replicating{newBooks(r, seed)}
 	case LeastRequests:
 		r.policy = newCounts(r)
 	case InstantCounts:
