--- a/cmd/fescuestep/load.go
+++ b/cmd/fescuestep/load.go
@@ -25,21 +25,22 @@
 
 type loadCmd struct {
 	streams
-	profile   string
-	seed      uint64
-	duration  time.Duration
-	policies  list
-	faults    string
-	overload  bool
-	virtual   bool
-	edge      bool
-	hot       bool
-	instances int
-	rate      float64
-	targets   list
-	key       string
-	json      bool
-	report    string
+	profile  string
+	seed     uint64
+	duration time.Duration
+	policies list
+	faults   string
+	overload bool
+	virtual  bool
+	edge     bool
+
+	deployment string
+	instances  int
+	rate       float64
+	targets    list
+	key        string
+	json       bool
+	report     string
 }
 
 // list is a flag that may be repeated or hold several values after commas.
@@ -79,8 +80,8 @@
 	fs.StringVar(&c.faults, "faults", "none", `fault schedule: none, standard, or "time:kind:target:duration,..." with the kinds engine_crash, event_gap (a count instead of the duration), table_outage, key_revocation and instance_restart`)
 	fs.BoolVar(&c.overload, "overload", false, "one customer sends 5 times its rate in the middle third")
 	fs.BoolVar(&c.virtual, "virtual", false, "run the decision code in virtual time")
+	fs.StringVar(&c.deployment, "deployment", "small", "model of engines for -edge: small, grown, shared (machines that slow down for a while) or hot (few slots, some slow, one prompt part in 0.3 of the long prompts); limits tries ways of learning the limit of one upstream")
 	fs.BoolVar(&c.edge, "edge", false, "play the placement of edge instances against a model of engines")
-	fs.BoolVar(&c.hot, "hot", false, "with -edge: 89 engines with few slots, some slow, and one prompt part in 0.3 of the long prompts")
 	fs.IntVar(&c.instances, "instances", 0, "router instances per policy (0: 3 embedded, 6 in virtual time)")
 	fs.Float64Var(&c.rate, "rate", 0, "requests per second (0: of the profile)")
 	fs.Var(&c.targets, "target", "base URL of a running instance, repeatable; replaces the embedded instances")
@@ -120,13 +121,20 @@
 
 // playEdge plays the load against the model of engines.
 func (c *loadCmd) playEdge() error {
-	deployment := emulator.Small
-	if c.hot {
-		deployment = emulator.Hot
+	if c.deployment == "limits" {
+		instances := max(1, c.instances)
+		for _, slow := range []float64{0, 0.15} {
+			fmt.Fprintf(c.out, "one answer of %d measured, slow %.2f of the time\n", instances, slow)
+			emulator.WriteLimits(c.out, emulator.TryLimits(c.seed, c.duration, slow, instances))
+		}
+		return nil
+	}
+	d, err := emulator.Named(c.deployment, 1)
+	if err != nil {
+		return err
 	}
-	d := deployment(1)
 	if c.rate > 0 {
-		d = deployment(c.rate / d.Rate())
+		d, _ = emulator.Named(c.deployment, c.rate/d.Rate())
 	}
 	if c.instances > 0 {
 		d.Instances = c.instances
