Test of waves between domains checks each domain

Cause: it checked customers only; a domain that fares worse would not show.

Change: at least 0.99 of each domain's requests must be served.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -90,6 +90,11 @@
 	if tenth, second := f.worst(0); tenth < 0.99 || second < 0.97 {
 		t.Errorf("%.3f of the worst tenth and %.3f in the worst second served", tenth, second)
 	}
+	for domain := range f.byDomain {
+		if share := f.byDomain[domain].share(); share < 0.99 {
+			t.Errorf("%.3f served in domain %d", share, domain)
+		}
+	}
 }
 
 // Guards against refused callers that all return at once, which makes the next overload:
--- a/pkg/admission/fleet_test.go
+++ b/pkg/admission/fleet_test.go
@@ -58,6 +58,7 @@
 	controllers []*Controller
 	told        []int // running at each instance, as the others know it
 	tallies     []tally
+	byDomain    [4]tally                   // of the callers in each failure domain
 	returnsAt   map[time.Duration][][2]int // instance and kind, by time rounded to a step
 	returned    map[int]int                // returning callers by tenth of a second
 	peak        float64                    // most that ran at once after the first 2 s, as a share of the slots
@@ -93,6 +94,7 @@
 		w := &f.tallies[k]
 		if !again {
 			w.sent++
+			f.byDomain[i%f.domains].sent++
 			if w.windows[int(t/time.Second)] == nil {
 				w.windows[int(t/time.Second)] = &[2]int{}
 			}
@@ -125,6 +127,7 @@
 			f.controllers[r.instance].Done(now, r.id)
 			if t-r.sentAt <= f.kinds[r.kind].deadline {
 				f.tallies[r.kind].served++
+				f.byDomain[r.instance%f.domains].served++
 				if w := f.tallies[r.kind].windows[int(r.sentAt/time.Second)]; w != nil {
 					w[1]++
 				}
