--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -24,6 +24,9 @@
 	UndecodableStatement(name string)
 	// RecordAdmission counts the decision on a request to a service that waited for so long.
 	RecordAdmission(service string, d metrics.Decision, waited time.Duration)
+	// RecordCapacity records the capacity of a service's upstreams as this instance knows
+	// it.
+	RecordCapacity(service string, c metrics.Capacity)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -53,6 +53,7 @@
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
 	m.RecordAdmission("llm", AdmittedLater, time.Millisecond)
+	m.RecordCapacity("llm", Capacity{Upstreams: 4, Slow: 1, Free: 2, Total: 8})
 	m.Order(Finished)
 	m.UnresolvedOrders(1)
 	m.ControlLeader(true)
