--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -28,11 +28,12 @@
 
 type edgeCmd struct {
 	streams
-	file     string
-	logLevel string
-	pprof    bool
-	settings *platform.Settings
-	limits   settings.CallerLimits
+	file      string
+	logLevel  string
+	pprof     bool
+	admission string
+	settings  *platform.Settings
+	limits    settings.CallerLimits
 }
 
 func (*edgeCmd) Name() string            { return "edge" }
@@ -49,6 +50,7 @@
 
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
+	fs.StringVar(&c.admission, "admission", string(edge.AdmissionAuto), "auto, on or off: requests wait or are refused when the upstreams of their service have no room: auto where upstreams state how long work takes there")
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
 	fs.BoolVar(&c.pprof, "pprof", false, "serve profiles of the process at "+edge.ProfilesPath+" on the metrics address")
 	c.limits.Register(fs)
@@ -67,7 +69,11 @@
 		return settings.Errors{err}
 	}
 	c.settings = loaded
-	return c.limits.Validate()
+	wrong := c.limits.Validate()
+	if !edge.AdmissionMode(c.admission).Valid() {
+		wrong = append(wrong, errors.Newf("-admission is %q, want auto, on or off", c.admission))
+	}
+	return wrong
 }
 
 var errNoSettingsFile = errors.Newf("-settings-file or the variable %s must name the settings file", platform.SettingsVariable)
@@ -102,7 +108,7 @@
 	log := newEdgeLog(c.settings.Name, c.logLevel, queue)
 	m := metrics.New()
 	defer func() { _ = m.Close() }()
-	options := edgeOptions(c.settings)
+	options := edgeOptions(c.settings, edge.AdmissionMode(c.admission))
 	options.Profiles = c.pprof
 	options.Callers.Bytes, options.Callers.Connections = int64(c.limits.Memory), c.limits.Connections
 	options.Callers.Fields, options.Callers.WriteStall = c.limits.Fields, c.limits.WriteStall
@@ -130,9 +136,10 @@
 	return logging.New(logging.Options{Name: name, Level: level, JSON: true, Output: out})
 }
 
-func edgeOptions(s *platform.Settings) edge.Options {
+func edgeOptions(s *platform.Settings, admission edge.AdmissionMode) edge.Options {
 	return edge.Options{
-		Name: s.Name, Domain: s.Domain,
+		Admission: admission,
+		Name:      s.Name, Domain: s.Domain,
 		CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, ReadinessPath: platform.ReadinessPath, ControlAddr: s.ControlAddr,
 		PeerAddr:      netip.AddrPortFrom(s.CallerAddr.Addr(), s.FirstPeerPort),
 		Seeds:         s.Seeds,
--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -25,6 +25,8 @@
 	// ReleaseState sets the phase of the rollout of a service's software, as a number, and
 	// how many requests this instance got for the service and sent to the new version.
 	ReleaseState(service string, phase int, requests, exposed uint64)
+	// RecordAdmission counts the decision on a request to a service that waited for so long.
+	RecordAdmission(service string, d metrics.Decision, waited time.Duration)
 	// RecordCapacity records the capacity of a service's upstreams as this instance knows
 	// it.
 	RecordCapacity(service string, c metrics.Capacity)
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -77,6 +77,7 @@
 	InstanceTable       string         // store table in which instances are listed
 	QuarantineTable     string         // store table that keeps quarantined parts of prompts
 	VersionTable        string         // store table that keeps which versions of services' software have served
+	Admission           AdmissionMode  // empty: AdmissionAuto
 }
 
 // Dependencies holds the collaborators of an Instance.
@@ -117,6 +118,7 @@
 	crashes  *crashes
 	streams  *streams
 	reach    *reachability
+	admitter *admitter
 	pauses   *pauses
 	listener *listener
 	guard    *callerguard.Guard // of the connections that others open
@@ -180,6 +182,10 @@
 	}
 	i.conns = httpconn.NewConnPool(deps.DialUpstream, maxIdlePerUpstream, now)
 	i.instanceConns = httpconn.NewConnPool(instanceDialer(o.PeerAddr.Addr()).DialContext, maxIdlePerInstance, now)
+	i.admitter = newAdmitter(o.Admission, o.Name, i.placer.Room, deps.ServiceMetrics, deps.Log.Named("admission"), now)
+	i.placer.onWorkTime = i.admitter.recordWorkTime
+	i.admitter.onInUse = i.placer.replicatePrefixes
+	i.peers.shared = append(i.peers.shared, usageState{i.admitter}, demandState{i.placer})
 	i.reach = newReachability(i.conns, i.placer.currentView, deps.Log.Named("reach"), now)
 	i.reach.helpers, i.reach.helpersNamed = i.peers.helpers, i.peers.helpersNamed
 	i.reach.onChange = i.peers.requestSend
@@ -279,7 +285,7 @@
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
-		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
+		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Admission: i.admitter, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor, EvictReaders: i.guard.EvictReaders})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -47,6 +47,7 @@
 	wg.Go(func() { i.conns.Run(background) })
 	wg.Go(func() { i.instanceConns.Run(background) })
 	wg.Go(func() { i.reach.run(background) })
+	wg.Go(func() { i.admitter.run(background) })
 	capacity := &capacityWatch{i.placer, i.deps.ServiceMetrics, i.deps.Log.Named("capacity"), map[string]bool{}}
 	wg.Go(func() { capacity.run(background) })
 	acceptErr := make(chan error, 2)
@@ -91,6 +92,7 @@
 	time.Sleep(min(drainDuration, i.options.ShutdownGrace/3))
 	i.listener.refuseNew()
 	i.forwards.refuseNew()
+	i.admitter.stop()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.options.ShutdownGrace-shutdownReserve))
 	defer cancel()
 	var forwardsErr error
--- a/pkg/load/emulator/slowdowns.go
+++ b/pkg/load/emulator/slowdowns.go
@@ -94,6 +94,8 @@
 		return Grown(load, 65), nil
 	case "shared":
 		return SharedMachines(load, 24), nil
+	case "hot":
+		return Hot(load), nil
 	case "shared-unstated":
 		d := SharedMachines(load, 24)
 		d.Slowdowns.Stated = false
@@ -103,5 +105,5 @@
 		d.Slowdowns.False = true
 		return d, nil
 	}
-	return nil, errors.Newf("unknown deployment %q, have small, grown, shared, shared-unstated, shared-false", name)
+	return nil, errors.Newf("unknown deployment %q, have small, grown, shared, shared-unstated, shared-false, hot", name)
 }
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -54,6 +54,7 @@
 	m.UndecodableStatement("load")
 	m.ConnectionEnded("evicted")
 	m.ReleaseState("llm", 1, 100, 4)
+	m.RecordAdmission("llm", AdmittedLater, time.Millisecond)
 	m.RecordCapacity("llm", Capacity{Upstreams: 4, Slow: 1, Free: 2, Total: 8})
 	m.Order(Finished)
 	m.UnresolvedOrders(1)
