--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -32,6 +32,7 @@
 	logLevel  string
 	pprof     bool
 	admission string
+	replicate bool
 	settings  *platform.Settings
 	limits    settings.CallerLimits
 }
@@ -51,6 +52,7 @@
 func (c *edgeCmd) SetFlags(fs *flag.FlagSet) {
 	fs.StringVar(&c.file, "settings-file", "", "settings file that the platform fills in; default: the variable "+platform.SettingsVariable)
 	fs.StringVar(&c.admission, "admission", string(edge.AdmissionAuto), "auto, on or off: requests wait or are refused when the upstreams of their service have no room: auto where upstreams state how long work takes there")
+	fs.BoolVar(&c.replicate, "replicate-prefixes", false, "where requests ask for admission: copy prompt prefixes in demand to further engines before a queue builds")
 	fs.StringVar(&c.logLevel, "log-level", "info", "trace, debug, info, warn or error")
 	fs.BoolVar(&c.pprof, "pprof", false, "serve profiles of the process at "+edge.ProfilesPath+" on the metrics address")
 	c.limits.Register(fs)
@@ -109,7 +111,7 @@
 	m := metrics.New()
 	defer func() { _ = m.Close() }()
 	options := edgeOptions(c.settings, edge.AdmissionMode(c.admission))
-	options.Profiles = c.pprof
+	options.Profiles, options.ReplicatePrefixes = c.pprof, c.replicate
 	options.Callers.Bytes, options.Callers.Connections = int64(c.limits.Memory), c.limits.Connections
 	options.Callers.Fields, options.Callers.WriteStall = c.limits.Fields, c.limits.WriteStall
 	instance, err := edge.New(options, edgeParts(c.settings, m, log))
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -78,6 +78,7 @@
 	QuarantineTable     string         // store table that keeps quarantined parts of prompts
 	VersionTable        string         // store table that keeps which versions of services' software have served
 	Admission           AdmissionMode  // empty: AdmissionAuto
+	ReplicatePrefixes   bool           // copy prefixes in demand to further engines, for services with admission
 }
 
 // Dependencies holds the collaborators of an Instance.
@@ -184,7 +185,9 @@
 	i.instanceConns = httpconn.NewConnPool(instanceDialer(o.PeerAddr.Addr()).DialContext, maxIdlePerInstance, now)
 	i.admitter = newAdmitter(o.Admission, o.Name, i.placer.Room, deps.ServiceMetrics, deps.Log.Named("admission"), now)
 	i.placer.onWorkTime = i.admitter.recordWorkTime
-	i.admitter.onInUse = i.placer.replicatePrefixes
+	if o.ReplicatePrefixes {
+		i.admitter.onInUse = i.placer.replicatePrefixes
+	}
 	i.peers.shared = append(i.peers.shared, usageState{i.admitter}, demandState{i.placer})
 	i.reach = newReachability(i.conns, i.placer.currentView, deps.Log.Named("reach"), now)
 	i.reach.helpers, i.reach.helpersNamed = i.peers.helpers, i.peers.helpersNamed
