--- a/cmd/fescuestep/rollout.go
+++ b/cmd/fescuestep/rollout.go
@@ -150,7 +150,7 @@
 	fs.BoolVar(&c.options.Plain, "plain", false, "play a plain service instead of a model")
 	fs.IntVar(&c.options.Upstreams, "upstreams", 80, "upstreams of each version")
 	fs.Float64Var(&c.options.Rate, "rate", 600, "requests per second")
-	fs.DurationVar(&c.options.Duration, "duration", time.Minute, "time limit of the rollout")
+	fs.DurationVar(&c.options.Duration, "duration", time.Minute, "time from the order until the rollout should be completed")
 }
 
 // Validate checks the sizes.
--- a/pkg/release/leader.go
+++ b/pkg/release/leader.go
@@ -180,6 +180,6 @@
 	return out
 }
 
-// maxRequestTime is the longest time limit of a request that a silent instance may have
+// maxRequestTime is the longest deadline of a request that a silent instance may have
 // sent. Routes with longer ones do not occur with rollouts.
 const maxRequestTime = 10 * time.Second
--- a/pkg/release/play/play.go
+++ b/pkg/release/play/play.go
@@ -51,7 +51,7 @@
 
 // Result is what a run showed.
 type Result struct {
-	Requests    int // of the service until the time limit, or the end of the rollout
+	Requests    int // of the service until the deadline of the rollout, or the end of the rollout
 	Exposed     int // those sent to the new version
 	Bad         int // bad answers
 	Phase       release.Phase
@@ -120,7 +120,7 @@
 	result    Result
 }
 
-// Play plays one rollout until its time limit and as long again.
+// Play plays one rollout until its deadline and as long again.
 func Play(o Options) Result {
 	r := &run{
 		Options: o, rng: rand.New(rand.NewPCG(o.Seed, uint64(o.Instances))), start: time.Unix(1000, 0),
--- a/pkg/release/rollout.go
+++ b/pkg/release/rollout.go
@@ -176,7 +176,7 @@
 // the earlier one counted stays counted.
 func (r *Rollout) Restarted(sender string) { delete(r.heard, sender) }
 
-// Overdue reports whether the time limit of the order has passed without an end.
+// Overdue reports whether the deadline of the order has passed without an end.
 func (r *Rollout) Overdue(now time.Time) bool { return !r.final && r.elapsed(now) > r.order.Duration }
 
 // Recorded reports whether it is known what the store holds.
