Faults found by a reader of the whole change; clearer messages

Cause: an instance that was forgotten and heard again counted its evidence twice; a stated lower limit outlived a statement that all slots run; a figure that rises in small steps lost its weight like one that never changes; the usage of a restarted instance without requests counted for 20 s; refusals at shutdown were logged as want of room.

Change: mended one by one; log lines and refusals say what an operator can act on.

Measured: TestForgottenInstanceIsNotCountedTwice, TestFullSlotsEndALowerStatement and TestRisingFigureIsNotConstant fail on the code before.

--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -88,8 +88,9 @@
 	// memoryLimitShare of the instance's memory is the garbage collector's soft
 	// limit; the rest is for what the collector does not see.
 	memoryLimitShare = 0.7
-	// mappedProgram is the memory of the program's own mapped pages, which the collector
-	// does not see: RssFile was 23.5 MB. It decides only below 96 MB.
+	// mappedProgram is the memory in bytes of the program's own mapped pages, which the
+	// collector does not see: 23.5 MB (RssFile), rounded up. Above about 93 MiB of memory
+	// memoryLimitShare gives the lower limit.
 	mappedProgram = 28 << 20
 	// minMemoryLimit keeps the collector from running all the time on tiny instances.
 	minMemoryLimit = 32 << 20
--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -108,6 +108,13 @@
 	return out
 }
 
+// Restarted drops what an earlier process of an instance told.
+func (c *Controller) Restarted(now time.Time, instance string, incarnation uint64) {
+	if known := c.others[instance]; known != nil && known.incarnation != incarnation {
+		c.Merge(now, instance, incarnation, nil)
+	}
+}
+
 // Merge takes over what another instance tells. Flows that it does not name stay as it last
 // told. incarnation identifies its process.
 func (c *Controller) Merge(now time.Time, instance string, incarnation uint64, usage Usage) {
--- a/pkg/concurrency/limit.go
+++ b/pkg/concurrency/limit.go
@@ -73,7 +73,7 @@
 	switch {
 	case s.Waiting > 0 && s.Running > 0 && s.Running < slots:
 		l.full, l.fullAt = float64(s.Running), now
-	case s.Waiting == 0:
+	case s.Waiting == 0 || s.Running >= slots:
 		l.full = 0
 	}
 }
--- a/pkg/concurrency/report.go
+++ b/pkg/concurrency/report.go
@@ -4,8 +4,9 @@
 	"time"
 )
 
-// Report is what one instance tells the others of an upstream. It contains only what the
-// instance measured or received itself, so that reports do not reinforce each other.
+// Report is what one instance tells the others of an upstream. The limit includes those
+// that other instances reported; the other figures are only what this instance measured or
+// received itself, so that reports do not reinforce each other.
 type Report struct {
 	Stated  float64       // slowdown that the upstream stated; 0: none was received lately
 	Age     time.Duration // of the statement
--- a/pkg/concurrency/speed.go
+++ b/pkg/concurrency/speed.go
@@ -65,16 +65,17 @@
 
 // statement is the slowdown that the upstream stated last.
 type statement struct {
-	value  float64 // 0: nothing was stated
-	at     time.Time
-	since  time.Time // when the value last changed noticeably
-	direct bool      // received by this instance, not reported by another
+	value     float64 // 0: nothing was stated
+	at        time.Time
+	reference float64   // value that was stated at since
+	since     time.Time // since when the values have not differed noticeably from reference
+	direct    bool      // received by this instance, not reported by another
 }
 
 func (s *statement) set(value float64, at time.Time, direct bool) {
 	value = min(max(value, 1), maxStated)
-	if s.value == 0 || Differ(value, s.value) {
-		s.since = at
+	if s.value == 0 || Differ(value, s.reference) || at.Sub(s.at) > constantFigureAge {
+		s.reference, s.since = value, at
 	}
 	s.value, s.at, s.direct = value, at, direct
 }
--- a/pkg/concurrency/tracker_test.go
+++ b/pkg/concurrency/tracker_test.go
@@ -205,3 +205,32 @@
 		t.Errorf("one free slot: %+v", r)
 	}
 }
+
+// TestFullSlotsEndALowerStatement guards against a limit that stays low although the upstream states that all of its slots run.
+func TestFullSlotsEndALowerStatement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(EngineConfig(16), time.Time{})
+	tracker.RecordStatement(now, call.Load{Running: 6, Waiting: 2, Slots: 16})
+	if got := tracker.Limit(now); got != 6 {
+		t.Fatalf("limit %d, want 6", got)
+	}
+	tracker.RecordStatement(now, call.Load{Running: 16, Waiting: 2, Slots: 16})
+	if got := tracker.Limit(now); got != 16 {
+		t.Errorf("limit %d, want 16", got)
+	}
+}
+
+// TestRisingFigureIsNotConstant guards against a figure that rises in small steps and loses its weight like one that never changes.
+func TestRisingFigureIsNotConstant(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(EngineConfig(16), time.Time{})
+	percent := 100.0
+	for range 30 {
+		now = now.Add(500 * time.Millisecond)
+		percent *= 1.05
+		tracker.RecordStatement(now, call.Load{Slots: 16, WorkTimePercent: int(percent)})
+	}
+	if got, want := tracker.SlowdownFactor(now), percent/100; got < 0.9*want {
+		t.Errorf("slowdown %.2f, stated %.2f", got, want)
+	}
+}
--- a/pkg/configcheck/check.go
+++ b/pkg/configcheck/check.go
@@ -137,13 +137,13 @@
 		k.add(Warning, name, "has no timeout, so only the caller's deadline applies")
 	}
 	if r.Timeout > 0 && r.TargetLatency > r.Timeout {
-		k.add(Error, name, "its target latency %s is longer than its timeout %s", r.TargetLatency, r.Timeout)
+		k.add(Error, name, "has a target latency of %s, longer than its timeout of %s", r.TargetLatency, r.Timeout)
 	}
 	if r.Timeout > 0 && r.TargetEventGap > r.Timeout {
-		k.add(Error, name, "its longest pause between events %s is longer than its timeout %s", r.TargetEventGap, r.Timeout)
+		k.add(Error, name, "has a target event gap of %s, longer than its timeout of %s", r.TargetEventGap, r.Timeout)
 	}
 	if r.Kind != routing.Stream && (r.TargetEventGap > 0 || r.Resumable) {
-		k.add(Warning, name, "is no stream, so its pause between events and whether it may be resumed have no effect")
+		k.add(Warning, name, "does not stream, so its target event gap and resumability have no effect")
 	}
 	if r.MaxAttempts > 1 && !r.Idempotent() {
 		k.add(Warning, name, "allows %d attempts, but its requests run at most once: more than one is made only after a refusal", r.MaxAttempts)
@@ -189,7 +189,7 @@
 		}
 	}
 	for _, shared := range k.config.SharedKeys {
-		k.add(Error, entry("customer", shared), "has a key that another customer has, too")
+		k.add(Error, entry("customer", shared), "has a key that is also listed for another customer")
 	}
 }
 
--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -163,7 +163,9 @@
 		refusal = code.New(code.QueueFull, "as many requests wait as the upstreams of the service can answer in time")
 	}
 	a.metrics.RecordAdmission(q.Service, decision, o.Waited)
-	a.logRefusal(q.Service, o)
+	if o.Reason != admission.Stopping {
+		a.logRefusal(q.Service, o)
+	}
 	return nil, refusal.WithRetryAfter(o.RetryAfter)
 }
 
--- a/pkg/edge/capacitywatch.go
+++ b/pkg/edge/capacitywatch.go
@@ -54,8 +54,11 @@
 			continue
 		}
 		w.mostlySlow[service] = slow
-		w.log.Info("speed of most upstreams of a service changed", "service", service, "mostly_slow", slow,
-			"slow", c.Slow, "upstreams", c.Upstreams, "free", c.Free, "total", c.Total, "wait", room.Wait.String())
+		message := "most upstreams of a service are no longer slow"
+		if slow {
+			message = "most upstreams of a service are slow"
+		}
+		w.log.Info(message, "service", service, "slow", c.Slow, "upstreams", c.Upstreams, "free", c.Free, "total", c.Total, "wait", room.Wait.String())
 	}
 }
 
--- a/pkg/edge/releaserows.go
+++ b/pkg/edge/releaserows.go
@@ -12,7 +12,7 @@
 	"github.com/fescuestep/fescuestep/pkg/release"
 )
 
-var errOtherEra = errors.New("the store came back from an older copy meanwhile")
+var errOtherEra = errors.New("the store was restored from an older copy during the write; the record is read again")
 
 // needLeader reports whether a rollout needs the holder of the leader lease.
 func (r *releases) needLeader() bool {
@@ -98,8 +98,8 @@
 func (r *releases) logWaiting(s *serviceRelease, others []release.Peer) {
 	phase, _ := s.Phase()
 	requests, exposed := s.Exposure()
-	r.log.Info("rollout waits", "service", s.Order().Service, "to", s.Order().To, "phase", phase.String(),
-		"overdue", s.Overdue(r.now()), "requests", requests, "exposed", exposed, "for", strings.Join(s.Waiting(r.now(), others), "; "))
+	r.log.Info("rollout cannot enter its next phase yet", "service", s.Order().Service, "to", s.Order().To, "phase", phase.String(),
+		"overdue", s.Overdue(r.now()), "requests", requests, "exposed", exposed, "waiting_for", strings.Join(s.Waiting(r.now(), others), "; "))
 }
 
 // readRecord starts to read the record of a rollout unless a call is in flight or one has
@@ -116,7 +116,7 @@
 		defer r.mu.Unlock()
 		s.calling = false
 		if err != nil {
-			r.log.Info("cannot read the record of a rollout", "service", service, "error", err)
+			r.log.Warn("cannot read the record of a rollout", "service", service, "error", err)
 			return
 		}
 		s.calledAt = time.Time{}
@@ -149,7 +149,7 @@
 		}
 		if err != nil {
 			s.ForgetRecord()
-			r.log.Info("cannot write the record of a rollout", "service", service, "phase", rec.Phase.String(), "error", err)
+			r.log.Warn("cannot write the record of a rollout", "service", service, "phase", rec.Phase.String(), "error", err)
 			return
 		}
 		s.at = at
--- a/pkg/edge/usage.go
+++ b/pkg/edge/usage.go
@@ -31,8 +31,11 @@
 }
 
 func (u usageState) apply(sender string, incarnation uint64, d *rpc.Digest) {
-	if len(d.Usage) > 0 {
+	switch {
+	case len(d.Usage) > 0:
 		u.admitter.merge(sender, incarnation, decodeUsage(d.Usage))
+	case !d.Partial:
+		u.admitter.restarted(sender, incarnation)
 	}
 }
 
@@ -60,6 +63,13 @@
 	a.controller.Merge(a.now(), sender, incarnation, usage)
 }
 
+// restarted drops the usage of an earlier process of an instance that has none now.
+func (a *admitter) restarted(sender string, incarnation uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.controller.Restarted(a.now(), sender, incarnation)
+}
+
 func (a *admitter) forget(sender string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/filter/dispatch/release.go
+++ b/pkg/filter/dispatch/release.go
@@ -57,10 +57,10 @@
 // stream goes on at the version that began it or not at all.
 func (x *exchange) refusedRelease() error {
 	if x.origin != nil && !x.h.Releases.Expose(x.origin.Service, x.origin.Software) {
-		return code.New(code.StreamOriginUnknown, "the version of the upstreams that began the stream gets no requests any more").WithRetryAfter(retryAfterRefusal)
+		return code.New(code.StreamOriginUnknown, "the software version that began the stream no longer receives requests").WithRetryAfter(retryAfterRefusal)
 	}
 	if x.origin == nil && x.release != nil && x.release.Refuse {
-		return code.New(code.NoUpstream, "it is not known which version of the upstreams may get requests").WithRetryAfter(retryAfterRefusal)
+		return code.New(code.NoUpstream, "no software version of the service may receive requests: the state of its rollout cannot be confirmed").WithRetryAfter(retryAfterRefusal)
 	}
 	return nil
 }
--- a/pkg/release/release_test.go
+++ b/pkg/release/release_test.go
@@ -257,3 +257,16 @@
 		t.Errorf("%d answers, want 9 + 2", got)
 	}
 }
+
+// TestForgottenInstanceIsNotCountedTwice guards against evidence that doubles when an instance is removed after its silence and the same process is heard again.
+func TestForgottenInstanceIsNotCountedTwice(t *testing.T) {
+	r := started(2)
+	told := other
+	told.Totals = Totals{"chat": {New: Counts{Answers: 10, Bad: 4}}}
+	r.Hear("b", 7, told, after(time.Second))
+	r.Forget("b")
+	r.Hear("b", 7, told, after(time.Minute/2))
+	if got := r.Totals()["chat"].New; got.Answers != 10 || got.Bad != 4 {
+		t.Errorf("%d answers, %d bad, want 10 and 4", got.Answers, got.Bad)
+	}
+}
--- a/pkg/release/rollout.go
+++ b/pkg/release/rollout.go
@@ -316,11 +316,9 @@
 	return before != r.phase || wasFinal != r.final
 }
 
-// Forget drops what an instance stated that was removed after its silence.
-func (r *Rollout) Forget(sender string) {
-	delete(r.heard, sender)
-	delete(r.evidence.senders, sender)
-}
+// Forget drops the last statement of an instance that was removed after its silence. Its
+// totals are kept, so that they are not counted twice if the same process is heard again.
+func (r *Rollout) Forget(sender string) { delete(r.heard, sender) }
 
 // Exposure returns how many requests of the service all instances received, as far as
 // known, and how many of them went to the new version before the shift.
