--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -30,6 +30,8 @@
 	// RecordCapacity records the capacity of a service's upstreams as this instance knows
 	// it.
 	RecordCapacity(service string, c metrics.Capacity)
+	// TableAge sets how long ago a table of the store was last known to be current.
+	TableAge(table string, age time.Duration)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
@@ -37,7 +39,10 @@
 type accessLog struct {
 	log     hclog.Logger
 	metrics ServiceMetrics
-	now     func() time.Time
+	// tableAges returns how long ago the configuration and the list of upstreams were last
+	// known to be current.
+	tableAges func() (config, list time.Duration)
+	now       func() time.Time
 }
 
 func (accessLog) Name() string { return "accesslog" }
@@ -57,8 +62,9 @@
 // writeLine logs a request that has ended with err, which is nil if it succeeded.
 func (a accessLog) writeLine(r *chain.Request, err error) {
 	total := a.now().Sub(r.ReceivedAt)
-	fields := make([]any, 0, 40)
-	fields = append(fields, "request", r.ID, "total_ms", total.Milliseconds())
+	configAge, listAge := a.tableAges()
+	fields := make([]any, 0, 44)
+	fields = append(fields, "request", r.ID, "total_ms", total.Milliseconds(), "config_age_ms", configAge.Milliseconds(), "list_age_ms", listAge.Milliseconds())
 	if r.Forwarded {
 		fields = append(fields, "forwarded_by", r.HTTP.RemoteAddr)
 	}
--- a/pkg/edge/departure_test.go
+++ b/pkg/edge/departure_test.go
@@ -147,6 +147,26 @@
 	})
 }
 
+// TestDepartureIsLoggedWithSourceAndAge guards against records in which an instance that never learned of a departure looks like one that learned of it late.
+func TestDepartureIsLoggedWithSourceAndAge(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 1)
+	instance := fleet.startInstance("n1")
+	fleet.orders.Unregister()
+	fleet.await("the departure is logged", func() bool {
+		return strings.Contains(instance.log.String(), `"@message":"upstream removed","@module":"state"`)
+	})
+	instance.prompt("/short/", keyBig)
+	for _, line := range strings.Split(instance.log.String(), "\n") {
+		switch {
+		case strings.Contains(line, `"upstream removed"`) && !(strings.Contains(line, `"source":"store"`) && strings.Contains(line, `"list_age_ms":`)):
+			t.Errorf("no source or age: %s", line)
+		case strings.Contains(line, `"@message":"request"`) && !(strings.Contains(line, `"list_age_ms":`) && strings.Contains(line, `"config_age_ms":`)):
+			t.Errorf("no age: %s", line)
+		}
+	}
+}
+
 // TestOwnCutFromTheStorePutsNoRemovalOff guards against an instance that takes its own cut from the store for an outage of the store, and goes on sending to a server that is removed after its return.
 func TestOwnCutFromTheStorePutsNoRemovalOff(t *testing.T) {
 	t.Parallel()
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -57,7 +57,8 @@
 func (p *peers) nextDigest(partial bool) ([][]byte, []netip.AddrPort) {
 	d := p.newDigest()
 	work := p.placer.ownWork()
-	held := p.follower.Positions()
+	tables := p.follower.Tables()
+	held := positions(tables)
 	var limits []rateLimit
 	if partial {
 		work = p.changedWork(work)
@@ -75,7 +76,7 @@
 	now := p.now()
 	p.number(d)
 	if !partial || !maps.Equal(held, p.lastSentPositions) {
-		d.Tables = encodePositions(held)
+		d.Tables = encodeTables(tables, now)
 		p.lastSentPositions = held
 	}
 	d.Loads = append(nextUpdates(&p.updates.loads), d.Loads...)
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -290,7 +290,7 @@
 		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Admission: i.admitter, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor, EvictReaders: i.guard.EvictReaders})
 	return chain.Build(dispatcher.Handle,
-		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, now: i.now},
+		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, tableAges: i.tableAges, now: i.now},
 		onlyFromCallers{accounting.New(deps.RequestMetrics, i.now)},
 		hostroute.New(deps.Dialect, i.snapshot.Load),
 		customerkey.Filter{},
--- a/pkg/edge/introductions.go
+++ b/pkg/edge/introductions.go
@@ -42,7 +42,7 @@
 	}
 	d := p.newDigest()
 	p.addTotals(d)
-	d.Tables = encodePositions(p.follower.Positions())
+	d.Tables = encodeTables(p.follower.Tables(), p.now())
 	d.Work = encodeWork(p.lastSentWork)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -222,7 +222,7 @@
 // all were heard lately, none reaches the store, and none has a newer list. The platform
 // lists upstreams in its store only.
 func (p *peers) noneKnowsMore() bool {
-	table := p.follower.UpstreamsTable()
+	_, table := p.follower.TableNames()
 	held := p.follower.Positions()[table]
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -55,6 +55,7 @@
 		other.introducedTo = false // the new process knows nothing of this instance
 		p.requestIntroductions()
 	}
+	confirmations := d.Tables
 	continues := d.Partial && last != nil && last.Incarnation == d.Incarnation
 	if continues && len(d.Tables) == 0 {
 		d.Tables = last.Tables
@@ -72,6 +73,9 @@
 	if firstContact && !p.introduced.Load() {
 		p.requestFetch()
 	}
+	for _, t := range confirmations {
+		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, now))
+	}
 	if !d.Partial {
 		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
 		p.seedBucketLevels(d)
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -48,6 +48,7 @@
 	wg.Go(func() { i.instanceConns.Run(background) })
 	wg.Go(func() { i.reach.run(background) })
 	wg.Go(func() { i.admitter.run(background) })
+	wg.Go(func() { i.recordTableAges(background) })
 	capacity := &capacityWatch{i.placer, i.deps.ServiceMetrics, i.deps.Log.Named("capacity"), map[string]bool{}}
 	wg.Go(func() { capacity.run(background) })
 	acceptErr := make(chan error, 2)
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -21,6 +21,40 @@
 	return out
 }
 
+// encodeTables encodes how much is known of tables, without rows.
+func encodeTables(tables map[string]state.TableState, now time.Time) []*rpc.Table {
+	var out []*rpc.Table
+	for name, t := range tables {
+		out = append(out, &rpc.Table{Name: name, Era: t.At.Era, Version: t.At.Version, ConfirmedAgoMs: encodeConfirmation(t.ConfirmedAt, now)})
+	}
+	return out
+}
+
+// positions returns the positions up to which tables are known.
+func positions(tables map[string]state.TableState) map[string]history.Position {
+	out := make(map[string]history.Position, len(tables))
+	for name, t := range tables {
+		out[name] = t.At
+	}
+	return out
+}
+
+func encodeConfirmation(at, now time.Time) *uint32 {
+	if at.IsZero() {
+		return nil
+	}
+	age := ago(at, now)
+	return &age
+}
+
+// decodeConfirmation returns when a table was last known to be current; zero: unknown.
+func decodeConfirmation(t *rpc.Table, now time.Time) time.Time {
+	if t.ConfirmedAgoMs == nil {
+		return time.Time{}
+	}
+	return before(t.GetConfirmedAgoMs(), now)
+}
+
 // encodeContents encodes how new the contents of the operator's rows are.
 func encodeContents(numbers map[string]uint64) []*rpc.Content {
 	var out []*rpc.Content
@@ -30,19 +64,20 @@
 	return out
 }
 
-func encodeUpdate(u state.TableUpdate) *rpc.Table {
-	out := &rpc.Table{Name: u.Name, Era: u.At.Era, Version: u.At.Version, Whole: u.Full}
+func encodeUpdate(u state.TableUpdate, now time.Time) *rpc.Table {
+	out := &rpc.Table{Name: u.Name, Era: u.At.Era, Version: u.At.Version, Whole: u.Full, ConfirmedAgoMs: encodeConfirmation(u.ConfirmedAt, now)}
 	for _, r := range u.Rows {
 		out.Rows = append(out.Rows, encodeRow(r))
 	}
 	return out
 }
 
-// decodeUpdates decodes updates that were asked for with the positions held.
-func decodeUpdates(tables []*rpc.Table, held map[string]history.Position) []state.TableUpdate {
+// decodeUpdates decodes updates that the instance at an address sent, which was asked at a
+// time with the positions held.
+func decodeUpdates(tables []*rpc.Table, held map[string]history.Position, addr string, asked time.Time) []state.TableUpdate {
 	var out []state.TableUpdate
 	for _, t := range tables {
-		u := state.TableUpdate{Name: t.Name, At: position(t), Full: t.Whole, From: held[t.Name]}
+		u := state.TableUpdate{Name: t.Name, At: position(t), Full: t.Whole, From: held[t.Name], Source: addr, ConfirmedAt: decodeConfirmation(t, asked)}
 		for _, r := range t.Rows {
 			u.Rows = append(u.Rows, decodeRow(t.Name, r))
 		}
@@ -69,8 +104,8 @@
 	}
 }
 
-func decodeRetained(resp *rpc.StateResponse) state.Retained {
-	var out state.Retained
+func decodeRetained(resp *rpc.StateResponse, addr string) state.Retained {
+	out := state.Retained{Source: addr}
 	for _, r := range resp.Retained {
 		out.Operator = append(out.Operator, decodeRow("", r))
 	}
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -214,15 +214,15 @@
 func (p *peers) fetchState(ctx context.Context, addr string, retained bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	held := p.follower.Positions()
+	held, asked := p.follower.Positions(), p.now()
 	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{Held: encodePositions(held), Retained: retained})
 	if err != nil {
 		p.log.Info("cannot fetch state from an instance", "addr", addr, "error", err)
 		p.backOffStateSource(addr)
 		return
 	}
-	p.follower.Merge(decodeUpdates(resp.Tables, held))
-	p.follower.MergeRetained(decodeRetained(resp))
+	p.follower.Merge(decodeUpdates(resp.Tables, held, addr, asked))
+	p.follower.MergeRetained(decodeRetained(resp, addr))
 	now := p.now()
 	for _, c := range resp.Crashes {
 		p.crashes.record(decodeCrash(c, now))
@@ -266,7 +266,7 @@
 		out.Sender, out.RateLimits = p.self.Name, encodeRateLimits(p.placer.rateLimits(), now)
 	}
 	for _, update := range p.follower.ChangesSince(held) {
-		out.Tables = append(out.Tables, encodeUpdate(update))
+		out.Tables = append(out.Tables, encodeUpdate(update, p.now()))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -94,9 +94,11 @@
 
 // StoreAnswered records that the store answered a call for any table. After an outage
 // it starts the grace period for removals, unless othersServed reports that the store
-// answered other instances meanwhile.
-func (r *Registry) StoreAnswered(now time.Time, othersServed func(since time.Time) bool) {
+// answered other instances meanwhile. It reports whether the period started.
+func (r *Registry) StoreAnswered(now time.Time, othersServed func(since time.Time) bool) bool {
+	before := r.outage.graceUntil
 	r.outage.answered(now, othersServed)
+	return !r.outage.graceUntil.Equal(before)
 }
 
 // StoreLeftToOthers records that other instances follow the store for this one, so that
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -46,6 +46,7 @@
 	defServed       = define(Counter, "served_total", "Requests of edge instances by route, prompt size (none, small below 2,000 tokens, medium below 20,000, large) and what the caller got: in_time, late, refused or failed.", "route", "size", "outcome")
 	defAdmission    = define(Counter, "admission_total", "Requests of services with admission by service and decision: admitted at once, admitted after waiting, refused since their customer's queue is full, that could not be answered before the deadline or at a shutdown, left while waiting.", "service", "decision")
 	defAdmWait      = define(Histogram, "admission_wait_seconds", "Time that admitted requests waited for room at the upstreams of a service.", "service")
+	defTableAge     = define(Gauge, "table_age_seconds", "Time since a table of the platform's store was last known to be current at an edge instance.", "table")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defSlow         = define(Gauge, "slow_upstreams", "Upstreams of edge instances at which work takes 1.5 times the usual time or longer.", "pool")
 	defRoom         = define(Gauge, "room", "Concurrent requests that the upstreams of edge instances run without queueing, from all instances together, by kind: free or total.", "pool", "kind")
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -52,6 +52,7 @@
 	m.RecordOutcome("r", 17000, InTime)
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
+	m.TableAge("servers", time.Second)
 	m.ConnectionEnded("evicted")
 	m.ReleaseState("llm", 1, 100, 4)
 	m.RecordAdmission("llm", AdmittedLater, time.Millisecond)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -84,6 +84,12 @@
 	m.gauge(defRoom, pool, "total").Update(float64(c.Total))
 }
 
+// TableAge sets how long ago a table of the platform's store was last known to be current.
+// The name is one of a fixed set.
+func (m *Metrics) TableAge(table string, age time.Duration) {
+	m.gauge(defTableAge, table).Update(age.Seconds())
+}
+
 // ConnectionEnded counts a connection that was refused or ended for what it holds. The
 // reason is one of a fixed set.
 func (m *Metrics) ConnectionEnded(reason string) { m.counter(defEnded, reason).Inc(1) }
--- a/pkg/state/records.go
+++ b/pkg/state/records.go
@@ -21,6 +21,7 @@
 type Retained struct {
 	Operator   []Row // newest contents, by key
 	Departures []fleet.Departure
+	Source     string // address of the instance that told it
 }
 
 // Retained returns what this instance knows beyond the rows of the store.
@@ -39,6 +40,7 @@
 func (f *Follower) MergeRetained(r Retained) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.source = r.Source
 	operatorName, _ := f.decoder.Tables()
 	for _, row := range r.Operator {
 		row.Table = operatorName
@@ -79,7 +81,8 @@
 // applyUpstream applies a row of the table of upstreams. An upstream whose row
 // cannot be decoded is removed as if its row were deleted.
 func (f *Follower) applyUpstream(row Row, at history.Position) (changed bool) {
-	defer f.logDeparture(row.Key, at)
+	before, _ := f.upstreams.Availability(row.Key)
+	defer func() { f.logAvailability(row.Key, before, at) }()
 	if row.Deleted {
 		return f.upstreams.Remove(row.Key, at, f.now())
 	}
@@ -91,16 +94,26 @@
 	return f.upstreams.Put(u, at, f.now())
 }
 
-// logDeparture logs what the row at a position says of an upstream unless it is in use.
-func (f *Follower) logDeparture(id string, at history.Position) {
+// logAvailability logs that the row at a position takes an upstream out of use, or back
+// into use, with the source of the row and the age of the list before.
+func (f *Follower) logAvailability(id string, before fleet.Availability, at history.Position) {
 	availability, until := f.upstreams.Availability(id)
+	fields := []any{"upstream", id, "version", at.Version, "era", at.Era, "source", f.source}
+	_, upstreams := f.decoder.Tables()
+	if age, ok := f.Age(upstreams); ok {
+		fields = append(fields, "list_age_ms", age.Milliseconds())
+	}
 	switch availability {
 	case fleet.Absent:
-		f.log.Info("upstream removed", "upstream", id, "version", at.Version)
+		f.log.Info("upstream removed", fields...)
 	case fleet.Leaving:
-		f.log.Info("upstream leaves", "upstream", id, "version", at.Version)
+		f.log.Info("upstream leaves", fields...)
 	case fleet.RemovalDeferred:
-		f.log.Info("removal of an upstream deferred", "upstream", id, "version", at.Version, "for", until.Sub(f.now()).String())
+		f.log.Info("removal of an upstream deferred", append(fields, "for", until.Sub(f.now()).String())...)
+	case fleet.InUse:
+		if before == fleet.Leaving {
+			f.log.Warn("upstream that left is in use again", fields...)
+		}
 	}
 }
 
@@ -164,7 +177,7 @@
 		return // a row under another key
 	}
 	f.config = s
-	f.log.Info("configuration adopted", "version", s.Version)
+	f.log.Info("configuration adopted", "version", s.Version, "source", f.source)
 	f.sink.ConfigChanged(s)
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -120,6 +120,7 @@
 	rejected         map[string]uint64          // version of rows that could not be decoded, by table and key
 	unavailableSince time.Time                  // when the store last became unavailable for a table; initially the start
 	knownUntil       time.Time                  // of the update that is applied
+	source           string                     // of the update that is applied
 	othersServed     func(since time.Time) bool // reports whether the store has answered other instances from a time until now
 }
 
@@ -292,15 +293,20 @@
 // fetch waits for changes of a table if incremental is set, and reads the whole table
 // otherwise.
 func (f *Follower) fetch(ctx context.Context, name string, incremental bool, wait time.Duration) (TableUpdate, error) {
+	began := f.now()
 	if !incremental {
 		page, err := f.store.Rows(ctx, name)
-		return TableUpdate{Name: name, At: page.At, Full: true, Rows: page.Rows}, err
+		return TableUpdate{Name: name, At: page.At, Full: true, Rows: page.Rows, Source: SourceStore, ConfirmedAt: began}, err
 	}
 	f.mu.Lock()
 	from := f.tables[name].at
 	f.mu.Unlock()
 	page, err := f.store.Feed(ctx, name, from.Version, wait)
-	return TableUpdate{Name: name, At: page.At, From: from, Rows: page.Rows}, err
+	confirmedAt := began
+	if wait > 0 {
+		confirmedAt = f.now() // the store answers at once when something changes
+	}
+	return TableUpdate{Name: name, At: page.At, From: from, Rows: page.Rows, Source: SourceStore, ConfirmedAt: confirmedAt}, err
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/fleet"
 )
 
 // storeFailed records a failed call to the store for a table.
@@ -51,7 +53,9 @@
 		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
 	}
 	t.healthy = true
-	f.upstreams.StoreAnswered(f.now(), f.othersServed)
+	if f.upstreams.StoreAnswered(f.now(), f.othersServed) {
+		f.log.Info("removals of upstreams are deferred, since the store was unavailable", "for", fleet.ReconnectGracePeriod.String(), "unavailable", f.now().Sub(f.unavailableSince).String())
+	}
 }
 
 // RefreshUpstreams reads what has changed in the list of upstreams, whether or not this
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -15,6 +15,7 @@
 	healthy     bool             // the last call to the store for this table succeeded
 	loaded      bool             // an update was applied at least once
 	answeredAt  time.Time        // last successful call to the store
+	confirmed   confirmation     // last time at which the rows are known to have been current
 }
 
 func newTable() *table { return &table{rows: map[string]Row{}} }
@@ -27,14 +28,14 @@
 	From history.Position // unless Full: position after which all changes are listed
 	Rows []Row            // ordered by version
 
+	Source      string    // where the update comes from: SourceStore, or the address of an instance
+	ConfirmedAt time.Time // as in TableState
+
 	knownUntil time.Time // see noteAnswer; zero: unknown
 }
 
-// UpstreamsTable returns the name of the table in which upstreams are listed.
-func (f *Follower) UpstreamsTable() string {
-	_, name := f.decoder.Tables()
-	return name
-}
+// SourceStore is the source of updates that the store itself sent.
+const SourceStore = "store"
 
 // Positions returns, by table, the position of the store up to which it is complete.
 func (f *Follower) Positions() map[string]history.Position {
@@ -66,7 +67,7 @@
 	if held.Era != t.at.Era {
 		after = 0 // versions of different eras are not comparable
 	}
-	update := TableUpdate{Name: name, At: t.at, From: held, Full: held.Era != t.at.Era || after < t.fullVersion}
+	update := TableUpdate{Name: name, At: t.at, From: held, Full: held.Era != t.at.Era || after < t.fullVersion, ConfirmedAt: t.confirmed.load()}
 	for _, row := range t.rows {
 		if row.Version > after || (update.Full && !row.Deleted) {
 			update.Rows = append(update.Rows, row)
@@ -96,7 +97,7 @@
 	if update.At.Era < t.at.Era || !(update.Full || t.continuedBy(update)) {
 		return false
 	}
-	f.knownUntil = update.knownUntil
+	f.knownUntil, f.source = update.knownUntil, update.Source
 	rows := f.enterEra(t, update)
 	t.loaded = true
 	if update.Full {
@@ -113,6 +114,7 @@
 		}
 	}
 	t.at.Version = max(t.at.Version, update.At.Version)
+	t.confirmed.advance(update.ConfirmedAt)
 	if changed {
 		f.sink.UpstreamsChanged(f.upstreams.View())
 	}
