--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -157,3 +157,29 @@
 		t.Error("shut out for good")
 	}
 }
+
+// TestLateReportBringsNoDrainingProcessBack guards against an upstream that is used again for good, because the store carries out a report from before its departure after that.
+func TestLateReportBringsNoDrainingProcessBack(t *testing.T) {
+	r := NewRegistry()
+	draining := process("a", 10)
+	draining.Draining = true
+	r.Put(draining, at(5), start)
+	r.Put(process("a", 10), at(6), start)
+	if available(r, "a") {
+		t.Error("a process that drains is available again")
+	}
+	r.Remove("a", at(7), start)
+	r.Put(process("a", 10), at(8), start)
+	if available(r, "a") {
+		t.Error("a process that drained is available again after its removal")
+	}
+	r.Put(process("a", 20), at(9), start)
+	if !available(r, "a") {
+		t.Error("the next process with the ID is not available")
+	}
+	r.Remove("a", at(10), start)
+	r.Put(process("a", 20), at(11), start)
+	if !available(r, "a") {
+		t.Error("a process whose entry lapsed is not available again")
+	}
+}
