--- a/pkg/state/staleness_test.go
+++ b/pkg/state/staleness_test.go
@@ -141,3 +141,22 @@
 		t.Errorf("the upstream that left between the pages is in use: %v, the other: %v", inUse(sink, "a"), inUse(sink, "b"))
 	}
 }
+
+// TestRateLimitedCallsDeferNoDeparture guards against an instance that takes refusals for too many calls, which only it gets, for an outage of the store.
+func TestRateLimitedCallsDeferNoDeparture(t *testing.T) {
+	for later := time.Duration(0); later < 2*time.Second; later += 50 * time.Millisecond {
+		store := newSilentStore()
+		runFollower(t, store, func(_ *Follower, sink *fakeSink) {
+			time.Sleep(3 * time.Second)
+			store.update(func() { store.down = true })
+			time.Sleep(300 * time.Millisecond)
+			store.update(func() { store.down = false })
+			time.Sleep(later)
+			store.put(upstreamTable, "a", "", true)
+			time.Sleep(drainBound)
+			if inUse(sink, "a") {
+				t.Errorf("departure %v after the refusals: still in use", later)
+			}
+		})
+	}
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -151,8 +151,12 @@
 	operatorBatchDelay = 120 * time.Millisecond
 	upstreamBatchDelay = 400 * time.Millisecond
 	// feedTimeout is how long the store holds a call to Feed without changes. A
-	// connection that no longer delivers data is detected after this time.
-	feedTimeout = 2500 * time.Millisecond
+	// connection that no longer delivers data is detected soon after this time: while the
+	// instance waits there it knows nothing of changes.
+	feedTimeout = 1200 * time.Millisecond
+	// maxContactAge is how long after the last answer of the store an instance counts as
+	// one that follows it.
+	maxContactAge = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the exponential delay after failed calls.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -73,14 +73,14 @@
 	return err
 }
 
-// FollowsStore reports whether this instance follows the store itself and its last
-// calls succeeded.
+// FollowsStore reports whether this instance follows the store itself: its last calls
+// succeeded, no longer than maxContactAge ago.
 func (f *Follower) FollowsStore() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	healthy := !f.idle
+	now, follows := f.now(), !f.idle
 	for _, t := range f.tables {
-		healthy = healthy && t.healthy
+		follows = follows && t.healthy && now.Sub(t.answeredAt) <= maxContactAge
 	}
-	return healthy
+	return follows
 }
