--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -274,7 +274,6 @@
 	}
 	i.streams.lately = check.lately
 	i.streams.onUntold = i.peers.requestSend
-	i.follower.SetOthersServed(func(since time.Time) bool { return i.peers.storeServed.since(since, i.now()) })
 	i.versionRows.owns = i.peers.ownsRow
 	i.crashRows.owns = i.peers.ownsRow
 	return nil
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -121,7 +121,6 @@
 	fetchNow    chan struct{} // signals that another instance has newer state
 	isRelay     atomic.Bool   // this instance follows the store and others may fetch state from it
 
-	storeServed   storeServed
 	introduced    atomic.Bool   // another instance has told what it knows beyond the rows of the store
 	registerAgain chan struct{} // requests to write the row of this instance again
 
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -62,7 +62,6 @@
 	}
 	p.applyWork(other, d, continues, now)
 	other.heardAt, other.lastDigest = now, d
-	p.storeServed.note(d, now)
 	name := d.Sender.Name
 	if !d.Partial {
 		other.contents = d.Contents
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,8 +10,8 @@
 )
 
 // ReconnectGracePeriod is how long upstreams whose entries expired during an outage of
-// the store stay listed after its first answer. A live upstream
-// rewrites its entry within about two seconds.
+// the store stay listed after its first answer to any instance. A live upstream rewrites
+// its entry within about two seconds.
 const ReconnectGracePeriod = 2300 * time.Millisecond
 
 // Upstream is one upstream as the platform lists it.
@@ -70,7 +70,7 @@
 // the store lists. It is not safe for concurrent use.
 type Registry struct {
 	listed          map[string]entry     // by ID
-	pendingRemovals map[string]time.Time // by ID: when upstreams without an entry are removed
+	pendingRemovals map[string]bool      // by ID: upstreams without an entry whose removal is deferred
 	departures      map[string]Departure // by ID: the last known one
 	outage          outage
 	outdatedUntil   time.Time // until when entries may stem from a copy with which the store's era began
@@ -85,25 +85,17 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{listed: map[string]entry{}, pendingRemovals: map[string]time.Time{}, departures: map[string]Departure{}}
+	return &Registry{listed: map[string]entry{}, pendingRemovals: map[string]bool{}, departures: map[string]Departure{}}
 }
 
-// StoreCallFailed records that a call to the store, begun at a time, got no answer. A
-// call that waits for changes does not count: its connection may be the only fault.
-func (r *Registry) StoreCallFailed(began time.Time) { r.outage.callFailed(began) }
-
-// StoreAnswered records that the store answered a call for any table. After an outage
-// it starts the grace period for removals, unless othersServed reports that the store
-// answered other instances meanwhile. It reports whether the period started.
-func (r *Registry) StoreAnswered(now time.Time, othersServed func(since time.Time) bool) bool {
-	before := r.outage.graceUntil
-	r.outage.answered(now, othersServed)
-	return !r.outage.graceUntil.Equal(before)
-}
+// StoreAnswered records that the store answered this or another instance, for any table,
+// at a time. The first answer after an outage starts the grace period for removals. It
+// reports whether that is so.
+func (r *Registry) StoreAnswered(at time.Time) (returned bool) { return r.outage.answered(at) }
 
-// StoreLeftToOthers records that other instances follow the store for this one, so that
+// SetStoreLeftToOthers sets whether other instances follow the store for this one, so that
 // deferred removals do not wait for an answer of the store.
-func (r *Registry) StoreLeftToOthers() { r.outage.leftToOthers() }
+func (r *Registry) SetStoreLeftToOthers(left bool) { r.outage.leftToOthers = left }
 
 // MarkEraSeen records that an era of the store was seen for the first time. The store
 // may just have come back from an older copy, which lists upstreams that have left
@@ -150,18 +142,16 @@
 }
 
 // Remove removes an upstream whose entry was deleted at a position, and reports
-// whether the view changes. Within ReconnectGracePeriod after the first answer that
-// followed an outage of the store, or after it came back from a copy, the removal is deferred to the end of
-// that period unless the upstream was draining.
+// whether the view changes. Within ReconnectGracePeriod after an outage of the store, or
+// after it came back from a copy, the removal is deferred to the end of that period unless
+// the upstream was draining.
 func (r *Registry) Remove(id string, at history.Position, now time.Time) bool {
 	e, ok := r.listed[id]
 	if !ok {
 		return false
 	}
 	if !e.shown.Draining && now.Before(r.outage.graceUntil) {
-		if _, pending := r.pendingRemovals[id]; !pending {
-			r.pendingRemovals[id] = r.outage.graceUntil
-		}
+		r.pendingRemovals[id] = true
 		return false
 	}
 	r.recordListedDeparture(e.listed, at)
@@ -176,10 +166,10 @@
 func (r *Registry) Expire(now time.Time) bool {
 	r.expireDepartures(now)
 	changed := r.showReturned(now)
-	for id, end := range r.pendingRemovals {
-		if r.outage.ongoing || now.Before(end) {
-			continue
-		}
+	if r.outage.ongoing(now) || now.Before(r.outage.graceUntil) {
+		return changed
+	}
+	for id := range r.pendingRemovals {
 		delete(r.listed, id)
 		delete(r.pendingRemovals, id)
 		changed = true
@@ -202,14 +192,13 @@
 // removed at the earliest.
 func (r *Registry) Availability(id string) (state Availability, until time.Time) {
 	e, ok := r.listed[id]
-	end, pending := r.pendingRemovals[id]
 	switch {
 	case !ok:
 		return Absent, time.Time{}
 	case e.shown.Draining:
 		return Leaving, time.Time{}
-	case pending:
-		return RemovalDeferred, end
+	case r.pendingRemovals[id]:
+		return RemovalDeferred, r.outage.graceUntil
 	}
 	return InUse, time.Time{}
 }
--- a/pkg/fleet/outage.go
+++ b/pkg/fleet/outage.go
@@ -2,37 +2,34 @@
 
 import "time"
 
-// outage decides from the calls of one instance whether the store is away and, once it
-// is back, until when the lack of an entry may be a consequence.
+// minOutage is how long the store must be away for entries of live upstreams to expire:
+// they are written about every second, and removed after three such intervals of silence.
+const minOutage = 2 * time.Second
+
+// outage decides, from the times at which the store answered any instance, whether it is
+// away and, once it is back, until when the lack of an entry may be a consequence. Failed
+// calls don't count: they may be due to the connection of one instance.
 type outage struct {
-	ongoing      bool
-	beganAt      time.Time // of the first call that failed
-	lastAnswerAt time.Time
+	lastAnswerAt time.Time // newest answer of the store to any instance
 	graceUntil   time.Time
+	leftToOthers bool // this instance makes no calls of its own
 }
 
-// callFailed records a call that began at a time and got no answer. One that began
-// before the last answer says nothing of the time since.
-func (o *outage) callFailed(began time.Time) {
-	if !began.After(o.lastAnswerAt) {
-		return
+// answered records that the store answered this or another instance at a time. The first
+// answer after an outage starts the grace period. It reports whether that is so.
+func (o *outage) answered(at time.Time) (returned bool) {
+	if !at.After(o.lastAnswerAt) {
+		return false
 	}
-	if !o.ongoing {
-		o.beganAt = began
+	returned = !o.lastAnswerAt.IsZero() && at.Sub(o.lastAnswerAt) >= minOutage
+	if returned {
+		o.graceUntil = at.Add(ReconnectGracePeriod)
 	}
-	o.ongoing = true
+	o.lastAnswerAt = at
+	return returned
 }
 
-// answered records an answer to a call for any table. The first one after an outage
-// starts the grace period, unless the store answered others since it began: then only
-// this instance was away from it.
-func (o *outage) answered(now time.Time, othersServed func(since time.Time) bool) {
-	if o.ongoing && !othersServed(o.beganAt) {
-		o.graceUntil = now.Add(ReconnectGracePeriod)
-	}
-	o.ongoing = false
-	o.lastAnswerAt = now
+// ongoing reports whether the store is away.
+func (o *outage) ongoing(now time.Time) bool {
+	return !o.leftToOthers && now.Sub(o.lastAnswerAt) >= minOutage
 }
-
-// leftToOthers records that other instances follow the store from now on.
-func (o *outage) leftToOthers() { o.ongoing = false }
--- a/pkg/state/confirm.go
+++ b/pkg/state/confirm.go
@@ -47,10 +47,11 @@
 }
 
 // Confirm records that another instance's copy of a table, complete up to a position, was
-// current at a time. It confirms a copy that is as new.
+// current at a time; zero: unknown. It confirms a copy that is as new.
 func (f *Follower) Confirm(name string, at history.Position, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteStoreAnswered(confirmedAt)
 	if t := f.tables[name]; t != nil && t.loaded && !t.at.Before(at) {
 		t.confirmed.advance(confirmedAt)
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -117,11 +117,10 @@
 	config           *routing.Snapshot
 	operator         map[string]operatorRecord // by key: newest content that was adopted
 	upstreams        *fleet.Registry
-	rejected         map[string]uint64          // version of rows that could not be decoded, by table and key
-	unavailableSince time.Time                  // when the store last became unavailable for a table; initially the start
-	knownUntil       time.Time                  // of the update that is applied
-	source           string                     // of the update that is applied
-	othersServed     func(since time.Time) bool // reports whether the store has answered other instances from a time until now
+	rejected         map[string]uint64 // version of rows that could not be decoded, by table and key
+	unavailableSince time.Time         // when the store last became unavailable for a table; initially the start
+	knownUntil       time.Time         // of the update that is applied
+	source           string            // of the update that is applied
 }
 
 // New returns a follower that starts to follow the store when Run is called.
@@ -135,14 +134,9 @@
 		upstreams:        fleet.NewRegistry(),
 		rejected:         map[string]uint64{},
 		unavailableSince: now(),
-		othersServed:     func(time.Time) bool { return false },
 	}
 }
 
-// SetOthersServed sets how to find out whether the store has answered other instances from
-// a time until now. It must be called before Run, and served must not call the follower.
-func (f *Follower) SetOthersServed(served func(since time.Time) bool) { f.othersServed = served }
-
 const (
 	// operatorBatchDelay and upstreamBatchDelay are the times to wait after changes
 	// before the next call, so that one call returns all changes made meanwhile.
@@ -153,7 +147,7 @@
 	// feedTimeout is how long the store holds a call to Feed without changes. A
 	// connection that no longer delivers data is detected soon after this time: while the
 	// instance waits there it knows nothing of changes.
-	feedTimeout = 1200 * time.Millisecond
+	feedTimeout = time.Second
 	// maxContactAge is how long after the last answer of the store an instance counts as
 	// one that follows it.
 	maxContactAge = 2 * time.Second
@@ -203,14 +197,13 @@
 			incremental = false
 			continue
 		case err != nil && wait > 0:
-			f.storeFailed(name, err) // the next call, without a wait, shows whether the store is away
+			f.storeFailed(name, err) // the next call, without a wait, shows whether the store answers
 			if f.now().Sub(began) < wait {
 				sleep(ctx, minRetryDelay)
 			}
 			continue
 		case err != nil:
 			f.storeFailed(name, err)
-			f.storeAway(began)
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
@@ -274,9 +267,7 @@
 		return
 	}
 	f.idle = idle
-	if idle {
-		f.upstreams.StoreLeftToOthers()
-	}
+	f.upstreams.SetStoreLeftToOthers(idle)
 	close(f.idleChanged)
 	f.idleChanged = make(chan struct{})
 	f.log.Info("changed whether this instance follows the store", "self", !idle)
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -21,14 +21,6 @@
 	t.healthy = false
 }
 
-// storeAway records that a call that began at a time and asked for an immediate answer
-// failed.
-func (f *Follower) storeAway(began time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.upstreams.StoreCallFailed(began)
-}
-
 // noteAnswer records a successful call to the store for a table. It returns until when
 // this instance knew the table before: until now if the call before succeeded, too, since
 // the store answers at once when something changes.
@@ -53,8 +45,14 @@
 		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
 	}
 	t.healthy = true
-	if f.upstreams.StoreAnswered(f.now(), f.othersServed) {
-		f.log.Info("removals of upstreams are deferred, since the store was unavailable", "for", fleet.ReconnectGracePeriod.String(), "unavailable", f.now().Sub(f.unavailableSince).String())
+	f.noteStoreAnswered(f.now())
+}
+
+// noteStoreAnswered records that the store answered this or another instance at a time. The
+// caller holds mu.
+func (f *Follower) noteStoreAnswered(at time.Time) {
+	if f.upstreams.StoreAnswered(at) {
+		f.log.Info("removals of upstreams are deferred, since the store was away", "for", fleet.ReconnectGracePeriod.String())
 	}
 }
 
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -98,6 +98,7 @@
 		return false
 	}
 	f.knownUntil, f.source = update.knownUntil, update.Source
+	f.noteStoreAnswered(update.ConfirmedAt)
 	rows := f.enterEra(t, update)
 	t.loaded = true
 	if update.Full {
