--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -101,6 +101,10 @@
 	f.noteStoreAnswered(update.ConfirmedAt)
 	rows := f.enterEra(t, update)
 	t.loaded = true
+	known := t.at.Version // a row up to here whose key is missing was deleted
+	if update.Full && update.At.Version >= t.at.Version {
+		known = 0
+	}
 	if update.Full {
 		rows = append(rows, t.impliedDeletions(update)...)
 		if update.At.Version >= t.at.Version {
@@ -110,7 +114,7 @@
 	changed := false
 	for _, row := range rows {
 		row.Table = update.Name
-		if t.isNew(row) {
+		if t.isNew(row, known) {
 			changed = f.applyRow(t, row, !update.Full) || changed
 		}
 	}
@@ -128,10 +132,14 @@
 	return update.From.Era == t.at.Era && update.At.Era == t.at.Era && !t.at.Before(update.From)
 }
 
-// isNew reports whether a row is newer than the local one.
-func (t *table) isNew(row Row) bool {
+// isNew reports whether a row is newer than the local one, or than what is known if there
+// is none: tables that other instances send whole leave out deleted rows.
+func (t *table) isNew(row Row, known uint64) bool {
 	local, ok := t.rows[row.Key]
-	return !ok || row.Version > local.Version || (row.Version == local.Version && row.Deleted != local.Deleted)
+	if !ok {
+		return row.Version > known
+	}
+	return row.Version > local.Version || (row.Version == local.Version && row.Deleted != local.Deleted)
 }
 
 // applyRow applies a new row. recent says that it was received as a change. It
