--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -154,7 +154,6 @@
 		row.Value = nil
 	}
 	t.rows[row.Key] = row
-	t.at.Version = max(t.at.Version, row.Version)
 	return changed
 }
 
