--- a/pkg/fleet/departures.go
+++ b/pkg/fleet/departures.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// outdatedEntryPeriod is how long after the store came back from a copy an entry
-	// of that copy may be outdated. The platform removes the entry of an upstream that
-	// has been silent for three of its intervals of about a second.
+	// outdatedEntryPeriod is how long an entry may be outdated after the store came back
+	// from a copy that has it, or after its process was listed as draining: the store may
+	// carry out an earlier report seconds later. The platform removes the entry of an
+	// upstream that has been silent for three of its intervals of about a second.
 	outdatedEntryPeriod = 8 * time.Second
 	// departureMemory is how long a departure is remembered while the upstream is not
 	// listed. No copy of the store is as old.
@@ -31,7 +32,8 @@
 	Stated bool
 	At     history.Position
 
-	knownAt time.Time // when this instance learned of it
+	knownAt       time.Time // when this instance learned of it
+	outdatedUntil time.Time // until when entries that list the process as ready are outdated
 }
 
 // supersedes reports whether d is newer knowledge than other about the same upstream.
@@ -79,9 +81,16 @@
 // recordListedDeparture records that the store lists an upstream as draining, or no
 // longer lists it, at a position. The removal of an upstream whose start time is not
 // known ends what it stated, since the next one with its ID may be another process.
-func (r *Registry) recordListedDeparture(u *Upstream, at history.Position) {
+func (r *Registry) recordListedDeparture(u *Upstream, at history.Position, now time.Time) {
 	known, ok := r.departures[u.ID]
 	d := Departure{ID: u.ID, StartTimeMS: u.StartTimeMS, At: at}
+	switch {
+	case u.StartTimeMS == 0: // the next process with the ID looks the same
+	case u.Draining:
+		d.outdatedUntil = now.Add(outdatedEntryPeriod)
+	case known.StartTimeMS == u.StartTimeMS:
+		d.outdatedUntil = known.outdatedUntil
+	}
 	if !ok || d.supersedes(known) || (known.Stated && u.StartTimeMS == 0 && !u.Draining) {
 		r.departures[u.ID] = d
 	}
@@ -96,7 +105,7 @@
 	switch {
 	case !ok || d.StartTimeMS != e.listed.StartTimeMS:
 		return false
-	case d.Stated:
+	case d.Stated || now.Before(d.outdatedUntil):
 		return true
 	case e.at.Era <= d.At.Era:
 		return e.at.Before(d.At)
--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// TestLateReportBringsNoDrainingProcessBack guards against an upstream that is used again for good, because the store carries out a report from before its departure after that.
+// TestLateReportBringsNoDrainingProcessBack guards against an upstream that is used again, because the store carries out a report from before its departure after that.
 func TestLateReportBringsNoDrainingProcessBack(t *testing.T) {
 	r := NewRegistry()
 	draining := process("a", 10)
@@ -183,3 +183,18 @@
 		t.Error("a process whose entry lapsed is not available again")
 	}
 }
+
+// TestDrainingProcessIsBelievedLater guards against an upstream that is shut out for good, because a foreign row listed it as draining.
+func TestDrainingProcessIsBelievedLater(t *testing.T) {
+	r := NewRegistry()
+	draining := process("a", 10)
+	draining.Draining = true
+	r.Put(draining, at(5), start)
+	r.Put(process("a", 10), at(6), start)
+	if r.Expire(start.Add(outdatedEntryPeriod - 1)); available(r, "a") {
+		t.Error("believed too early")
+	}
+	if !r.Expire(start.Add(outdatedEntryPeriod)) || !available(r, "a") {
+		t.Error("still not available, although reports from before have long been carried out")
+	}
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -119,7 +119,7 @@
 	case r.departed(e, now):
 		e.shown = u.asDraining()
 	case u.Draining:
-		r.recordListedDeparture(e.listed, at)
+		r.recordListedDeparture(e.listed, at, now)
 	case !r.departures[u.ID].Stated:
 		delete(r.departures, u.ID) // it was listed again
 	}
@@ -154,7 +154,7 @@
 		r.pendingRemovals[id] = true
 		return false
 	}
-	r.recordListedDeparture(e.listed, at)
+	r.recordListedDeparture(e.listed, at, now)
 	delete(r.listed, id)
 	delete(r.pendingRemovals, id)
 	return true
