--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -34,6 +34,7 @@
 	PromptParts    []PromptPart
 	LastEventID    string // last event received of a stream to resume; empty: start a new stream
 	Resumes        string // ID of the request that brought the first event of that stream; empty: not stated
+	ConfigVersion  uint64 // of a forwarded request: configuration of the instance that took it; 0: not stated
 }
 
 // Attempt is what an edge instance tells an upstream in addition to the
@@ -56,6 +57,7 @@
 // in addition to the caller's headers.
 type Forwarded struct {
 	TimeRemaining time.Duration // until the request's deadline
+	ConfigVersion uint64        // configuration by which the request was taken
 	LastEventID   string        // last event of the stream that the caller has; empty: none
 	Resumes       string        // ID of the request that brought the first event of that stream
 }
--- a/pkg/code/code.go
+++ b/pkg/code/code.go
@@ -104,7 +104,7 @@
 	{NotFresh, "not_fresh", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance cannot confirm that its keys and configuration are current."},
 	{ShuttingDown, "shutting_down", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance is shutting down and takes no new work."},
 	{Internal, "internal", http.StatusInternalServerError, "server_error", MayHaveRun, "Unexpected failure in the router."},
-	{ConfigurationAbsent, "configuration_absent", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance has no configuration yet."},
+	{ConfigurationAbsent, "configuration_absent", http.StatusServiceUnavailable, "overloaded_error", NotRun, "The instance has no configuration yet, or not the one by which another instance took the request."},
 }
 
 var infoByCode = func() map[Code]Info {
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
@@ -135,7 +136,8 @@
 	draining    atomic.Bool
 	eraSeen     atomic.Bool // an era of the store was seen
 
-	configuredAt atomic.Pointer[time.Time] // when the first configuration was adopted
+	configuredAt  atomic.Pointer[time.Time] // when the first configuration was adopted
+	configRefresh singleflight.Group        // one read of the configuration for all requests that wait for it
 }
 
 const (
@@ -291,7 +293,7 @@
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, tableAges: i.tableAges, now: i.now},
 		onlyFromCallers{accounting.New(deps.RequestMetrics, i.now)},
-		hostroute.New(deps.Dialect, i.snapshot.Load),
+		hostroute.New(deps.Dialect, i.snapshot.Load, i.refreshConfig),
 		customerkey.Filter{},
 		onlyFromCallers{ratelimit.New(i.limiter)}, // before the body is read; a charge for a request that does not run is given back
 		body.New(i.options.MemoryBytes/bodyMemoryDivisor),
--- a/pkg/filter/dispatch/forward.go
+++ b/pkg/filter/dispatch/forward.go
@@ -106,7 +106,7 @@
 
 // forwardedHeader returns the headers of the request to another instance.
 func (x *exchange) forwardedHeader() http.Header {
-	f := call.Forwarded{TimeRemaining: x.r.Deadline.Sub(x.h.Now())}
+	f := call.Forwarded{TimeRemaining: x.r.Deadline.Sub(x.h.Now()), ConfigVersion: x.edge.Routing.Version}
 	if x.edge.Route.MayResume() && x.lastEventID != "" {
 		f.LastEventID, f.Resumes = x.lastEventID, x.firstRequest()
 	}
--- a/pkg/filter/hostroute/hostroute.go
+++ b/pkg/filter/hostroute/hostroute.go
@@ -28,13 +28,15 @@
 // Filter routes requests by host and path.
 type Filter struct {
 	decoder  Decoder
-	snapshot func() *routing.Snapshot // returns nil without configuration
+	snapshot func() *routing.Snapshot  // returns nil without configuration
+	refresh  func(ctx context.Context) // reads the configuration that is in force
 }
 
 // New returns the filter. snapshot returns the current configuration, or nil if
-// there is none yet.
-func New(decoder Decoder, snapshot func() *routing.Snapshot) *Filter {
-	return &Filter{decoder: decoder, snapshot: snapshot}
+// there is none yet. refresh reads the one that is in force; it is called, and bounds its
+// time, when another instance has forwarded a request that it took by a newer one.
+func New(decoder Decoder, snapshot func() *routing.Snapshot, refresh func(ctx context.Context)) *Filter {
+	return &Filter{decoder: decoder, snapshot: snapshot, refresh: refresh}
 }
 
 // Name returns the name of the filter.
@@ -46,9 +48,9 @@
 		edge := &chain.Edge{Call: f.decoder.DecodeRequest(r.HTTP.Header)}
 		r.Edge = edge
 		r.ID = edge.Call.ID
-		edge.Routing = f.snapshot()
+		edge.Routing = f.routing(ctx, r)
 		if edge.Routing == nil {
-			return code.New(code.ConfigurationAbsent, "this instance has no configuration yet").
+			return code.New(code.ConfigurationAbsent, "this instance does not have the configuration yet").
 				WithRetryAfter(RetryAfterNoConfig)
 		}
 		edge.Route = edge.Routing.Match(r.HTTP.Host, rawPath(r.HTTP.RequestURI))
@@ -66,6 +68,22 @@
 	}
 }
 
+// routing returns the configuration by which a request is handled, or nil if there is
+// none. One that another instance took is never handled by an older one than there.
+func (f *Filter) routing(ctx context.Context, r *chain.Request) *routing.Snapshot {
+	s := f.snapshot()
+	if !r.Forwarded || !isOlder(s, r.Edge.Call.ConfigVersion) {
+		return s
+	}
+	f.refresh(ctx)
+	if s = f.snapshot(); isOlder(s, r.Edge.Call.ConfigVersion) {
+		return nil
+	}
+	return s
+}
+
+func isOlder(s *routing.Snapshot, version uint64) bool { return s == nil || s.Version < version }
+
 // rawPath returns the undecoded path of a request URI.
 func rawPath(requestURI string) string {
 	path, _, _ := strings.Cut(requestURI, "?")
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -61,6 +61,16 @@
 // began, or newer.
 func (f *Follower) RefreshUpstreams(ctx context.Context) error {
 	_, name := f.decoder.Tables()
+	return f.refresh(ctx, name)
+}
+
+// RefreshOperator does the same with the operator's table.
+func (f *Follower) RefreshOperator(ctx context.Context) error {
+	name, _ := f.decoder.Tables()
+	return f.refresh(ctx, name)
+}
+
+func (f *Follower) refresh(ctx context.Context, name string) error {
 	update, err := f.fetch(ctx, name, true, 0)
 	if errors.Is(err, ErrHistoryLost) || (err == nil && !f.apply(update)) {
 		update, err = f.fetch(ctx, name, false, 0)
