--- a/pkg/chain/chain.go
+++ b/pkg/chain/chain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fescuestep/fescuestep/pkg/block"
 	"github.com/fescuestep/fescuestep/pkg/call"
 	"github.com/fescuestep/fescuestep/pkg/config"
@@ -13,6 +15,10 @@
 	"github.com/fescuestep/fescuestep/pkg/routing"
 )
 
+// ErrInstanceStops is the cause with which the context of a request ends when the instance
+// stops and can wait no longer.
+var ErrInstanceStops = errors.New("the instance stops")
+
 // Request is the state of one request while the chain handles it. A request is
 // handled by one goroutine; each filter sets the fields it owns.
 type Request struct {
--- a/pkg/edge/listener.go
+++ b/pkg/edge/listener.go
@@ -45,6 +45,9 @@
 	maxFields atomic.Int64 // header fields of a request
 	fields    int          // maxFields by the settings; 0: by the size of heads
 
+	ending context.Context // ends when running requests must be answered, since the instance stops
+	endNow context.CancelCauseFunc
+
 	draining atomic.Bool  // responses close their connections
 	refusing atomic.Bool  // new requests are refused
 	running  atomic.Int64 // requests in flight
@@ -61,6 +64,7 @@
 
 func newListener(handler chain.Handler, encoder RefusalEncoder, guard *callerguard.Guard, name string, log hclog.Logger, now func() time.Time) *listener {
 	l := &listener{handler: handler, refusalEncoder: encoder, guard: guard, log: log, now: now, accepting: make(chan struct{})}
+	l.ending, l.endNow = context.WithCancelCause(context.Background())
 	l.guardOptions = callerguard.ListenerOptions{Name: name, Fields: func() int { return int(l.maxFields.Load()) }}
 	l.setLimits(routing.DefaultLimits())
 	return l
@@ -170,6 +174,25 @@
 // startDrain makes every response close its connection.
 func (l *listener) startDrain() { l.draining.Store(true) }
 
+// endRequests ends the contexts of all requests, so that they are answered.
+func (l *listener) endRequests() { l.endNow(chain.ErrInstanceStops) }
+
+// requestContext returns a context that ends with ctx, and when the instance ends its
+// requests. A request that is still being received then fails, too. release must be called
+// when the request has been handled.
+func (l *listener) requestContext(ctx context.Context, w http.ResponseWriter) (requestCtx context.Context, release func()) {
+	requestCtx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(l.ending, func() {
+		cancel(context.Cause(l.ending))
+		// The error is ignored: only the writers of tests lack deadline support.
+		_ = http.NewResponseController(w).SetReadDeadline(l.now())
+	})
+	return requestCtx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // refuseNew makes the listener refuse all further requests.
 func (l *listener) refuseNew() { l.refusing.Store(true) }
 
@@ -252,7 +275,9 @@
 		l.writeRefusal(r, code.New(code.ShuttingDown, "this instance is shutting down").WithRetryAfter(shutdownRetryAfter))
 		return
 	}
-	err := l.callHandler(req.Context(), r)
+	ctx, release := l.requestContext(req.Context(), w)
+	defer release()
+	err := l.callHandler(ctx, r)
 	if err == nil {
 		return
 	}
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -74,15 +74,16 @@
 	// reports not ready: the platform polls readiness once per second and acts
 	// after two failed checks.
 	drainDuration = 2300 * time.Millisecond
-	// shutdownReserve is the time left between the end of a shutdown and the
-	// moment when the platform kills the process.
+	// shutdownReserve is the time left between the moment when running requests are ended
+	// and the one when the platform kills the process. answerTime of it is for their answers.
 	shutdownReserve = 500 * time.Millisecond
+	answerTime      = 250 * time.Millisecond
 )
 
 // shutdown keeps serving until the platform has taken the instance out of
 // rotation, and then waits for running requests to end. Requests that arrive later
 // on kept-alive connections are refused as not run, since they might not complete
-// before the process is killed.
+// before the process is killed. Those that run until then are answered with an error.
 func (i *Instance) shutdown(callers, forwards net.Listener) error {
 	began := i.now()
 	i.deps.Log.Info("stopping", "running", i.listener.running.Load()+i.forwards.running.Load(), "grace", i.options.ShutdownGrace.String())
@@ -94,7 +95,13 @@
 	i.listener.refuseNew()
 	i.forwards.refuseNew()
 	i.admitter.stop()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(i.options.ShutdownGrace-shutdownReserve))
+	ends := began.Add(i.options.ShutdownGrace - shutdownReserve)
+	endTimer := time.AfterFunc(ends.Sub(i.now()), func() {
+		i.listener.endRequests()
+		i.forwards.endRequests()
+	})
+	defer endTimer.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), ends.Add(answerTime))
 	defer cancel()
 	var forwardsErr error
 	var wg sync.WaitGroup
--- a/pkg/filter/dispatch/giveup.go
+++ b/pkg/filter/dispatch/giveup.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/chain"
 	"github.com/fescuestep/fescuestep/pkg/code"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 )
@@ -44,7 +45,7 @@
 }
 
 // contextError returns the error for a request whose context has ended because
-// the deadline passed or the caller disconnected.
+// the deadline passed, the instance stops or the caller disconnected.
 func (x *exchange) contextError(ctx context.Context, last error) error {
 	run := code.NotRun
 	if x.mayHaveRun {
@@ -57,5 +58,11 @@
 		}
 		return code.New(code.UpstreamTimeout, "the deadline passed").WithRun(run).WithCause(last)
 	}
+	if errors.Is(context.Cause(ctx), chain.ErrInstanceStops) {
+		if run == code.NotRun {
+			return code.New(code.ShuttingDown, "the instance stopped before an upstream ran the request").WithCause(last)
+		}
+		return code.New(code.UpstreamFailed, "the instance stopped while an upstream ran the request").WithCause(last)
+	}
 	return code.New(code.BodyReadTimeout, "the caller left").WithRun(run).WithCause(last)
 }
