--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -134,6 +134,7 @@
 	crashRows   *crashRows
 	versionRows *versionRows
 	draining    atomic.Bool
+	endsAt      atomic.Pointer[time.Time] // when all requests are ended; nil: new ones are still taken
 	eraSeen     atomic.Bool // an era of the store was seen
 
 	configuredAt  atomic.Pointer[time.Time] // when the first configuration was adopted
@@ -288,7 +289,7 @@
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
-		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Admission: i.admitter, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now,
+		Crashes: i.crashes, Streams: i.streams, Reach: i.reach, Releases: i.releases, Admission: i.admitter, Metrics: deps.ServiceMetrics, Log: deps.Log.Named("dispatch"), Now: i.now, EndsAt: i.requestsEndAt,
 	}, dispatch.Options{Domain: i.options.Domain, ResponseBytes: i.options.MemoryBytes / responseMemoryDivisor, EvictReaders: i.guard.EvictReaders})
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, tableAges: i.tableAges, now: i.now},
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -92,10 +92,11 @@
 	i.forwards.startDrain()
 	i.peers.setLeaving()
 	time.Sleep(min(drainDuration, i.options.ShutdownGrace/3))
+	ends := began.Add(i.options.ShutdownGrace - shutdownReserve)
+	i.endsAt.Store(&ends)
 	i.listener.refuseNew()
 	i.forwards.refuseNew()
 	i.admitter.stop()
-	ends := began.Add(i.options.ShutdownGrace - shutdownReserve)
 	endTimer := time.AfterFunc(ends.Sub(i.now()), func() {
 		i.listener.endRequests()
 		i.forwards.endRequests()
@@ -113,6 +114,15 @@
 	return errors.Wrap(err, "requests were still running at the end of the shutdown")
 }
 
+// requestsEndAt returns when this instance ends all requests, or zero while it takes new
+// ones.
+func (i *Instance) requestsEndAt() time.Time {
+	if ends := i.endsAt.Load(); ends != nil {
+		return *ends
+	}
+	return time.Time{}
+}
+
 // introductionTimeout is how long after its first state an instance waits for what
 // others know beyond the rows of the store.
 const introductionTimeout = 600 * time.Millisecond
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -51,6 +51,7 @@
 	Metrics       Metrics
 	Log           hclog.Logger
 	Now           func() time.Time
+	EndsAt        func() time.Time // when this instance ends all requests, once it takes no new ones; zero: it stays
 }
 
 // Options are the settings of a Handler.
@@ -86,6 +87,9 @@
 	replacedBusyTime = 2 * time.Second
 	// retryAfterRefusal is the Retry-After sent to callers when upstreams refused.
 	retryAfterRefusal = 250 * time.Millisecond
+	// retryAfterStop is the Retry-After sent to callers of an instance that stops. Other
+	// instances take the request at once.
+	retryAfterStop = 20 * time.Millisecond
 	// minAttemptTime is the least time before the deadline at which a retry is
 	// still worthwhile.
 	minAttemptTime = 20 * time.Millisecond
@@ -160,6 +164,9 @@
 		if refused := x.refusedRelease(); refused != nil {
 			return x.giveUp(ctx, last, refused)
 		}
+		if refused := x.refusedAtStop(); refused != nil {
+			return x.giveUp(ctx, last, refused)
+		}
 		cutOff := x.isCutOff()
 		if cutOff {
 			if final, err := x.beyondReach(ctx, last); final {
@@ -219,6 +226,17 @@
 	}
 }
 
+// refusedAtStop returns the error for a request that must not be sent any more, since this
+// instance stops and may have to end it before its deadline, or nil. Requests that may run
+// twice are still retried.
+func (x *exchange) refusedAtStop() error {
+	ends := x.h.EndsAt()
+	if ends.IsZero() || !x.r.Deadline.After(ends) || (x.edge.Attempts > 0 && x.edge.Route.Idempotent()) {
+		return nil
+	}
+	return code.New(code.ShuttingDown, "this instance stops before the request's deadline").WithRetryAfter(retryAfterStop)
+}
+
 // prefixPollInterval is the interval at which waitForPrefix asks whether the
 // shared parts have been computed.
 const prefixPollInterval = 10 * time.Millisecond
