--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -40,6 +40,7 @@
 	admission edge.AdmissionMode // of instances that start
 	config    routing.Config
 	profiles  bool           // of instances that start
+	retries   int            // that instances which start may make in 10 s, besides a fifth of their requests
 	bounds    release.Bounds // of rollouts of software
 }
 
@@ -49,7 +50,7 @@
 )
 
 func newTestFleet(t *testing.T, engines int) *testFleet {
-	fleet := &testFleet{t: t, store: standin.NewStore(), bounds: release.DefaultBounds()}
+	fleet := &testFleet{t: t, store: standin.NewStore(), bounds: release.DefaultBounds(), retries: 50}
 	server := &http.Server{Handler: fleet.store}
 	ln := listen(t)
 	fleet.storeAddr = ln.Addr().String()
@@ -182,7 +183,7 @@
 		Name:      name, Domain: "z1", CallerAddr: freeAddr(fleet.t), ReadinessAddr: freeAddr(fleet.t), ReadinessPath: platform.ReadinessPath,
 		ControlAddr: freeAddr(fleet.t), PeerAddr: freeAddr(fleet.t), Seeds: seeds, MemoryBytes: 128 << 20,
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
-		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: 50},
+		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: fleet.retries},
 		Profiles:      fleet.profiles,
 		Releases:      fleet.bounds,
 		InstanceTable: platform.TableInstances, QuarantineTable: platform.TableQuarantines, VersionTable: platform.TableVersions,
