--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -135,7 +135,7 @@
 	versionRows *versionRows
 	draining    atomic.Bool
 	endsAt      atomic.Pointer[time.Time] // when all requests are ended; nil: new ones are still taken
-	eraSeen     atomic.Bool // an era of the store was seen
+	eraSeen     atomic.Bool               // an era of the store was seen
 
 	configuredAt  atomic.Pointer[time.Time] // when the first configuration was adopted
 	configRefresh singleflight.Group        // one read of the configuration for all requests that wait for it
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -93,6 +93,9 @@
 // reports whether that is so.
 func (r *Registry) StoreAnswered(at time.Time) (returned bool) { return r.outage.answered(at) }
 
+// StoreCallFailed records that a call of this instance to the store failed.
+func (r *Registry) StoreCallFailed() { r.outage.failed() }
+
 // SetStoreLeftToOthers sets whether other instances follow the store for this one, so that
 // deferred removals do not wait for an answer of the store.
 func (r *Registry) SetStoreLeftToOthers(left bool) { r.outage.leftToOthers = left }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -37,6 +37,7 @@
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a"), testUpstream("b")}, 1, start)
 	r.StoreAnswered(start)
+	r.StoreCallFailed()
 	now := start.Add(10 * time.Second)
 	r.StoreAnswered(now)
 	replace(r, []*Upstream{testUpstream("a")}, 2, now)
@@ -57,6 +58,7 @@
 func outageUntil(r *Registry) time.Time {
 	back := start.Add(10 * time.Second)
 	r.StoreAnswered(start)
+	r.StoreCallFailed()
 	r.StoreAnswered(back)
 	return back
 }
@@ -68,6 +70,7 @@
 		replace(r, []*Upstream{testUpstream("a")}, 1, start)
 		now := start
 		for range 20 {
+			r.StoreCallFailed()
 			r.StoreAnswered(now)
 			now = now.Add(interval)
 		}
@@ -77,12 +80,25 @@
 	}
 }
 
+// TestSilenceOfRelaysIsNoOutage guards against an instance that left the store to others, and takes their end for an outage of the store.
+func TestSilenceOfRelaysIsNoOutage(t *testing.T) {
+	r := NewRegistry()
+	replace(r, []*Upstream{testUpstream("a")}, 1, start)
+	r.StoreAnswered(start)
+	now := start.Add(time.Minute)
+	r.StoreAnswered(now)
+	if !r.Remove("a", at(2), now) || listed(r, "a") {
+		t.Error("removal is deferred although no call failed")
+	}
+}
+
 // TestSecondOutageKeepsLapsedEntries guards against the removal of upstreams that could not write their entries again, since the store went away a second time.
 func TestSecondOutageKeepsLapsedEntries(t *testing.T) {
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a")}, 1, start)
 	back := outageUntil(r)
 	r.Remove("a", at(2), back)
+	r.StoreCallFailed()
 	for _, later := range []time.Duration{ReconnectGracePeriod, 20 * time.Second} {
 		if r.Expire(back.Add(later)); !listed(r, "a") {
 			t.Fatalf("removed %v after the return, while the store is away again", later)
--- a/pkg/fleet/outage.go
+++ b/pkg/fleet/outage.go
@@ -6,11 +6,13 @@
 // they are written about every second, and removed after three such intervals of silence.
 const minOutage = 2 * time.Second
 
-// outage decides, from the times at which the store answered any instance, whether it is
-// away and, once it is back, until when the lack of an entry may be a consequence. Failed
-// calls don't count: they may be due to the connection of one instance.
+// outage decides whether the store is away and, once it is back, until when the lack of an
+// entry may be a consequence. The store is away while it answers no instance and calls of
+// this one fail. Failed calls alone may be due to the connection of this instance, and the
+// lack of answers to the silence of those that ask the store in its place.
 type outage struct {
 	lastAnswerAt time.Time // newest answer of the store to any instance
+	callFailed   bool      // a call of this instance failed since then
 	graceUntil   time.Time
 	leftToOthers bool // this instance makes no calls of its own
 }
@@ -21,15 +23,21 @@
 	if !at.After(o.lastAnswerAt) {
 		return false
 	}
-	returned = !o.lastAnswerAt.IsZero() && at.Sub(o.lastAnswerAt) >= minOutage
+	returned = o.away(at)
 	if returned {
 		o.graceUntil = at.Add(ReconnectGracePeriod)
 	}
-	o.lastAnswerAt = at
+	o.lastAnswerAt, o.callFailed = at, false
 	return returned
 }
 
-// ongoing reports whether the store is away.
-func (o *outage) ongoing(now time.Time) bool {
-	return !o.leftToOthers && now.Sub(o.lastAnswerAt) >= minOutage
+// failed records that a call of this instance failed.
+func (o *outage) failed() { o.callFailed = true }
+
+// away reports whether the store has been away, for minOutage or longer, at a time.
+func (o *outage) away(at time.Time) bool {
+	return o.callFailed && !o.lastAnswerAt.IsZero() && at.Sub(o.lastAnswerAt) >= minOutage
 }
+
+// ongoing reports whether the store is away now and this instance waits for its return.
+func (o *outage) ongoing(now time.Time) bool { return !o.leftToOthers && o.away(now) }
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -19,6 +19,7 @@
 		f.unavailableSince = f.now()
 	}
 	t.healthy = false
+	f.upstreams.StoreCallFailed()
 }
 
 // noteAnswer records a successful call to the store for a table. It returns until when
