--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -60,10 +60,12 @@
 	// stateSyncInterval is the time between checks of which instances follow the
 	// store and whether one of them has newer state.
 	stateSyncInterval = 300 * time.Millisecond
-	// relayTimeout is the silence after which a relay is replaced by other instances
-	// that follow the store. It is short since a new configuration must be in force
-	// within seconds.
+	// relayTimeout is the age up to which the last digest of an instance tells how things
+	// are there.
 	relayTimeout = 1800 * time.Millisecond
+	// minRelaySilence is the shortest silence after which a relay is replaced by other
+	// instances that follow the store. Changes must be in force within seconds.
+	minRelaySilence = time.Second
 	// maxUpdates limits the updates of one kind in a digest; each takes up to 35
 	// bytes.
 	maxUpdates = 12
@@ -186,6 +188,13 @@
 	return max(digestInterval, digestIntervalPerPeer*time.Duration(p.peerCount()))
 }
 
+// relaySilence returns the silence after which a relay is replaced: two whole digests are
+// missing, or more in a small fleet. The caller holds mu.
+func (p *peers) relaySilence() time.Duration {
+	missing := 2 * digestIntervalPerPeer * time.Duration(len(p.byName))
+	return min(max(minRelaySilence, missing+digestInterval), relayTimeout)
+}
+
 // partialDigestDelay returns the delay before a partial digest.
 func (p *peers) partialDigestDelay() time.Duration {
 	return max(updateDelay, updateDelayPerPeer*time.Duration(p.peerCount()))
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -116,10 +116,10 @@
 func (p *peers) hasRelay() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
+	now, silence := p.now(), p.relaySilence()
 	members := config.Membership{Members: []config.Member{{ID: p.self.Name, Domain: p.self.Domain}}}
 	for name, other := range p.byName {
-		if now.Sub(other.heardAt) < relayTimeout {
+		if now.Sub(other.heardAt) < silence {
 			members.Members = append(members.Members, config.Member{ID: name, Domain: other.addr.Domain, Leaving: other.lastDigest.GetLeaving()})
 		}
 	}
