One check of responses for upstreams and instances; newRows split from apply

What must not reach a caller was decided in two places, for upstreams and for other instances that handle a request.

--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -194,13 +194,11 @@
 		return placement.Refused, errors.Wrapf(errRefused, "status %d, weights %d", decoded.Status, decoded.WeightsVersion)
 	}
 	x.r.Outcome.Status = decoded.Status
-	success := decoded.Status >= 200 && decoded.Status < 300
-	switch {
-	case statesNotRun(decoded.Status):
-		return placement.Failed, errors.Wrapf(errUnprovenRefusal, "status %d", decoded.Status)
-	case success && (!decoded.Attested || decoded.ContentEncoded):
-		return placement.Failed, errUnprovenResponse
-	case success && x.edge.Route.Kind == routing.Stream:
+	success := isSuccess(decoded.Status)
+	if err := x.rejected(decoded); err != nil {
+		return placement.Failed, err
+	}
+	if success && x.edge.Route.Kind == routing.Stream {
 		return x.relayStream(resp, func() error {
 			if !timer.stop() {
 				return errFirstByteTimeout // the connection was closed
@@ -209,9 +207,6 @@
 			return nil
 		})
 	}
-	if x.r.Outcome.ResponseStarted {
-		return placement.Failed, errors.Wrapf(errUpstreamStatus, "status %d for a resumed stream", decoded.Status)
-	}
 	body, err := x.readWhole(resp)
 	if err != nil {
 		return placement.Failed, err
@@ -232,6 +227,26 @@
 	return placement.OK, nil
 }
 
+// rejected returns the error for a response that must not reach the caller, from an
+// upstream or another instance, or nil: one that is not proven, or anything but events
+// after the first events of a stream.
+func (x *exchange) rejected(decoded call.Response) error {
+	success := isSuccess(decoded.Status)
+	switch {
+	case statesNotRun(decoded.Status):
+		return errors.Wrapf(errUnprovenRefusal, "status %d", decoded.Status)
+	case success && (!decoded.Attested || decoded.ContentEncoded):
+		return errUnprovenResponse
+	case x.r.Outcome.ResponseStarted && !success:
+		return errors.Wrapf(errUpstreamStatus, "status %d for a resumed stream", decoded.Status)
+	}
+	return nil
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // statesNotRun reports whether a status means that the request has not run.
 func statesNotRun(status int) bool {
 	switch status {
--- a/pkg/filter/dispatch/forward.go
+++ b/pkg/filter/dispatch/forward.go
@@ -117,21 +117,17 @@
 // as not run.
 func (x *exchange) relayForwarded(resp *http.Response, decoded call.Response) (placement.Result, error) {
 	x.r.Outcome.Status = decoded.Status
-	success := decoded.Status >= http.StatusOK && decoded.Status < http.StatusMultipleChoices
-	switch {
-	case decoded.Refused:
+	if decoded.Refused {
 		x.mayHaveRun = x.mayHaveRunBefore
 		x.r.Outcome.Sent = x.mayHaveRun
 		x.helperRetryAfter = decoded.RetryAfter
 		return placement.Refused, errors.Wrapf(errHelperRefused, "status %d", decoded.Status)
-	case statesNotRun(decoded.Status):
-		return placement.Failed, errors.Wrapf(errUnprovenRefusal, "status %d", decoded.Status)
-	case success && (!decoded.Attested || decoded.ContentEncoded):
-		return placement.Failed, errUnprovenResponse
-	case success && x.edge.Route.Kind == routing.Stream:
+	}
+	if err := x.rejected(decoded); err != nil {
+		return placement.Failed, err
+	}
+	if isSuccess(decoded.Status) && x.edge.Route.Kind == routing.Stream {
 		return x.relayStream(resp, func() error { return nil })
-	case x.r.Outcome.ResponseStarted:
-		return placement.Failed, errors.Wrapf(errUpstreamStatus, "status %d for a resumed stream", decoded.Status)
 	}
 	body, err := x.readWhole(resp)
 	if err != nil {
--- a/pkg/state/tables.go
+++ b/pkg/state/tables.go
@@ -101,22 +101,15 @@
 	f.noteStoreAnswered(update.ConfirmedAt)
 	rows := f.enterEra(t, update)
 	t.loaded = true
-	known := t.at.Version // a row up to here whose key is missing was deleted
-	if update.Full && update.At.Version >= t.at.Version {
-		known = 0
-	}
 	if update.Full {
 		rows = append(rows, t.impliedDeletions(update)...)
-		if update.At.Version >= t.at.Version {
-			t.fullVersion = update.At.Version
-		}
 	}
 	changed := false
-	for _, row := range rows {
-		row.Table = update.Name
-		if t.isNew(row, known) {
-			changed = f.applyRow(t, row, !update.Full) || changed
-		}
+	for _, row := range t.newRows(update, rows) {
+		changed = f.applyRow(t, row, !update.Full) || changed
+	}
+	if update.Full && update.At.Version >= t.at.Version {
+		t.fullVersion = update.At.Version
 	}
 	t.at.Version = max(t.at.Version, update.At.Version)
 	t.confirmed.advance(update.ConfirmedAt)
@@ -132,12 +125,28 @@
 	return update.From.Era == t.at.Era && update.At.Era == t.at.Era && !t.at.Before(update.From)
 }
 
-// isNew reports whether a row is newer than the local one, or than what is known if there
-// is none: tables that other instances send whole leave out deleted rows.
-func (t *table) isNew(row Row, known uint64) bool {
+// newRows returns those rows of an update that are newer than the local ones. Of keys that
+// are missing here, those that the table is complete beyond were deleted (tables that other
+// instances send whole leave out deleted rows), unless a whole table as new lists them.
+func (t *table) newRows(update TableUpdate, rows []Row) []Row {
+	complete := t.at.Version
+	if update.Full && update.At.Version >= t.at.Version {
+		complete = 0
+	}
+	var out []Row
+	for _, row := range rows {
+		row.Table = update.Name
+		if t.isNew(row, complete) {
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+func (t *table) isNew(row Row, complete uint64) bool {
 	local, ok := t.rows[row.Key]
 	if !ok {
-		return row.Version > known
+		return row.Version > complete
 	}
 	return row.Version > local.Version || (row.Version == local.Version && row.Deleted != local.Deleted)
 }
