--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -93,8 +93,9 @@
 // reports whether that is so.
 func (r *Registry) StoreAnswered(at time.Time) (returned bool) { return r.outage.answered(at) }
 
-// StoreCallFailed records that a call of this instance to the store failed.
-func (r *Registry) StoreCallFailed() { r.outage.failed() }
+// StoreCallFailed records that a call of this instance to the store failed that began at a
+// time.
+func (r *Registry) StoreCallFailed(began time.Time) { r.outage.failed(began) }
 
 // SetStoreLeftToOthers sets whether other instances follow the store for this one, so that
 // deferred removals do not wait for an answer of the store.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -37,7 +37,7 @@
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a"), testUpstream("b")}, 1, start)
 	r.StoreAnswered(start)
-	r.StoreCallFailed()
+	r.StoreCallFailed(start.Add(time.Second))
 	now := start.Add(10 * time.Second)
 	r.StoreAnswered(now)
 	replace(r, []*Upstream{testUpstream("a")}, 2, now)
@@ -58,7 +58,7 @@
 func outageUntil(r *Registry) time.Time {
 	back := start.Add(10 * time.Second)
 	r.StoreAnswered(start)
-	r.StoreCallFailed()
+	r.StoreCallFailed(start.Add(time.Second))
 	r.StoreAnswered(back)
 	return back
 }
@@ -70,8 +70,8 @@
 		replace(r, []*Upstream{testUpstream("a")}, 1, start)
 		now := start
 		for range 20 {
-			r.StoreCallFailed()
 			r.StoreAnswered(now)
+			r.StoreCallFailed(now.Add(time.Millisecond))
 			now = now.Add(interval)
 		}
 		if !r.Remove("a", at(2), now) || listed(r, "a") {
@@ -92,13 +92,27 @@
 	}
 }
 
+// TestLateWordOfAnAnswerHidesNoOutage guards against the removal of all upstreams after an outage, because the age of the last answer before it was told a little too low meanwhile.
+func TestLateWordOfAnAnswerHidesNoOutage(t *testing.T) {
+	r := NewRegistry()
+	replace(r, []*Upstream{testUpstream("a")}, 1, start)
+	r.StoreAnswered(start)
+	r.StoreCallFailed(start.Add(time.Second))
+	r.StoreAnswered(start.Add(300 * time.Millisecond))
+	back := start.Add(5 * time.Second)
+	r.StoreAnswered(back)
+	if r.Remove("a", at(2), back); !listed(r, "a") {
+		t.Error("an upstream whose entry expired during the outage is removed at once")
+	}
+}
+
 // TestSecondOutageKeepsLapsedEntries guards against the removal of upstreams that could not write their entries again, since the store went away a second time.
 func TestSecondOutageKeepsLapsedEntries(t *testing.T) {
 	r := NewRegistry()
 	replace(r, []*Upstream{testUpstream("a")}, 1, start)
 	back := outageUntil(r)
 	r.Remove("a", at(2), back)
-	r.StoreCallFailed()
+	r.StoreCallFailed(back.Add(time.Second))
 	for _, later := range []time.Duration{ReconnectGracePeriod, 20 * time.Second} {
 		if r.Expire(back.Add(later)); !listed(r, "a") {
 			t.Fatalf("removed %v after the return, while the store is away again", later)
--- a/pkg/fleet/outage.go
+++ b/pkg/fleet/outage.go
@@ -12,7 +12,7 @@
 // lack of answers to the silence of those that ask the store in its place.
 type outage struct {
 	lastAnswerAt time.Time // newest answer of the store to any instance
-	callFailed   bool      // a call of this instance failed since then
+	failedAt     time.Time // when the last call of this instance began that failed
 	graceUntil   time.Time
 	leftToOthers bool // this instance makes no calls of its own
 }
@@ -27,16 +27,21 @@
 	if returned {
 		o.graceUntil = at.Add(ReconnectGracePeriod)
 	}
-	o.lastAnswerAt, o.callFailed = at, false
+	o.lastAnswerAt = at
 	return returned
 }
 
-// failed records that a call of this instance failed.
-func (o *outage) failed() { o.callFailed = true }
+// failed records that a call of this instance failed that began at a time. One that began
+// before the last answer says nothing of the time since.
+func (o *outage) failed(began time.Time) {
+	if began.After(o.failedAt) {
+		o.failedAt = began
+	}
+}
 
 // away reports whether the store has been away, for minOutage or longer, at a time.
 func (o *outage) away(at time.Time) bool {
-	return o.callFailed && !o.lastAnswerAt.IsZero() && at.Sub(o.lastAnswerAt) >= minOutage
+	return !o.lastAnswerAt.IsZero() && o.failedAt.After(o.lastAnswerAt) && at.Sub(o.lastAnswerAt) >= minOutage
 }
 
 // ongoing reports whether the store is away now and this instance waits for its return.
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -197,13 +197,13 @@
 			incremental = false
 			continue
 		case err != nil && wait > 0:
-			f.storeFailed(name, err) // the next call, without a wait, shows whether the store answers
+			f.storeFailed(name, began, err) // the next call, without a wait, shows whether the store answers
 			if f.now().Sub(began) < wait {
 				sleep(ctx, minRetryDelay)
 			}
 			continue
 		case err != nil:
-			f.storeFailed(name, err)
+			f.storeFailed(name, began, err)
 			sleep(ctx, retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -9,8 +9,8 @@
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 )
 
-// storeFailed records a failed call to the store for a table.
-func (f *Follower) storeFailed(name string, err error) {
+// storeFailed records a failed call to the store for a table that began at a time.
+func (f *Follower) storeFailed(name string, began time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.tables[name]
@@ -19,7 +19,7 @@
 		f.unavailableSince = f.now()
 	}
 	t.healthy = false
-	f.upstreams.StoreCallFailed()
+	f.upstreams.StoreCallFailed(began)
 }
 
 // noteAnswer records a successful call to the store for a table. It returns until when
