--- a/pkg/edge/accesslog.go
+++ b/pkg/edge/accesslog.go
@@ -32,6 +32,9 @@
 	RecordCapacity(service string, c metrics.Capacity)
 	// TableAge sets how long ago a table of the store was last known to be current.
 	TableAge(table string, age time.Duration)
+	// StateTransferred counts a State call and the bytes of its response. The direction is
+	// one of those of StateDirection.
+	StateTransferred(direction string, bytes int64)
 }
 
 // accessLog is a filter that logs one line per request, with the routing and
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -46,7 +46,7 @@
 	p.setView(fleet.NewView([]*fleet.Upstream{{ID: "e1", Service: "llm", Weights: map[string]int{"m": 1}}}))
 	follower := state.New(nil, stubDecoder{}, discardSink{}, hclog.NewNullLogger(), now)
 	self := &rpc.Address{Name: "self", Digests: "10.0.0.1:7600", Control: "10.0.0.1:8608", Domain: "z"}
-	return newPeers(self, 1, nil, nil, p, newLimiter("self", now), follower, newCrashes(hclog.NewNullLogger(), now), newStreams(hclog.NewNullLogger(), now), hclog.NewNullLogger(), now)
+	return newPeers(self, 1, nil, nil, nil, p, newLimiter("self", now), follower, newCrashes(hclog.NewNullLogger(), now), newStreams(hclog.NewNullLogger(), now), hclog.NewNullLogger(), now)
 }
 
 // newDigest returns a digest from the instance "other".
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -88,6 +88,7 @@
 	Decoder        state.Decoder
 	Engines        EngineClient
 	DialUpstream   httpconn.DialFunc                        // opens connections for requests to upstreams; nil: by TCP
+	DialInstance   httpconn.DialFunc                        // opens connections for State calls to other instances; nil: by TCP
 	ListenDigests  func(netip.AddrPort) (DigestConn, error) // opens the socket for digests; nil: by UDP
 	RequestMetrics accounting.Metrics
 	ServiceMetrics ServiceMetrics
@@ -258,9 +259,12 @@
 		DialContext:         netopt.Dialer(dialTimeout).DialContext,
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: netopt.MaxControlHeadBytes,
 	}
-	client := &http.Client{Transport: netopt.LimitResponses(transport, maxStateBytes)}
+	if i.deps.DialInstance != nil {
+		transport.DialContext = i.deps.DialInstance
+	}
+	client := &http.Client{Transport: countingTransport{netopt.LimitResponses(transport, maxStateBytes)}}
 	incarnation := uint64(i.now().UnixNano())
-	i.peers = newPeers(self, incarnation, conn, client, i.placer, i.limiter, i.follower, i.crashes, i.streams, i.deps.Log.Named("peers"), i.now)
+	i.peers = newPeers(self, incarnation, conn, client, i.deps.ServiceMetrics, i.placer, i.limiter, i.follower, i.crashes, i.streams, i.deps.Log.Named("peers"), i.now)
 	i.peers.setSeeds(i.options.Seeds)
 	i.peers.shared = append(i.peers.shared, capacities{i.placer}, i.releases)
 	i.releases.others, i.releases.onNews, i.releases.onLeader = i.peers.others, i.peers.requestSend, i.peers.noteLeader
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -109,6 +109,7 @@
 	incarnation uint64
 	conn        DigestConn
 	client      *http.Client
+	metrics     ServiceMetrics
 	placer      *placer
 	limiter     *limiter
 	follower    *state.Follower
@@ -144,9 +145,9 @@
 	lastSentPositions map[string]history.Position // by table, as last announced
 }
 
-func newPeers(self *rpc.Address, incarnation uint64, conn DigestConn, client *http.Client, p *placer, l *limiter, f *state.Follower, c *crashes, s *streams, log hclog.Logger, now func() time.Time) *peers {
+func newPeers(self *rpc.Address, incarnation uint64, conn DigestConn, client *http.Client, m ServiceMetrics, p *placer, l *limiter, f *state.Follower, c *crashes, s *streams, log hclog.Logger, now func() time.Time) *peers {
 	return &peers{
-		self: self, incarnation: incarnation, conn: conn, client: client, placer: p, limiter: l, follower: f, crashes: c, streams: s,
+		self: self, incarnation: incarnation, conn: conn, client: client, metrics: m, placer: p, limiter: l, follower: f, crashes: c, streams: s,
 		log: log, now: now, sendNow: make(chan struct{}, 1), introduce: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
 		cutOff: func() []string { return nil },
 		byName: map[string]*peer{}, work: newPeerWork(now()), loadingUntil: map[string]time.Time{}, lastSentWork: map[string]placement.Work{},
--- a/pkg/edge/run.go
+++ b/pkg/edge/run.go
@@ -167,7 +167,7 @@
 	}
 	handlers := map[netip.AddrPort]http.Handler{i.options.ReadinessAddr: e}
 	if i.options.ControlAddr.IsValid() {
-		handlers[i.options.ControlAddr] = http.MaxBytesHandler(rpc.NewEdgeServer(i.peers), maxControlBytes)
+		handlers[i.options.ControlAddr] = http.MaxBytesHandler(i.stateHandler(), maxControlBytes)
 	}
 	var servers []*http.Server
 	for addr, handler := range handlers {
@@ -185,3 +185,8 @@
 	}
 	return servers, nil
 }
+
+// stateHandler returns the handler of RPCs from other instances.
+func (i *Instance) stateHandler() http.Handler {
+	return meterState(rpc.NewEdgeServer(i.peers), i.deps.ServiceMetrics, i.deps.Log.Named("peers"), i.now)
+}
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -214,10 +214,13 @@
 func (p *peers) fetchState(ctx context.Context, addr string, retained bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
+	ctx, body := countReceived(ctx)
 	held, asked := p.follower.Positions(), p.now()
 	resp, err := rpc.NewEdgeProtobufClient("http://"+addr, p.client).State(ctx, &rpc.StateRequest{Held: encodePositions(held), Retained: retained})
+	took := p.now().Sub(asked)
+	p.metrics.StateTransferred(string(StateReceived), body.bytes.Load())
 	if err != nil {
-		p.log.Info("cannot fetch state from an instance", "addr", addr, "error", err)
+		p.log.Info("cannot fetch state from an instance", "addr", addr, "bytes", body.bytes.Load(), "ms", took.Milliseconds(), "error", err)
 		p.backOffStateSource(addr)
 		return
 	}
@@ -234,7 +237,8 @@
 	p.applyRateLimits(resp.Sender, resp.RateLimits)
 	p.streams.learn(resp.Streams)
 	for _, t := range resp.Tables {
-		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows))
+		p.log.Info("state fetched from an instance", "addr", addr, "table", t.Name, "era", t.Era, "version", t.Version, "whole", t.Whole, "rows", len(t.Rows),
+			"bytes", body.bytes.Load(), "ms", took.Milliseconds())
 	}
 	for _, instance := range resp.Instances {
 		p.addListed(instance)
@@ -247,7 +251,7 @@
 // State returns the rows that the calling instance lacks and, if it asks for that, what
 // this instance knows beyond the rows of the store. A caller that has no table yet also gets the addresses
 // of all known instances.
-func (p *peers) State(_ context.Context, req *rpc.StateRequest) (*rpc.StateResponse, error) {
+func (p *peers) State(ctx context.Context, req *rpc.StateRequest) (*rpc.StateResponse, error) {
 	held := map[string]history.Position{}
 	for _, t := range req.Held {
 		held[t.Name] = position(t)
@@ -268,6 +272,7 @@
 	for _, update := range p.follower.ChangesSince(held) {
 		out.Tables = append(out.Tables, encodeUpdate(update, p.now()))
 	}
+	noteSent(ctx, out)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !hasAnyTable(held) {
--- a/pkg/metrics/definitions.go
+++ b/pkg/metrics/definitions.go
@@ -47,6 +47,8 @@
 	defAdmission    = define(Counter, "admission_total", "Requests of services with admission by service and decision: admitted at once, admitted after waiting, refused since their customer's queue is full, that could not be answered before the deadline or at a shutdown, left while waiting.", "service", "decision")
 	defAdmWait      = define(Histogram, "admission_wait_seconds", "Time that admitted requests waited for room at the upstreams of a service.", "service")
 	defTableAge     = define(Gauge, "table_age_seconds", "Time since a table of the platform's store was last known to be current at an edge instance.", "table")
+	defStateCalls   = define(Counter, "state_calls_total", "State calls between edge instances by direction of the state: sent or received.", "direction")
+	defStateBytes   = define(Counter, "state_bytes_total", "Bytes of the responses to State calls between edge instances by direction: sent or received.", "direction")
 	defUndecodable  = define(Counter, "undecodable_statements_total", "Statements of upstreams in heads of responses that could not be decoded and count as not made.", "statement")
 	defSlow         = define(Gauge, "slow_upstreams", "Upstreams of edge instances at which work takes 1.5 times the usual time or longer.", "pool")
 	defRoom         = define(Gauge, "room", "Concurrent requests that the upstreams of edge instances run without queueing, from all instances together, by kind: free or total.", "pool", "kind")
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -53,6 +53,7 @@
 	m.LogLinesDropped(1)
 	m.UndecodableStatement("load")
 	m.TableAge("servers", time.Second)
+	m.StateTransferred("sent", 1000)
 	m.ConnectionEnded("evicted")
 	m.ReleaseState("llm", 1, 100, 4)
 	m.RecordAdmission("llm", AdmittedLater, time.Millisecond)
--- a/pkg/metrics/service.go
+++ b/pkg/metrics/service.go
@@ -90,6 +90,13 @@
 	m.gauge(defTableAge, table).Update(age.Seconds())
 }
 
+// StateTransferred counts a State call between edge instances and the bytes of its response.
+// The direction is one of a fixed set.
+func (m *Metrics) StateTransferred(direction string, bytes int64) {
+	m.counter(defStateCalls, direction).Inc(1)
+	m.counter(defStateBytes, direction).Inc(bytes)
+}
+
 // ConnectionEnded counts a connection that was refused or ended for what it holds. The
 // reason is one of a fixed set.
 func (m *Metrics) ConnectionEnded(reason string) { m.counter(defEnded, reason).Inc(1) }
