--- a/pkg/edge/fleet_test.go
+++ b/pkg/edge/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -33,8 +34,11 @@
 	t         *testing.T
 	store     *standin.Store
 	storeAddr string
-	storeLink *link // of instances that start, to the store; nil: TCP
-	coreLink  *link // of instances that start, to the store and to other instances; nil: TCP and UDP
+	storeLink *link          // of instances that start, to the store; nil: TCP
+	coreLink  *link          // of instances that start, to the store and to other instances; nil: TCP and UDP
+	network   *narrowNetwork // of instances that start, for what they read; nil: TCP
+	domain    string         // failure domain of instances that start; empty: z1
+	instances []*testInstance
 	engines   []*standin.Upstream
 	orders    *standin.Upstream
 	admission edge.AdmissionMode // of instances that start
@@ -180,7 +184,7 @@
 func (fleet *testFleet) startInstanceBehind(l *link, name string, seeds ...string) *testInstance {
 	o := edge.Options{
 		Admission: fleet.admission,
-		Name:      name, Domain: "z1", CallerAddr: freeAddr(fleet.t), ReadinessAddr: freeAddr(fleet.t), ReadinessPath: platform.ReadinessPath,
+		Name:      name, Domain: cmp.Or(fleet.domain, "z1"), CallerAddr: freeAddr(fleet.t), ReadinessAddr: freeAddr(fleet.t), ReadinessPath: platform.ReadinessPath,
 		ControlAddr: freeAddr(fleet.t), PeerAddr: freeAddr(fleet.t), Seeds: seeds, MemoryBytes: 128 << 20,
 		ShutdownGrace: 3 * time.Second, WeightsDeadline: 6 * time.Second, StartupGrace: 3 * time.Second, LeaderOrderGap: 3 * time.Second, EnginesCheckFencing: true,
 		Retries:       edge.RetryBounds{Ratio: 0.2, Window: 10 * time.Second, Extra: fleet.retries},
@@ -199,13 +203,17 @@
 	if fleet.coreLink != nil {
 		dialStore, listenDigests = fleet.coreLink.dial, fleet.coreLink.listenDigests
 	}
-	var dialUpstream httpconn.DialFunc
+	var dialUpstream, dialInstance httpconn.DialFunc
+	if fleet.network != nil {
+		dialInstance = fleet.network.add(o.ControlAddr.String())
+		dialStore = dialInstance
+	}
 	dialEngine := dial
 	if l != nil {
 		dialUpstream, dialEngine = l.dial, l.dial
 	}
 	i, err := edge.New(o, edge.Dependencies{
-		DialUpstream: dialUpstream, ListenDigests: listenDigests,
+		DialUpstream: dialUpstream, DialInstance: dialInstance, ListenDigests: listenDigests,
 		Dialect: platform.HeaderCodec{}, Store: platform.NewStore(fleet.storeAddr, dialStore), Decoder: platform.Decoder{},
 		Engines: platform.NewEngineClient(name, dialEngine), RequestMetrics: collect.Requests(m), ServiceMetrics: m, MetricsHandler: m.Handler(),
 		Log: hclog.New(&hclog.LoggerOptions{Output: out, JSONFormat: true}),
