--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -24,6 +24,10 @@
 // responses before it. An upstream in trouble may send a head that never ends.
 const maxHeadBytes = 64 << 10
 
+// maxHeadLines bounds the lines of the same. A decoded field takes many times the bytes of a
+// short line.
+const maxHeadLines = 256
+
 // maxSkippedResponses is the number of responses to other requests that Receive
 // skips before it gives up on the connection.
 const maxSkippedResponses = 2
@@ -36,7 +40,7 @@
 	// ErrResponseMismatch is returned when a response belongs to another request.
 	ErrResponseMismatch = errors.New("response belongs to another request")
 	// ErrHeadTooLarge is returned when a response does not begin within
-	// maxHeadBytes.
+	// maxHeadBytes and maxHeadLines.
 	ErrHeadTooLarge = errors.New("head of the response is too large")
 )
 
@@ -56,15 +60,19 @@
 	return &Conn{net: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
 }
 
-// headLimiter bounds the bytes that are read while a head is expected.
+// headLimiter bounds the bytes and lines that are read while a head is expected.
 type headLimiter struct {
 	source    io.Reader
 	limited   bool
 	remaining int // bytes that may still be read if limited
+	lines     int // that may still be read if limited
 }
 
-// limit allows n bytes until unlimit is called.
-func (l *headLimiter) limit(n int) { l.limited, l.remaining = true, n }
+// limit allows the bytes and lines of a head until unlimit is called.
+func (l *headLimiter) limit() { l.limited, l.remaining, l.lines = true, maxHeadBytes, maxHeadLines }
+
+// exceeded reports whether the limit is used up.
+func (l *headLimiter) exceeded() bool { return l.remaining <= 0 || l.lines < 0 }
 
 func (l *headLimiter) unlimit() { l.limited = false }
 
@@ -73,14 +81,26 @@
 	if !l.limited {
 		return l.source.Read(p)
 	}
-	if l.remaining <= 0 {
+	if l.exceeded() {
 		return 0, ErrHeadTooLarge
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.lines -= headLines(p[:n])
 	return n, err
 }
 
+// headLines returns the number of lines that end in what was read of a head. Those after an
+// empty line are of the body, or of the response that follows an interim one.
+func headLines(p []byte) int {
+	for _, empty := range []string{"\r\n\r\n", "\n\n"} {
+		if end := bytes.Index(p, []byte(empty)); end >= 0 {
+			p = p[:end]
+		}
+	}
+	return bytes.Count(p, []byte("\n"))
+}
+
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -143,7 +163,7 @@
 // matches reports whether a response belongs to the request. On a reused
 // connection a few small responses that do not are skipped; otherwise Receive
 // fails with ErrResponseMismatch. It fails with ErrHeadTooLarge if no head ends
-// within maxHeadBytes. The returned stop must be called when the body has been
+// within its limits. The returned stop must be called when the body has been
 // read; until then the connection is closed when ctx ends. stop returns false if
 // ctx has ended.
 func (c *Conn) Receive(ctx context.Context, method string, matches func(*http.Response) bool) (resp *http.Response, stop func() bool, err error) {
@@ -169,12 +189,12 @@
 
 // readHead reads the head of the next response that is not interim (1xx).
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.head.limit(maxHeadBytes)
+	c.head.limit()
 	defer c.head.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
-		case err != nil && c.head.remaining <= 0:
+		case err != nil && c.head.exceeded():
 			return nil, ErrHeadTooLarge
 		case err != nil:
 			return nil, shortened(err)
--- a/pkg/httpconn/conn_test.go
+++ b/pkg/httpconn/conn_test.go
@@ -79,6 +79,7 @@
 	for name, piece := range map[string]string{
 		"header fields": "X-Noise: " + strings.Repeat("n", 100) + "\r\n",
 		"one line":      strings.Repeat("n", 1000),
+		"short fields":  "n:\r\n",
 		"interim":       "HTTP/1.1 102 Processing\r\n\r\n",
 	} {
 		written := make(chan int, 1)
