--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -155,10 +155,6 @@
 	// responseMemoryDivisor limits buffered responses to this fraction (1/8) of
 	// Options.MemoryBytes.
 	responseMemoryDivisor = 8
-	// stateMemoryDivisor limits the response to a State call to this fraction (1/16) of
-	// Options.MemoryBytes, but to no less than minStateBytes.
-	stateMemoryDivisor = 16
-	minStateBytes      = 4 << 20
 	// bytesPerMbit converts Mbit/s to bytes per second.
 	bytesPerMbit = 125_000
 	// dialTimeout limits connection setup to upstreams and other instances, and
@@ -263,15 +259,8 @@
 	if i.options.ControlAddr.IsValid() {
 		self.Control = i.options.ControlAddr.String()
 	}
-	transport := &http.Transport{
-		DialContext:         netopt.Dialer(dialTimeout).DialContext,
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: netopt.MaxControlHeadBytes,
-	}
-	if i.deps.DialInstance != nil {
-		transport.DialContext = i.deps.DialInstance
-	}
 	maxStateBytes := max(minStateBytes, i.options.MemoryBytes/stateMemoryDivisor)
-	client := &http.Client{Transport: countingTransport{netopt.LimitSilence(netopt.LimitResponses(transport, maxStateBytes), stateSilence)}}
+	client := newStateClient(i.deps.DialInstance, maxStateBytes)
 	incarnation := uint64(i.now().UnixNano())
 	i.peers = newPeers(self, incarnation, conn, client, i.deps.ServiceMetrics, i.placer, i.limiter, i.follower, i.crashes, i.streams, i.deps.Log.Named("peers"), i.now)
 	i.peers.maxStateBytes, i.peers.copies = maxStateBytes, newCopies(i.options.LinkMbps*bytesPerMbit)
--- a/pkg/edge/statecall.go
+++ b/pkg/edge/statecall.go
@@ -2,12 +2,35 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/httpconn"
+	"github.com/fescuestep/fescuestep/pkg/netopt"
 	"github.com/fescuestep/fescuestep/pkg/state"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
+const (
+	// stateMemoryDivisor limits the response to a State call to this fraction (1/32) of
+	// Options.MemoryBytes, but to no less than minStateBytes. Three calls may run at once, and
+	// a response is held twice while it is decoded.
+	stateMemoryDivisor = 32
+	minStateBytes      = 4 << 20
+)
+
+// newStateClient returns a client for State calls, which fail after stateSilence without a
+// byte and with responses of more than maxBytes. dial opens connections; nil: by TCP.
+func newStateClient(dial httpconn.DialFunc, maxBytes int64) *http.Client {
+	if dial == nil {
+		dial = netopt.Dialer(dialTimeout).DialContext
+	}
+	transport := &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: netopt.MaxControlHeadBytes,
+	}
+	return &http.Client{Transport: countingTransport{netopt.LimitSilence(netopt.LimitResponses(transport, maxBytes), stateSilence)}}
+}
+
 // callState asks the instance at a control address for state, and applies what it tells.
 func (p *peers) callState(ctx context.Context, addr string, req *rpc.StateRequest) (*rpc.StateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxStateCall)
--- a/pkg/filter/dispatch/stream.go
+++ b/pkg/filter/dispatch/stream.go
@@ -11,12 +11,15 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fescuestep/fescuestep/pkg/membudget"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 )
 
 const (
-	// maxEventBytes limits the size of one event of a stream.
-	maxEventBytes = 256 << 10
+	// maxEventBytes limits the size of one event of a stream. Events of more than
+	// freeEventBytes count against the memory for responses.
+	maxEventBytes  = 256 << 10
+	freeEventBytes = 16 << 10
 	// writeGrace is how long after the deadline writes to the caller may still
 	// take.
 	writeGrace = 500 * time.Millisecond
@@ -37,7 +40,8 @@
 func (x *exchange) relayStream(resp *http.Response, onFirst func() error) (placement.Result, error) {
 	reader := bufio.NewReaderSize(resp.Body, eventBufferBytes)
 	first := true
-	var event bytes.Buffer
+	event := eventBuffer{budget: x.h.buffers}
+	defer event.release()
 	for {
 		event.Reset()
 		id, err := readEvent(reader, &event)
@@ -115,15 +119,41 @@
 	return http.NewResponseController(x.r.Writer).Flush()
 }
 
+// eventBuffer holds an event of a stream. A large one counts against a budget.
+type eventBuffer struct {
+	bytes.Buffer
+	budget   membudget.Reserver
+	reserved int64
+}
+
+// add appends a line. It fails with errResponseTooLarge, or with membudget.ErrExhausted.
+func (e *eventBuffer) add(line []byte) error {
+	size := e.Len() + len(line)
+	if size > maxEventBytes {
+		return errResponseTooLarge
+	}
+	if size > freeEventBytes && int64(2*size) > e.reserved {
+		more := int64(4*size) - e.reserved // the buffer doubles when it is full
+		if !e.budget.Reserve(more) {
+			return membudget.ErrExhausted
+		}
+		e.reserved += more
+	}
+	e.Write(line)
+	return nil
+}
+
+// release gives the reserved bytes back.
+func (e *eventBuffer) release() { e.budget.Release(e.reserved) }
+
 // readEvent reads one event with its final empty line and returns its ID, which
 // may be empty. It returns io.EOF if the stream ends between events and
 // errTruncatedEvent if it ends inside one.
-func readEvent(r *bufio.Reader, event *bytes.Buffer) (id string, err error) {
+func readEvent(r *bufio.Reader, event *eventBuffer) (id string, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
-		event.Write(line)
-		if event.Len() > maxEventBytes {
-			return "", errResponseTooLarge
+		if err := event.add(line); err != nil {
+			return "", err
 		}
 		switch {
 		case err == bufio.ErrBufferFull:
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -18,14 +18,22 @@
 )
 
 // Bounds of the first buffer in bytes. Data of a known length up to maxFirstBuffer is read
-// without copying; so are all responses of upstreams. Memory for longer bodies is reserved
-// as bytes arrive, so that senders that announce much and send nothing hold little.
+// without copying. Memory for longer data is reserved as bytes arrive, so that senders that
+// announce much and send nothing hold little.
 const (
 	initialBufferBytes = 4 << 10
 	maxFirstBuffer     = 64 << 10
 	growthFactor       = 4 // of data of a known length
 )
 
+const (
+	// largeShare is the share of a budget that reservations of more than smallReservation
+	// bytes may use. The rest is kept for short data, so that long data which stalls does not
+	// hold it up.
+	largeShare       = 0.75
+	smallReservation = 8 << 10
+)
+
 // Reserver is what memory is reserved from.
 type Reserver interface {
 	// Reserve reserves n bytes, or returns false.
@@ -78,7 +86,11 @@
 }
 
 func (b *Budget) reserve(n int64) bool {
-	if b.held.Add(n) > b.limit {
+	limit := b.limit
+	if n > smallReservation {
+		limit = int64(largeShare * float64(b.limit))
+	}
+	if b.held.Add(n) > limit {
 		b.held.Add(-n)
 		return false
 	}
@@ -118,21 +130,16 @@
 // It fails with ErrTooLarge for more than limit bytes, with ErrExhausted, or with
 // the error of r. On success the caller must release the buffer.
 func (b *Budget) Read(r io.Reader, length, limit int64) (*Buffer, error) {
-	return read(b, r, length, limit, length)
+	return Read(b, r, length, limit)
 }
 
-// Read is like Budget.Read and reserves the memory from b. It reserves the memory for long
-// data as bytes arrive.
+// Read is like Budget.Read and reserves the memory from b, as bytes arrive.
 func Read(b Reserver, r io.Reader, length, limit int64) (*Buffer, error) {
-	return read(b, r, length, limit, min(length, maxFirstBuffer))
-}
-
-func read(b Reserver, r io.Reader, length, limit, first int64) (*Buffer, error) {
 	if length > limit {
 		return nil, ErrTooLarge
 	}
 	f := &Buffer{budget: b}
-	err := f.read(r, length, limit, first)
+	err := f.read(r, length, limit, min(length, maxFirstBuffer))
 	if err != nil {
 		f.Release()
 		return nil, err
