--- /dev/null
+++ b/pkg/edge/peer.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fescuestep/fescuestep/pkg/placement"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// peer is what is known about another instance.
+type peer struct {
+	addr         *rpc.Address
+	udpAddr      netip.AddrPort // destination of digests
+	controlAddr  string         // IP:port for State calls; empty: takes none
+	heardAt      time.Time      // arrival of the last digest; zero: none has arrived
+	listedAt     time.Time      // when the address was first known
+	lastDigest   *rpc.Digest    // nil: none has arrived
+	backoffUntil time.Time      // no state is requested before, since a State call failed
+	contents     []*rpc.Content // of the operator's rows, from the last full digest
+	introducedTo bool           // it was sent a full digest or an introduction since its process is known
+
+	work        map[string]placement.Work // by upstream, from the last digests
+	workCounted bool                      // the work counts, since a digest arrived recently
+	workHeardAt time.Time                 // arrival of the last digest, as counted
+
+	placedIncarnation uint64 // incarnation that lastPlacedSerial belongs to
+	lastPlacedSerial  uint64 // serial number of the last placement received
+}
+
+// lastDigestFollows reports whether an instance told last that it follows the store. It is
+// false for nil, an instance that was removed meanwhile.
+func (p *peer) lastDigestFollows() bool { return p != nil && p.lastDigest.GetFollows() }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -81,26 +81,6 @@
 	loadingRenewBefore = 300 * time.Millisecond
 )
 
-// peer is what is known about another instance.
-type peer struct {
-	addr         *rpc.Address
-	udpAddr      netip.AddrPort // destination of digests
-	controlAddr  string         // IP:port for State calls; empty: takes none
-	heardAt      time.Time      // arrival of the last digest; zero: none has arrived
-	listedAt     time.Time      // when the address was first known
-	lastDigest   *rpc.Digest    // nil: none has arrived
-	backoffUntil time.Time      // no state is requested before, since a State call failed
-	contents     []*rpc.Content // of the operator's rows, from the last full digest
-	introducedTo bool           // it was sent a full digest or an introduction since its process is known
-
-	work        map[string]placement.Work // by upstream, from the last digests
-	workCounted bool                      // the work counts, since a digest arrived recently
-	workHeardAt time.Time                 // arrival of the last digest, as counted
-
-	placedIncarnation uint64 // incarnation that lastPlacedSerial belongs to
-	lastPlacedSerial  uint64 // serial number of the last placement received
-}
-
 // peers exchanges digests with the other instances by UDP and fetches state from
 // them by RPC.
 type peers struct {
@@ -336,10 +316,6 @@
 	return true
 }
 
-// lastDigestFollows reports whether an instance told last that it follows the store. It is
-// false for nil, an instance that was removed meanwhile.
-func (p *peer) lastDigestFollows() bool { return p != nil && p.lastDigest.GetFollows() }
-
 // add records the address of another instance and returns its entry, or nil if the
 // address is invalid or this instance's own. The caller holds mu.
 func (p *peers) add(addr *rpc.Address) *peer {
--- a/pkg/edge/statesync.go
+++ b/pkg/edge/statesync.go
@@ -85,12 +85,12 @@
 }
 
 // fetchLackingContents fetches state from an instance that has known newer contents
-// of the operator's rows for several checks, although this instance follows the store:
-// the store has come back from an older copy. It returns the number of checks so far.
+// of the operator's rows for several checks, although this instance lacks no rows of the
+// store, which has come back from an older copy. It returns the number of checks so far.
 func (p *peers) fetchLackingContents(ctx context.Context, checks int) int {
 	addr := p.contentSource()
 	switch {
-	case addr == "":
+	case addr == "" || p.awaitsOperatorRows():
 		return 0
 	case checks < contentSourceChecks:
 		return checks + 1
@@ -102,6 +102,24 @@
 	return 0
 }
 
+// awaitsOperatorRows reports whether this instance fetches rows of the operator's table from
+// others, which may bring the newer contents.
+func (p *peers) awaitsOperatorRows() bool {
+	if p.follower.FollowsStore() {
+		return false
+	}
+	operator, _ := p.follower.TableNames()
+	held := p.follower.Positions()[operator]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, source := range p.tableSources(operator, p.now()) {
+		if held.Before(source.At) {
+			return true
+		}
+	}
+	return false
+}
+
 // contentSource returns the control address of an instance that knows newer contents
 // of the operator's rows than this one, or "".
 func (p *peers) contentSource() string {
