--- a/pkg/edge/tablesync.go
+++ b/pkg/edge/tablesync.go
@@ -60,16 +60,13 @@
 // fetchTable fetches what this instance lacks of a table. It returns the time until the
 // next check.
 func (p *peers) fetchTable(ctx context.Context, t *tableSync) time.Duration {
-	if p.introducer() != "" {
-		return stateSyncInterval // that instance tells both tables
+	if p.follower.FollowsStore() || p.introducer() != "" { // an introducer tells both tables
+		return stateSyncInterval
 	}
 	for range maxCallsPerCheck {
-		if ctx.Err() != nil || p.follower.FollowsStore() {
-			break
-		}
 		addr, wait := p.nextSource(t)
-		if addr == "" {
-			return min(max(wait, time.Millisecond), stateSyncInterval)
+		if addr == "" || ctx.Err() != nil {
+			return min(wait, stateSyncInterval)
 		}
 		p.fetchTableFrom(ctx, t, addr)
 	}
@@ -77,16 +74,19 @@
 }
 
 // nextSource returns the control address of the instance to ask for a table, or "" and the
-// time until one may be asked. If this instance has no table yet and no other one offers
-// one, it returns a seed.
+// time until the next check. If this instance has no table yet and no other one offers one,
+// it returns a seed.
 func (p *peers) nextSource(t *tableSync) (addr string, wait time.Duration) {
 	held := p.follower.Positions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	addr, wait = t.sources.Next(now, held[t.name], p.tableSources(t.name, now))
-	if addr != "" || wait > 0 || hasAnyTable(held) || len(p.seeds) == 0 {
-		return addr, sourceWait(wait)
+	if wait == 0 {
+		wait = stateSyncInterval // a digest that tells of a newer table ends it
+	}
+	if addr != "" || wait < stateSyncInterval || hasAnyTable(held) || len(p.seeds) == 0 {
+		return addr, wait
 	}
 	t.attempts++
 	if seed := p.seeds[t.attempts%len(p.seeds)]; seed != p.self.Control {
@@ -95,14 +95,6 @@
 	return "", stateSyncInterval
 }
 
-// sourceWait returns the time until the next check: a wait of 0 ends with a digest.
-func sourceWait(wait time.Duration) time.Duration {
-	if wait == 0 {
-		return stateSyncInterval
-	}
-	return wait
-}
-
 // tableSources returns the instances that were heard lately, with the position of their
 // table. The caller holds mu.
 func (p *peers) tableSources(table string, now time.Time) []dissemination.Source {
