--- a/pkg/dissemination/uplink.go
+++ b/pkg/dissemination/uplink.go
@@ -10,7 +10,7 @@
 	// MaxCopies is the number of large copies of one change that an instance sends. Those who
 	// ask for more are told to ask the instances that have got one.
 	MaxCopies = 3
-	// reofferDelay is the time without a copy after which an instance sends one more: those
+	// reofferDelay is how long after the last copy was sent an instance sends one more: those
 	// that have got one may have stopped.
 	reofferDelay = 500 * time.Millisecond
 	// SmallBytes is the size in bytes up to which a copy is always sent: a few changed rows
@@ -45,7 +45,7 @@
 type change struct {
 	at     history.Position
 	copies int
-	lastAt time.Time // when the last copy was admitted
+	sentAt time.Time // when the last copy will have been sent
 }
 
 // NewUplink returns the bound for a link with a rate in bytes per second; 0 or less: unknown.
@@ -72,13 +72,13 @@
 	if backlog > maxBacklog {
 		return backlog - maxBacklog, false
 	}
-	if reoffer := newest.lastAt.Add(reofferDelay); newest.copies >= MaxCopies && now.Before(reoffer) {
+	if reoffer := newest.sentAt.Add(reofferDelay); newest.copies >= MaxCopies && now.Before(reoffer) {
 		return reoffer.Sub(now), false
 	}
+	u.busyUntil = now.Add(backlog + sending)
 	newest.copies++
-	newest.lastAt = now
+	newest.sentAt = u.busyUntil
 	u.sent[c.Table] = newest
-	u.busyUntil = now.Add(backlog + sending)
 	return 0, true
 }
 
--- a/pkg/edge/faulty_answers_test.go
+++ b/pkg/edge/faulty_answers_test.go
@@ -80,6 +80,11 @@
 	instance := fleet.startInstance("n1")
 	for name, answer := range unfinished {
 		for _, path := range []string{"/whole/", "/stream/"} {
+			upstream.SetHandler(nil)
+			fleet.await("the upstream is used again", func() bool {
+				_, got := instance.request(http.MethodPost, "/whole/", keyBig, "x")
+				return got.status == http.StatusOK
+			})
 			upstream.SetHandler(answerUnfinished(answer))
 			served, reached := 0, received(upstream)
 			runtime.GC()
