A response of an unknown request ends the wait for an answer at once

Callers saw 504 at their deadline where an upstream had answered with another request's ID, or with an error that has no ID, on a connection in use again.

Cause: httpconn.Receive skipped any small response that did not belong to the request, as if it were a second copy of an earlier one, and waited for the next, which never came.

Change: a connection keeps the IDs of its last 8 answered requests; only a response with one of them is a late copy, any other is ErrResponseMismatch.

--- a/pkg/edge/faults_test.go
+++ b/pkg/edge/faults_test.go
@@ -55,17 +55,29 @@
 		"bare refusal": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"bare 429":     func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
 	} {
-		fleet.orders.SetHandler(answer)
-		id, got := instance.request(http.MethodPost, "/orders/", keyBig, "one cast")
-		if got.status != http.StatusBadGateway {
-			t.Errorf("%s: got %+v", name, got)
-		}
-		if count := countRuns([]*standin.Upstream{fleet.orders}, id); count != 1 {
-			t.Errorf("%s: the order ran %d times", name, count)
+		for _, connection := range []string{"new", "in use again"} {
+			if connection == "in use again" {
+				fleet.orders.SetHandler(sealedAnswer)
+				if _, got := instance.request(http.MethodPost, "/orders/", keyBig, "one cast"); got.status != http.StatusOK {
+					t.Errorf("%s: sound answer before it: got %+v", name, got)
+				}
+			}
+			fleet.orders.SetHandler(answer)
+			id, got := instance.request(http.MethodPost, "/orders/", keyBig, "one cast")
+			if got.status != http.StatusBadGateway {
+				t.Errorf("%s, connection %s: got %+v", name, connection, got)
+			}
+			if count := countRuns([]*standin.Upstream{fleet.orders}, id); count != 1 {
+				t.Errorf("%s, connection %s: the order ran %d times", name, connection, count)
+			}
 		}
 	}
 }
 
+func sealedAnswer(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.WriteString(w, standin.PlainBody(seal(w, r)))
+}
+
 // head returns a status line and headers that seal the response.
 func head(r *http.Request) string {
 	id := r.Header.Get("Request-Id")
@@ -110,9 +122,7 @@
 	other := fleet.startUpstream(standin.Options{ID: "o1", Service: "orders", Zone: "z1"})
 	instance := fleet.startInstance("n1")
 	fleet.orders.SetHandler(func(w http.ResponseWriter, _ *http.Request) { writeRaw(w, "") })
-	other.SetHandler(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, standin.PlainBody(seal(w, r)))
-	})
+	other.SetHandler(sealedAnswer)
 	for range 6 {
 		if id, got := instance.request(http.MethodGet, "/read/1", "", ""); got.body != standin.PlainBody(id) {
 			t.Errorf("got %+v", got)
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -53,7 +53,7 @@
 	}
 	timer := x.startFirstByteTimer(attempt, conn)
 	defer timer.stop()
-	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.matchesRequest)
+	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.edge.Call.ID, x.requestIDOf)
 	if err != nil {
 		conn.Close()
 		if !timer.stop() {
@@ -180,9 +180,9 @@
 	return customer.Priority*routePriorityLevels + level
 }
 
-func (x *exchange) matchesRequest(resp *http.Response) bool {
-	decoded := x.h.Dialect.DecodeResponse(resp.StatusCode, resp.Header)
-	return decoded.RequestID == x.edge.Call.ID
+// requestIDOf returns the ID of the request that a response belongs to.
+func (x *exchange) requestIDOf(resp *http.Response) string {
+	return x.h.Dialect.DecodeResponse(resp.StatusCode, resp.Header).RequestID
 }
 
 // relayResponse relays the response to the caller if it is final. Otherwise it
--- a/pkg/filter/dispatch/forward.go
+++ b/pkg/filter/dispatch/forward.go
@@ -93,7 +93,7 @@
 		conn.Close()
 		return x.resultOf(ctx, placement.Failed), err
 	}
-	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.matchesRequest)
+	resp, stop, err := conn.Receive(ctx, x.r.HTTP.Method, x.edge.Call.ID, x.requestIDOf)
 	if err != nil {
 		conn.Close()
 		return x.resultOf(ctx, placement.Failed), err
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -28,14 +29,18 @@
 // short line.
 const maxHeadLines = 256
 
-// maxSkippedResponses is the number of responses to other requests that Receive
-// skips before it gives up on the connection.
+// maxSkippedResponses is the number of late copies that Receive skips before it
+// gives up on the connection.
 const maxSkippedResponses = 2
 
-// maxSkippedBodyBytes is the size in bytes up to which the body of a response to
-// another request is skipped. The connection is given up for a larger one.
+// maxSkippedBodyBytes is the size in bytes up to which the body of a late copy is
+// skipped. The connection is given up for a larger one.
 const maxSkippedBodyBytes = 1 << 20
 
+// maxAnsweredIDs is the number of requests of a connection, the latest ones, of which
+// a second copy of the response is recognized.
+const maxAnsweredIDs = 8
+
 var (
 	// ErrResponseMismatch is returned when a response belongs to another request.
 	ErrResponseMismatch = errors.New("response belongs to another request")
@@ -51,6 +56,8 @@
 	reader *bufio.Reader
 	reused bool
 
+	answered []string // IDs of the latest requests that were answered, oldest first
+
 	idleSince time.Time
 	idleLimit time.Duration // idle time after which the upstream may close the connection
 }
@@ -159,24 +166,26 @@
 	return n > 0, err
 }
 
-// Receive reads the head of the response to a request of the given method.
-// matches reports whether a response belongs to the request. On a reused
-// connection a few small responses that do not are skipped; otherwise Receive
-// fails with ErrResponseMismatch. It fails with ErrHeadTooLarge if no head ends
-// within its limits. The returned stop must be called when the body has been
-// read; until then the connection is closed when ctx ends. stop returns false if
-// ctx has ended.
-func (c *Conn) Receive(ctx context.Context, method string, matches func(*http.Response) bool) (resp *http.Response, stop func() bool, err error) {
+// Receive reads the head of the response to the request with the given ID and
+// method. idOf returns the ID of the request that a response belongs to. A few small
+// late copies of responses that were received on the connection before are skipped.
+// Receive fails with ErrResponseMismatch on any other response that does not belong
+// to the request, and with ErrHeadTooLarge if no head ends within its limits. The
+// returned stop must be called when the body has been read; until then the connection
+// is closed when ctx ends. stop returns false if ctx has ended.
+func (c *Conn) Receive(ctx context.Context, method, id string, idOf func(*http.Response) string) (resp *http.Response, stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, c.Close)
 	for range maxSkippedResponses + 1 {
 		resp, err = c.readHead(method)
 		if err != nil {
 			break
 		}
-		if matches(resp) {
+		received := idOf(resp)
+		if received == id {
+			c.recordAnswered(id)
 			return resp, stop, nil
 		}
-		if err = c.skip(resp); err != nil {
+		if err = c.skipLateCopy(resp, received); err != nil {
 			break
 		}
 	}
@@ -187,6 +196,13 @@
 	return nil, nil, err
 }
 
+func (c *Conn) recordAnswered(id string) {
+	if len(c.answered) == maxAnsweredIDs {
+		c.answered = slices.Delete(c.answered, 0, 1)
+	}
+	c.answered = append(c.answered, id)
+}
+
 // readHead reads the head of the next response that is not interim (1xx).
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.head.limit()
@@ -214,14 +230,15 @@
 	return err
 }
 
-// skip reads the body of a response to another request. It fails if the next
-// response cannot be told from the rest of that body.
-func (c *Conn) skip(resp *http.Response) error {
-	if !c.reused || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBodyBytes {
+// skipLateCopy reads the body of a second copy of the response to the request with
+// the given ID. It fails if there was no such request, or if the next response cannot
+// be told from the rest of that body.
+func (c *Conn) skipLateCopy(resp *http.Response, id string) error {
+	if !slices.Contains(c.answered, id) || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBodyBytes {
 		return ErrResponseMismatch
 	}
 	_, err := io.Copy(io.Discard, resp.Body)
-	return errors.Wrap(err, "cannot skip a response to another request")
+	return errors.Wrap(err, "cannot skip a late copy of a response")
 }
 
 // reusable reports whether the connection is open and has no unread data. Data
--- a/pkg/httpconn/conn_test.go
+++ b/pkg/httpconn/conn_test.go
@@ -56,7 +56,7 @@
 	if _, err := conn.Send(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {id}}}); err != nil {
 		return "", err
 	}
-	resp, stop, err := conn.Receive(ctx, http.MethodGet, func(r *http.Response) bool { return r.Header.Get("Request-Id") == id })
+	resp, stop, err := conn.Receive(ctx, http.MethodGet, id, func(r *http.Response) string { return r.Header.Get("Request-Id") })
 	if err != nil {
 		conn.Close()
 		return "", err
@@ -155,3 +155,29 @@
 		}
 	}
 }
+
+// TestForeignResponseEndsTheWait guards against waiting until the deadline after a
+// response that is no late copy, on a connection that is in use again.
+func TestForeignResponseEndsTheWait(t *testing.T) {
+	for name, foreign := range map[string]string{
+		"other ID": response("other", "x"),
+		"no ID":    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+	} {
+		addr := upstream(t, func(conn net.Conn, id string) {
+			if id == "r0" {
+				_, _ = io.WriteString(conn, response(id, "ok"))
+				return
+			}
+			_, _ = io.WriteString(conn, foreign)
+		})
+		pool := newTestPool()
+		if _, err := exchange(t.Context(), pool, addr, "r0"); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		if _, err := exchange(ctx, pool, addr, "r1"); !errors.Is(err, ErrResponseMismatch) {
+			t.Errorf("%s: error %v, want ErrResponseMismatch", name, err)
+		}
+		cancel()
+	}
+}
