--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -17,7 +17,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/fescuestep/fescuestep/pkg/callerguard"
 	"github.com/fescuestep/fescuestep/pkg/chain"
@@ -140,8 +139,7 @@
 	endsAt      atomic.Pointer[time.Time] // when all requests are ended; nil: new ones are still taken
 	eraSeen     atomic.Bool               // an era of the store was seen
 
-	configuredAt  atomic.Pointer[time.Time] // when the first configuration was adopted
-	configRefresh singleflight.Group        // one read of the configuration for all requests that wait for it
+	configuredAt atomic.Pointer[time.Time] // when the first configuration was adopted
 }
 
 const (
@@ -289,6 +287,7 @@
 // passes through them, and the dispatcher as the last handler.
 func (i *Instance) chain() chain.Handler {
 	deps := i.deps
+	config := &configRefresher{read: i.follower.RefreshOperator, log: deps.Log}
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
@@ -297,7 +296,7 @@
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, tableAges: i.tableAges, now: i.now},
 		onlyFromCallers{accounting.New(deps.RequestMetrics, i.now)},
-		hostroute.New(deps.Dialect, i.snapshot.Load, i.refreshConfig),
+		hostroute.New(deps.Dialect, i.snapshot.Load, config.refresh),
 		customerkey.Filter{},
 		onlyFromCallers{ratelimit.New(i.limiter)}, // before the body is read; a charge for a request that does not run is given back
 		body.New(i.options.MemoryBytes/bodyMemoryDivisor),
--- a/pkg/edge/sink.go
+++ b/pkg/edge/sink.go
@@ -1,9 +1,6 @@
 package edge
 
 import (
-	"context"
-	"time"
-
 	"github.com/fescuestep/fescuestep/pkg/configcheck"
 	"github.com/fescuestep/fescuestep/pkg/fleet"
 	"github.com/fescuestep/fescuestep/pkg/routing"
@@ -40,22 +37,6 @@
 	i.snapshot.Store(s)
 }
 
-// configRefreshTimeout limits a read of the configuration, for which a request waits.
-const configRefreshTimeout = 300 * time.Millisecond
-
-// refreshConfig reads the configuration that is in force. Requests that ask while a read
-// runs share it.
-func (i *Instance) refreshConfig(ctx context.Context) {
-	_, err, _ := i.configRefresh.Do("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), configRefreshTimeout)
-		defer cancel()
-		return nil, i.follower.RefreshOperator(ctx)
-	})
-	if err != nil {
-		i.deps.Log.Info("cannot read the configuration by which another instance took a request", "error", err)
-	}
-}
-
 // maxLoggedFindings bounds the log lines per configuration.
 const maxLoggedFindings = 10
 
