--- a/pkg/dissemination/sources.go
+++ b/pkg/dissemination/sources.go
@@ -30,7 +30,8 @@
 	random       *rand.Rand
 	avoidedUntil map[string]time.Time        // by address
 	referred     map[string]history.Position // by address: instances that others have named, which got a copy at this position
-	lackingSince time.Time                   // when another instance was first seen to have a newer table; zero: none has
+	held         history.Position            // of the table at the last choice
+	lackingSince time.Time                   // when another instance was first seen to have more than held; zero: none has
 }
 
 // NewSources returns a choice that draws among equal instances.
@@ -49,8 +50,8 @@
 		clear(s.referred)
 		return "", 0
 	}
-	if s.lackingSince.IsZero() {
-		s.lackingSince = now
+	if s.lackingSince.IsZero() || s.held.Before(held) {
+		s.lackingSince, s.held = now, held
 	}
 	local, foreign := s.newest(now, newer, true), s.newest(now, newer, false)
 	foreignWait := foreignDelay - now.Sub(s.lackingSince)
