--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -121,9 +121,12 @@
 // number gives a digest the next sequence number. The caller holds mu.
 func (p *peers) number(d *rpc.Digest) {
 	p.lastSequence++
-	d.Sequence, d.Leaving = p.lastSequence, p.leaving
+	d.Sequence, d.Leaving, d.SentMs = p.lastSequence, p.leaving, p.sentMS()
 }
 
+// sentMS returns the time since the start of this instance in ms, at least 1.
+func (p *peers) sentMS() uint64 { return uint64(max(p.now().Sub(p.startedAt).Milliseconds(), 1)) }
+
 // addTotals adds the totals and states to a digest that partial digests leave out.
 func (p *peers) addTotals(d *rpc.Digest) {
 	now := p.now()
@@ -179,7 +182,7 @@
 		p.lastSequence++
 		d = &rpc.Digest{
 			Sender: &rpc.Address{Name: p.self.Name}, Incarnation: d.Incarnation, Sequence: p.lastSequence,
-			Leaving: d.Leaving, Follows: d.Follows, Partial: true, CutOff: d.CutOff, Work: work,
+			Leaving: d.Leaving, Follows: d.Follows, Partial: true, CutOff: d.CutOff, Work: work, SentMs: d.SentMs,
 		}
 	}
 }
--- a/pkg/edge/digest_test.go
+++ b/pkg/edge/digest_test.go
@@ -90,6 +90,37 @@
 	return size
 }
 
+// TestQueuedDigestConfirmsNoRecentTable guards against a list that counts as current although what confirms it waited behind a full link.
+func TestQueuedDigestConfirmsNoRecentTable(t *testing.T) {
+	const interval, queued = 100 * time.Millisecond, 4 * time.Second
+	p, now := newTestPeers(), time.Unix(2000, 0)
+	p.now = func() time.Time { return now }
+	at := history.Position{Era: 1, Version: 1}
+	p.follower.Merge([]state.TableUpdate{{Name: "servers", At: at, Full: true}})
+	receive := func(sequence uint64, sent time.Duration, incarnation uint64) time.Duration {
+		d := newDigest(sequence, false)
+		d.Incarnation, d.SentMs = incarnation, uint64(sent.Milliseconds())
+		current := uint32(0)
+		d.Tables = []*rpc.Table{{Name: "servers", Era: at.Era, Version: at.Version, ConfirmedAgoMs: &current}}
+		p.applyDigest(d)
+		return now.Sub(p.follower.Tables()["servers"].ConfirmedAt)
+	}
+	sent := time.Hour
+	for sequence := range uint64(20) {
+		now, sent = now.Add(interval), sent+interval
+		if age := receive(sequence+1, sent, 5); age != 0 {
+			t.Fatalf("confirmed %v ago by a digest that came at once", age)
+		}
+	}
+	now, sent = now.Add(interval+queued), sent+interval
+	if age := receive(21, sent, 5); age != queued {
+		t.Errorf("confirmed %v ago by a digest that waited for %v", age, queued)
+	}
+	if age := receive(1, interval, 6); age != 0 {
+		t.Errorf("confirmed %v ago by the first digest of a new process", age)
+	}
+}
+
 // TestLargeDigestTellsAllWork guards against work that is left out, and forgotten by
 // the receiver, because the spending of many customers fills the datagram.
 func TestLargeDigestTellsAllWork(t *testing.T) {
--- a/pkg/edge/peer.go
+++ b/pkg/edge/peer.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/dissemination"
 	"github.com/fescuestep/fescuestep/pkg/placement"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -16,6 +17,7 @@
 	heardAt      time.Time      // arrival of the last digest; zero: none has arrived
 	listedAt     time.Time      // when the address was first known
 	lastDigest   *rpc.Digest    // nil: none has arrived
+	transit      dissemination.Transit
 	backoffUntil time.Time      // no state is requested before, since a State call failed
 	contents     []*rpc.Content // of the operator's rows, from the last full digest
 	introducedTo bool           // it was sent a full digest or an introduction since its process is known
@@ -31,3 +33,15 @@
 // lastDigestFollows reports whether an instance told last that it follows the store. It is
 // false for nil, an instance that was removed meanwhile.
 func (p *peer) lastDigestFollows() bool { return p != nil && p.lastDigest.GetFollows() }
+
+// sentAt returns when a digest that has just arrived from the instance was sent, as far as
+// its delay shows. last is the one before it, or nil.
+func (p *peer) sentAt(d, last *rpc.Digest, now time.Time) time.Time {
+	if last.GetIncarnation() != d.Incarnation {
+		p.transit = dissemination.Transit{}
+	}
+	if d.SentMs == 0 {
+		return now
+	}
+	return now.Add(-p.transit.Delay(time.Duration(d.SentMs)*time.Millisecond, now))
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -86,6 +86,7 @@
 type peers struct {
 	self        *rpc.Address
 	incarnation uint64
+	startedAt   time.Time
 	conn        DigestConn
 	client      *http.Client
 	metrics     ServiceMetrics
@@ -133,7 +134,7 @@
 	return &peers{
 		packer: newRowPacker(), copies: newCopies(0), syncs: []*tableSync{newTableSync(operator), newTableSync(upstreams)},
 		maxStateBytes: minStateBytes, firstContact: make(chan struct{}, 1),
-		self: self, incarnation: incarnation, conn: conn, client: client, metrics: m, placer: p, limiter: l, follower: f, crashes: c, streams: s,
+		self: self, incarnation: incarnation, startedAt: now(), conn: conn, client: client, metrics: m, placer: p, limiter: l, follower: f, crashes: c, streams: s,
 		log: log, now: now, sendNow: make(chan struct{}, 1), introduce: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
 		cutOff: func() []string { return nil },
 		byName: map[string]*peer{}, work: newPeerWork(now()), loadingUntil: map[string]time.Time{}, lastSentWork: map[string]placement.Work{},
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -55,7 +55,7 @@
 		other.introducedTo = false // the new process knows nothing of this instance
 		p.requestIntroductions()
 	}
-	confirmations := d.Tables
+	confirmations, sentAt := d.Tables, other.sentAt(d, last, now)
 	continues := d.Partial && last != nil && last.Incarnation == d.Incarnation
 	if continues && len(d.Tables) == 0 {
 		d.Tables = last.Tables
@@ -73,7 +73,7 @@
 		p.requestIntroducer()
 	}
 	for _, t := range confirmations {
-		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, now))
+		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, sentAt))
 	}
 	if !d.Partial {
 		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
