Few slow answers do not starve a plain upstream

Callers saw nothing; a sound upstream got no requests for seconds, or for good, while others of its service were used, and its stated limit stayed unused.

Cause: plainTime compared an upstream's measured speed with the mean time of the service. Few slow answers raise that mean, so whichever upstream was measured lately seemed two to five times as fast as usual, and one that was not measured, which counts as usual, was never chosen again.

Change: a plain upstream that is faster than usual counts as usual, as figures that upstreams state already do. Slower ones get less, as before.

--- a/pkg/placement/capacity.go
+++ b/pkg/placement/capacity.go
@@ -12,8 +12,8 @@
 	defaultPlainTime = 30 * time.Millisecond
 	// plainTimeWeight is the weight of a measurement in the usual time of a plain service.
 	plainTimeWeight = 0.05
-	// plainTolerance is the factor by which a plain upstream may be slower or faster than
-	// usual and count as usual: requests of one service differ in their work.
+	// plainTolerance is the factor by which a plain upstream may be slower than usual and
+	// count as usual: requests of one service differ in their work.
 	plainTolerance = 1.25
 	// maxStatementAge is the age up to which the numbers of requests that an upstream
 	// stated are taken into account.
@@ -52,10 +52,12 @@
 	return room.Wait
 }
 
-// plainTime returns the expected time that a plain upstream takes for a request.
+// plainTime returns the expected time that a plain upstream takes for a request. A faster
+// one counts as usual: few slow answers raise the mean, by which all upstreams that were
+// measured lately seem faster than the others.
 func (b *Balancer) plainTime(u *fleet.Upstream, s *upstreamState, now time.Time) time.Duration {
 	usual := b.usualPlainTime(u.Service)
-	if factor := s.capacity.SlowdownFactor(now); factor < plainTolerance && factor > 1/plainTolerance {
+	if s.capacity.SlowdownFactor(now) < plainTolerance {
 		return usual
 	}
 	return s.capacity.Stretch(now, usual)
--- a/pkg/placement/capacity_test.go
+++ b/pkg/placement/capacity_test.go
@@ -119,6 +119,37 @@
 	}
 }
 
+// TestFewSlowAnswersStarveNoPlainUpstream guards against an upstream that gets no requests for as long as the others seem faster than the mean, which few slow answers raise.
+func TestFewSlowAnswersStarveNoPlainUpstream(t *testing.T) {
+	const perWindow = 320 // 8 s
+	for seed := range uint64(20) {
+		b := newTestBalancer(2, 1)
+		for _, u := range b.view.ByService("orders") {
+			u.Domain = b.cfg.Domain
+		}
+		random := rand.New(rand.NewPCG(seed, 1))
+		now := start
+		for window := range 4 {
+			count := map[string]int{}
+			for range perWindow {
+				now = now.Add(25 * time.Millisecond)
+				a := mustPick(t, b, now, Query{Service: orders})
+				b.Begin(a, now)
+				took := 700 * time.Microsecond
+				if random.IntN(20) == 0 {
+					took = 30 * time.Millisecond
+				}
+				b.Answered(a, now.Add(took))
+				b.Done(a, OK, now.Add(took))
+				count[a.Upstream.ID]++
+			}
+			if least := min(count["o00"], count["o01"]); least < perWindow/10 {
+				t.Errorf("seed %d, window %d: %v of %d requests, the upstreams are equal", seed, window, count, perWindow)
+			}
+		}
+	}
+}
+
 // TestPreemptedMeasurementsAreIgnored guards against a lasting slowdown learned from a
 // prompt during which the stated one began or ended.
 func TestPreemptedMeasurementsAreIgnored(t *testing.T) {
