--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -107,7 +107,8 @@
 	return a.mode == AdmissionOn || (a.mode != AdmissionOff && now.Sub(s.workTimeAt) <= workTimeMemory)
 }
 
-// Admit implements dispatch.Admission.
+// Admit waits until the request may be sent, unless the service has room for all. It returns a
+// function to call once when the request has ended, or a *code.Error if it is refused.
 func (a *admitter) Admit(ctx context.Context, q admission.Request) (end func(), err error) {
 	a.mu.Lock()
 	now, s := a.now(), a.service(q.Service)
--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -287,7 +287,7 @@
 // passes through them, and the dispatcher as the last handler.
 func (i *Instance) chain() chain.Handler {
 	deps := i.deps
-	config := &configRefresher{read: i.follower.RefreshOperator, log: deps.Log}
+	refresher := &configRefresher{read: i.follower.RefreshOperator, log: deps.Log}
 	retries := newRetryBudgets(i.options.Retries, i.peers.instanceCount, i.now)
 	dispatcher := dispatch.New(dispatch.Dependencies{
 		Dialect: deps.Dialect, Placer: i.placer, Retries: retries, Conns: i.conns, InstanceConns: i.instanceConns,
@@ -296,7 +296,7 @@
 	return chain.Build(dispatcher.Handle,
 		accessLog{log: deps.Log.Named("access"), metrics: deps.ServiceMetrics, tableAges: i.tableAges, now: i.now},
 		onlyFromCallers{accounting.New(deps.RequestMetrics, i.now)},
-		hostroute.New(deps.Dialect, i.snapshot.Load, config.refresh),
+		hostroute.New(deps.Dialect, i.snapshot.Load, refresher.refresh),
 		customerkey.Filter{},
 		onlyFromCallers{ratelimit.New(i.limiter)}, // before the body is read; a charge for a request that does not run is given back
 		body.New(i.options.MemoryBytes/bodyMemoryDivisor),
--- a/pkg/edge/releasecodec.go
+++ b/pkg/edge/releasecodec.go
@@ -26,7 +26,8 @@
 	return 400 * time.Millisecond
 }
 
-// encode implements sharedState.
+// encode adds the rollouts to a digest: phases always, counts in whole digests and when they
+// are news. It adds nothing while no rollout is active.
 func (r *releases) encode(d *rpc.Digest, partial bool) {
 	if !r.active.Load() {
 		return
@@ -118,7 +119,8 @@
 	return out
 }
 
-// apply implements sharedState.
+// apply takes over what a digest tells of rollouts. The counts of a sender begin anew with each
+// incarnation.
 func (r *releases) apply(sender string, incarnation uint64, d *rpc.Digest) {
 	if !r.active.Load() {
 		return
@@ -148,7 +150,7 @@
 	}
 }
 
-// forget implements sharedState.
+// forget drops what an instance that is gone has told.
 func (r *releases) forget(sender string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/edge/releases.go
+++ b/pkg/edge/releases.go
@@ -142,7 +142,8 @@
 	return true
 }
 
-// Choose implements dispatch.Releases.
+// Choose returns which version of a service gets a request. The result is false if no rollout of the
+// service is in progress; key is not called then.
 func (r *releases) Choose(service string, key func() uint64) (release.Choice, bool) {
 	if !r.active.Load() {
 		return release.Choice{}, false
@@ -156,7 +157,8 @@
 	return s.Choose(key(), r.now()), true
 }
 
-// Fallback implements dispatch.Releases.
+// Fallback returns which version gets a request that the new one failed. One that was not sent
+// there does not count as exposed.
 func (r *releases) Fallback(service string, unsent bool) release.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -170,7 +172,8 @@
 	return s.Fallback(r.now())
 }
 
-// Expose implements dispatch.Releases.
+// Expose records that the rest of a stream goes to the version at which it began. It reports
+// whether that version may get it.
 func (r *releases) Expose(service, software string) bool {
 	if !r.active.Load() {
 		return true
@@ -187,7 +190,7 @@
 	return s.MaySend(software, r.now())
 }
 
-// MaySend implements dispatch.Releases.
+// MaySend reports whether the version of an upstream may get a request now.
 func (r *releases) MaySend(u *fleet.Upstream) bool {
 	if !r.active.Load() {
 		return true
@@ -209,7 +212,8 @@
 	r.running[u.Service][u.Software]++
 }
 
-// End implements dispatch.Releases.
+// End records that a request ended at an upstream. sample is nil if it showed nothing of the
+// version; cut says that the answer ended with its connection.
 func (r *releases) End(u *fleet.Upstream, sample *release.Sample, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/edge/sink.go
+++ b/pkg/edge/sink.go
@@ -83,5 +83,5 @@
 	i.deps.Log.Info("upstreams changed", "count", v.Len())
 }
 
-// ReleaseRequested implements state.Sink.
+// ReleaseRequested hands an operator's request for a rollout to the state of rollouts.
 func (i *Instance) ReleaseRequested(r state.ReleaseRequest) { i.releases.request(r) }
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -68,7 +68,8 @@
 // Held returns the number of bytes that are reserved.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
-// Reserve implements Reserver.
+// Reserve reserves n bytes. If there is no room, it asks for some and waits for it a short while;
+// it returns false if there is none then.
 func (b *Budget) Reserve(n int64) bool {
 	if b.reserve(n) {
 		return true
@@ -97,7 +98,7 @@
 	return true
 }
 
-// Release implements Reserver.
+// Release gives n reserved bytes back.
 func (b *Budget) Release(n int64) { b.held.Add(-n) }
 
 // Buffer is data that counts against a budget until Release is called.
