Late copies are known for 64 requests, by hashes of their IDs

The IDs that a connection kept since come from callers and may be long: 8 of 8 KB on each of 500 connections would take 32 MB (computed, not run). And on a busy connection a second copy may come more than 8 requests late; the request that waits there would fail (by reading, not seen).

Change: hashes with a random seed, 512 bytes a connection, of the last 64. TestLateCopyIsSkipped now plays copies 1 and 64 requests late; the latter fails with 8.

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -37,10 +36,6 @@
 // skipped. The connection is given up for a larger one.
 const maxSkippedBodyBytes = 1 << 20
 
-// maxAnsweredIDs is the number of requests of a connection, the latest ones, of which
-// a second copy of the response is recognized.
-const maxAnsweredIDs = 8
-
 var (
 	// ErrResponseMismatch is returned when a response belongs to another request.
 	ErrResponseMismatch = errors.New("response belongs to another request")
@@ -51,12 +46,11 @@
 
 // Conn is a connection to an upstream.
 type Conn struct {
-	net    net.Conn
-	head   *headLimiter // what reader reads from
-	reader *bufio.Reader
-	reused bool
-
-	answered []string // IDs of the latest requests that were answered, oldest first
+	net      net.Conn
+	head     *headLimiter // what reader reads from
+	reader   *bufio.Reader
+	reused   bool
+	answered answeredRequests
 
 	idleSince time.Time
 	idleLimit time.Duration // idle time after which the upstream may close the connection
@@ -182,7 +176,7 @@
 		}
 		received := idOf(resp)
 		if received == id {
-			c.recordAnswered(id)
+			c.answered.add(id)
 			return resp, stop, nil
 		}
 		if err = c.skipLateCopy(resp, received); err != nil {
@@ -196,13 +190,6 @@
 	return nil, nil, err
 }
 
-func (c *Conn) recordAnswered(id string) {
-	if len(c.answered) == maxAnsweredIDs {
-		c.answered = slices.Delete(c.answered, 0, 1)
-	}
-	c.answered = append(c.answered, id)
-}
-
 // readHead reads the head of the next response that is not interim (1xx).
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.head.limit()
@@ -234,7 +221,7 @@
 // the given ID. It fails if there was no such request, or if the next response cannot
 // be told from the rest of that body.
 func (c *Conn) skipLateCopy(resp *http.Response, id string) error {
-	if !slices.Contains(c.answered, id) || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBodyBytes {
+	if !c.answered.contains(id) || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBodyBytes {
 		return ErrResponseMismatch
 	}
 	_, err := io.Copy(io.Discard, resp.Body)
--- a/pkg/httpconn/conn_test.go
+++ b/pkg/httpconn/conn_test.go
@@ -113,20 +113,23 @@
 // sent late on a connection that is in use again, for the response to the request
 // that waits there.
 func TestLateCopyIsSkipped(t *testing.T) {
-	last := ""
-	addr := upstream(t, func(conn net.Conn, id string) {
-		late := ""
-		if last != "" {
-			late = response(last, "of "+last)
-		}
-		last = id
-		_, _ = io.WriteString(conn, late+response(id, "of "+id))
-	})
-	pool := newTestPool()
-	for i := range 5 {
-		id := fmt.Sprint("r", i)
-		if body, err := exchange(t.Context(), pool, addr, id); err != nil || body != "of "+id {
-			t.Errorf("request %s: body %q, error %v", id, body, err)
+	for _, behind := range []int{1, maxAnswered} {
+		var earlier []string
+		addr := upstream(t, func(conn net.Conn, id string) {
+			late := ""
+			if len(earlier) >= behind {
+				id := earlier[len(earlier)-behind]
+				late = response(id, "of "+id)
+			}
+			earlier = append(earlier, id)
+			_, _ = io.WriteString(conn, late+response(id, "of "+id))
+		})
+		pool := newTestPool()
+		for i := range 2 * maxAnswered {
+			id := fmt.Sprint("r", i)
+			if body, err := exchange(t.Context(), pool, addr, id); err != nil || body != "of "+id {
+				t.Errorf("copies %d requests late, request %s: body %q, error %v", behind, id, body, err)
+			}
 		}
 	}
 }
