--- a/review/harness-2/system.go
+++ b/review/harness-2/system.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -291,7 +292,7 @@
 	}
 }
 
-// panicText returns the first lines of a panic in the log of an instance, or "".
+// panicText returns the first lines of a panic in the log of an instance, without paths, or "".
 func (in *instance) panicText() string {
 	raw, err := os.ReadFile(in.log)
 	if err != nil {
@@ -301,8 +302,8 @@
 	if at < 0 {
 		return ""
 	}
-	lines := strings.Split(string(raw[at+1:]), "\n")
-	return strings.Join(lines[:min(len(lines), 14)], "\n")
+	lines := slices.DeleteFunc(strings.Split(string(raw[at+1:]), "\n"), func(l string) bool { return strings.HasPrefix(l, "\t") })
+	return strings.Join(lines[:min(len(lines), 10)], "\n")
 }
 
 // awaitReady waits until all instances are ready, as the platform sees it.
