--- a/review/harness-2/system.go
+++ b/review/harness-2/system.go
@@ -35,6 +35,7 @@
 	out       *bufio.Writer
 	file      *os.File
 	instances []*instance
+	seeds     string // as in the settings
 	closers   []func()
 	closed    bool
 }
@@ -112,6 +113,7 @@
 
 // instance is one process of the system.
 type instance struct {
+	text  string // of the settings file
 	name  string
 	ip    string
 	front string
@@ -158,6 +160,7 @@
 			seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ip, all[i].control)))
 		}
 	}
+	s.seeds = strings.Join(seeds, ", ")
 	for i, zone := range zones {
 		ip := fmt.Sprintf("%s.%d", network, i+1)
 		p := all[i]
@@ -170,6 +173,21 @@
 	return nil
 }
 
+// addInstance starts one more machine.
+func (s *system) addInstance(ip, zone, name string) (*instance, error) {
+	var ports [4]int
+	for i := range ports {
+		port, err := freePort(ip)
+		if err != nil {
+			return nil, err
+		}
+		ports[i] = port
+	}
+	in := &instance{name: name, ip: ip, front: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
+	text := fmt.Sprintf(settings, name, ip, zone, ports[3], ports[3], s.seeds, in.front, in.ready, ip, ports[2], s.addr)
+	return in, s.startInstance(in, text)
+}
+
 // settings is the file of a machine of skovstob.
 const settings = `node_name = %q
 role = "edge"
@@ -248,6 +266,7 @@
 
 // startInstance starts the process of an instance.
 func (s *system) startInstance(in *instance, text string) error {
+	in.text = text
 	file := filepath.Join(s.dir, in.name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -307,10 +326,12 @@
 }
 
 // awaitReady waits until all instances are ready, as the platform sees it.
-func (s *system) awaitReady(limit time.Duration) error {
+func (s *system) awaitReady(limit time.Duration) error { return awaitReady(s.instances, limit) }
+
+func awaitReady(instances []*instance, limit time.Duration) error {
 	deadline := time.Now().Add(limit)
 	client := &http.Client{Timeout: time.Second}
-	for _, in := range s.instances {
+	for _, in := range instances {
 		for {
 			resp, err := client.Get("http://" + in.ready + "/api/readiness")
 			if err == nil {
