--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -62,7 +62,7 @@
 	broken, err := play(s, trouble)
 	switch {
 	case err != nil:
-		s.record("the case could not run: %v", err)
+		s.say("the case could not run: %v", err)
 		return couldntRun
 	case broken:
 		s.record("RESULT: the rule was broken")
--- a/review/harness-2/recover.go
+++ b/review/harness-2/recover.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -13,18 +15,18 @@
 func init() { scenarios["recover"] = recovers }
 
 const (
-	recoverBatches = 8
-	recoverBatch   = 8
-	recoverRate    = 14000 // tokens a second
-	recoverMargin  = 1.8   // of the cap over what the tenant sends, as on the sheet
-	recoverTokens  = 200
-	recoverAfter   = 12 * time.Second // recovery_s
-	recoverWatch   = 20 * time.Second
-	recoverBefore  = 8 * time.Second
+	recoverReplaced = 30
+	recoverPause    = 500 * time.Millisecond // from the loss of a machine until the next one comes
+	recoverRate     = 14000                  // tokens a second
+	recoverUse      = 0.95                   // of the cap, that the tenant sends
+	recoverTokens   = 200
+	recoverAfter    = 12 * time.Second // recovery_s
+	recoverWatch    = 20 * time.Second
+	recoverBefore   = 8 * time.Second
 )
 
-// recovers replaces machines by others at new addresses many times, then ends all processes
-// at once and starts them again. Without the disruption no machine is replaced.
+// recovers replaces machines by others at new addresses, one after the other, then ends all
+// processes at once and starts them again. Without the disruption no machine is replaced.
 func recovers(s *system, trouble bool) (broken bool, err error) {
 	s.servers("ordre-app", "", 4, &server{slots: 24, work: 15 * time.Millisecond})
 	s.put("op", "config", config(3,
@@ -37,17 +39,15 @@
 	if err := s.awaitReady(10 * time.Second); err != nil {
 		return false, err
 	}
-	fronts := s.instances
+	fronts := slices.Clone(s.instances)
 	time.Sleep(4 * time.Second) // stable_ms and more
 	before := s.reads(fronts, recoverBefore)
-	if trouble {
-		for n := range recoverBatches {
-			if err := s.replaceMachines(n); err != nil {
-				return false, err
-			}
+	for n := 0; trouble && n < recoverReplaced; n++ {
+		if err := s.replaceMachine(fronts, n); err != nil {
+			return false, err
 		}
-		s.say("%d machines were added and removed for good", recoverBatches*recoverBatch)
 	}
+	s.say("machines replaced: %d", len(s.instances)-len(fronts))
 	for _, in := range fronts {
 		in.signal(syscall.SIGKILL)
 	}
@@ -71,25 +71,22 @@
 	return before.served*4 >= before.sent && after.served*4 < after.sent, nil
 }
 
-// replaceMachines starts some machines and kills them when they are listed and ready.
-func (s *system) replaceMachines(batch int) error {
-	var added []*instance
-	for n := range recoverBatch {
-		k := batch*recoverBatch + n + 10
-		in, err := s.addInstance(fmt.Sprintf("127.61.6.%d", k), "vejle", fmt.Sprintf("front-vejle-%d", k))
-		if err != nil {
-			return err
-		}
-		added = append(added, in)
-	}
-	if err := awaitReady(added, 10*time.Second); err != nil {
+// replaceMachine ends one of the machines for good and starts another in its zone, with
+// another name and address.
+func (s *system) replaceMachine(fronts []*instance, n int) error {
+	i := n % len(fronts)
+	lost := fronts[i]
+	zone := strings.Split(lost.name, "-")[1]
+	lost.signal(syscall.SIGKILL)
+	<-lost.ended
+	time.Sleep(recoverPause)
+	next, err := s.addInstance(fmt.Sprintf("127.61.6.%d", n+10), zone, fmt.Sprintf("front-%s-%d", zone, n+10))
+	if err != nil {
 		return err
 	}
-	for _, in := range added {
-		in.signal(syscall.SIGKILL)
-		<-in.ended
-	}
-	return nil
+	s.record("%s is lost for good, %s comes", lost.name, next.name)
+	fronts[i] = next
+	return awaitReady([]*instance{next}, 10*time.Second)
 }
 
 type readTally struct{ sent, served, limited int }
@@ -100,7 +97,7 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	ends := time.Now().Add(d)
-	perSecond := float64(recoverRate) / recoverMargin / recoverTokens
+	perSecond := float64(recoverRate) * recoverUse / recoverTokens
 	pause := time.Duration(float64(len(fronts)) / perSecond * float64(time.Second))
 	for _, in := range fronts {
 		wg.Go(func() {
--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -33,14 +33,16 @@
 	poison   string        // ID of a part, never the last, at which the process ends when it begins to answer
 	away     time.Duration // from the end of the process until the next one runs
 
-	mu      sync.Mutex
-	web     *http.Server
-	lives   int // processes so far
-	down    bool
-	crashes []time.Time
-	ran     map[string]*execution // by Request-Id
-	cached  map[string]bool       // parts by salt
-	busyTo  time.Time             // end of the prefill of all requests so far
+	mu       sync.Mutex
+	web      *http.Server
+	lives    int // processes so far
+	down     bool
+	draining bool
+	beats    int // reports so far
+	crashes  []time.Time
+	ran      map[string]*execution // by Request-Id
+	cached   map[string]bool       // parts by salt
+	busyTo   time.Time             // end of the prefill of all requests so far
 }
 
 // execution is a request that the server began to work on.
@@ -147,20 +149,26 @@
 // register writes the server's entry.
 func (o *server) register(sequence int) {
 	o.mu.Lock()
-	down := o.down
+	down, state := o.down, "ready"
+	if o.draining {
+		state = "draining"
+	}
 	o.mu.Unlock()
 	if down {
 		return
 	}
 	entry := map[string]any{
 		"service": o.service, "address": o.addr, "zone": o.zone, "version": o.software, "slots": o.slots,
-		"state": "ready", "cold_left_ms": 0, "sequence": sequence, "born": o.born,
+		"state": state, "cold_left_ms": 0, "sequence": sequence, "born": o.born,
 	}
 	if o.model != "" {
 		entry["stage"] = "unified"
 		entry["models"] = []map[string]any{{"name": o.model, "version": 1, "adapters": []string{}}}
 	}
 	o.s.put("servers", o.identity(), entry)
+	o.mu.Lock()
+	o.beats++
+	o.mu.Unlock()
 }
 
 func (o *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
