--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -57,6 +59,13 @@
 		s.close()
 		os.Exit(couldntRun)
 	})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		s.record("the run is stopped: %v", <-stop)
+		s.close()
+		os.Exit(couldntRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.record("case %s, disruption: %v", name, trouble)
 	broken, err := play(s, trouble)
