Only the list of instances says when a lost one is removed

Cause: two owners of one expiry. The limiter removed a silent peer by itself after 60 s, and edge.peers had it removed after 60 s of its own. RemovePeer looked the peer up, brought the buckets up to date, which removed it, and removed it again.

Change: the limiter has no expiry. A silent peer counts with an equal share until it is removed, and a report of an instance that is no peer is ignored: it may be handled after the removal. The model test now pauses for up to 2 min between calls and, as the limiter, ignores reports of instances that are no peers; TestReportsCostNothingWithoutSpending adds its peers first.

Evidence: on the code before, edge.TestLostInstancesAreRemovedWithoutPanic, fleetrate.TestLostPeerIsRemovedWithoutPanic and TestLevelsEqualThoseOfAModel end in the same nil pointer dereference, and TestLateReportDoesNotAddARemovedPeer finds a level of 50 instead of 100. With one owner there is no call left that can remove what its caller has looked up.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -208,11 +208,7 @@
 func (p *peers) expirePeers(now time.Time) []netip.AddrPort {
 	var addrs []netip.AddrPort
 	for name, other := range p.byName {
-		last := other.heardAt
-		if last.Before(other.listedAt) {
-			last = other.listedAt
-		}
-		silence := now.Sub(last)
+		silence := now.Sub(other.lastSign())
 		stopped := other.lastDigest.GetLeaving() && silence > leavingPeerExpiry
 		if stopped || silence > peerExpiry {
 			delete(p.byName, name)
--- /dev/null
+++ b/pkg/edge/membership_test.go
@@ -0,0 +1,65 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuestep/fescuestep/pkg/config"
+	"github.com/fescuestep/fescuestep/pkg/routing"
+	rpc "github.com/fescuestep/fescuestep/rpc/edge"
+)
+
+// newClockedPeers returns the peers of an instance with one customer that has a rate, and
+// the function that sets their clock.
+func newClockedPeers() (p *peers, now func() time.Time, advance func(time.Duration)) {
+	clock := time.Unix(1000, 0)
+	now = func() time.Time { return clock }
+	p = newTestPeers()
+	p.now, p.placer.now, p.limiter.now, p.crashes.now, p.streams.now = now, now, now, now, now
+	p.limiter.configure(routing.New(routing.Config{Customers: []routing.Customer{{Name: "c", Rate: 100, Burst: 1e6}}}))
+	return p, now, func(d time.Duration) { clock = clock.Add(d) }
+}
+
+// TestLostInstancesAreRemovedWithoutPanic guards against an end of the process some 60 s
+// after another instance was lost: its limiter removed the peer by itself, and then again.
+func TestLostInstancesAreRemovedWithoutPanic(t *testing.T) {
+	pauses := []time.Duration{
+		10 * time.Millisecond, digestInterval, leavingPeerExpiry, leavingPeerExpiry + 1, 10 * time.Second,
+		peerExpiry - 1, peerExpiry, peerExpiry + 1, 2 * peerExpiry,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		p, now, advance := newClockedPeers()
+		customer := &config.Customer{ID: "c"}
+		for sequence := range uint64(rapid.IntRange(1, 100).Draw(t, "calls")) {
+			advance(rapid.SampledFrom(pauses).Draw(t, "pause"))
+			name := fmt.Sprint("i", rapid.IntRange(0, 3).Draw(t, "instance"))
+			d := newDigest(sequence+1, false)
+			d.Sender.Name = name
+			switch rapid.IntRange(0, 6).Draw(t, "call") {
+			case 0:
+				p.addListed(d.Sender)
+			case 1:
+				d.Partial, d.Sender = true, &rpc.Address{Name: name}
+				p.applyDigest(d)
+			case 2:
+				d.Leaving = true
+				p.applyDigest(d)
+			case 3:
+				d.Spent = []*rpc.Spending{{Customer: "c", Tokens: float64(sequence)}}
+				p.applyDigest(d)
+			case 4:
+				_, _ = p.limiter.Take(t.Context(), customer, 1)
+			default:
+				p.nextDigest(rapid.Bool().Draw(t, "partial"))
+				for name, other := range p.byName {
+					if silence := now().Sub(other.lastSign()); silence > peerExpiry {
+						t.Fatalf("%s is still known after a silence of %v", name, silence)
+					}
+				}
+			}
+		}
+	})
+}
--- a/pkg/edge/peer.go
+++ b/pkg/edge/peer.go
@@ -34,6 +34,14 @@
 // false for nil, an instance that was removed meanwhile.
 func (p *peer) lastDigestFollows() bool { return p != nil && p.lastDigest.GetFollows() }
 
+// lastSign returns when the instance was last heard or, if that is later, listed.
+func (p *peer) lastSign() time.Time {
+	if p.heardAt.After(p.listedAt) {
+		return p.heardAt
+	}
+	return p.listedAt
+}
+
 // sentAt returns when a digest that has just arrived from the instance was sent, as far as
 // its delay shows. last is the one before it, or nil.
 func (p *peer) sentAt(d, last *rpc.Digest, now time.Time) time.Time {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -43,7 +43,7 @@
 	workMaxIntervals = 5
 	// maxDigestBytes limits the size of a datagram; larger ones would be fragmented.
 	maxDigestBytes = 1400
-	// peerExpiry is the silence after which an instance is no longer sent digests.
+	// peerExpiry is the silence after which an instance is removed.
 	peerExpiry = 60 * time.Second
 	// leavingPeerExpiry is the silence after which an instance that announced its
 	// shutdown is taken to have stopped.
--- a/pkg/fleetrate/fleetrate.go
+++ b/pkg/fleetrate/fleetrate.go
@@ -5,6 +5,9 @@
 // time out is assumed to spend an equal share. The next report corrects the
 // estimate. Partitioned instances thus still keep to the rate together.
 //
+// The caller decides which instances are peers, with AddPeer and RemovePeer. However long
+// a peer is silent, it counts until it is removed.
+//
 // The package does no I/O and is not safe for concurrent use.
 package fleetrate
 
@@ -14,14 +17,9 @@
 	"github.com/zeebo/xxh3"
 )
 
-const (
-	// peerTimeout is how long after its last report a peer is assumed to spend
-	// an equal share instead of its last measured rate.
-	peerTimeout = 1500 * time.Millisecond
-	// peerExpiry is how long after its last report a peer is considered removed
-	// from the fleet.
-	peerExpiry = 60 * time.Second
-)
+// peerTimeout is how long after its last report a peer is assumed to spend an equal share
+// instead of its last measured rate.
+const peerTimeout = 1500 * time.Millisecond
 
 // Rate is a customer's limit over all instances.
 type Rate struct {
@@ -61,7 +59,7 @@
 	buckets     map[string]*bucket // by customer
 	peers       map[string]*peer   // by instance
 	silent      int                // number of peers that are silent
-	nextCheck   time.Time          // no peer becomes silent or expires before
+	nextCheck   time.Time          // no peer becomes silent before; zero: none will
 }
 
 // New returns a limiter without customers for the instance named self.
--- a/pkg/fleetrate/peers.go
+++ b/pkg/fleetrate/peers.go
@@ -5,8 +5,7 @@
 // peer is what is known of another instance. It is silent before its first report and
 // from peerTimeout after its last one; an equal share of every rate counts as spent then.
 type peer struct {
-	incarnation uint64 // 0: no report yet
-	addedAt     time.Time
+	incarnation uint64             // 0: no report yet
 	updatedAt   time.Time          // last report; zero if there was none
 	reported    map[string]float64 // by customer: total spent, from the last report
 	spendRate   map[string]float64 // by customer: tokens per second between the last two reports
@@ -19,21 +18,8 @@
 	delete(p.shareAt, customer)
 }
 
-// lastSign returns when the peer was last heard or, if that is later, added.
-func (p *peer) lastSign() time.Time {
-	if p.updatedAt.After(p.addedAt) {
-		return p.updatedAt
-	}
-	return p.addedAt
-}
-
-// nextChange returns when the peer becomes silent or, if it is, expires.
-func (p *peer) nextChange() time.Time {
-	if p.silent {
-		return p.lastSign().Add(peerExpiry)
-	}
-	return p.updatedAt.Add(peerTimeout)
-}
+// silentAt returns when a peer that is not silent becomes so.
+func (p *peer) silentAt() time.Time { return p.updatedAt.Add(peerTimeout) }
 
 // AddPeer adds an instance that may spend tokens before its first report. It does
 // nothing if the peer is known.
@@ -42,23 +28,20 @@
 		return
 	}
 	l.Refill(now)
-	p := &peer{addedAt: now, reported: map[string]float64{}, spendRate: map[string]float64{}}
+	p := &peer{reported: map[string]float64{}, spendRate: map[string]float64{}}
 	l.peers[instance] = p
 	l.silence(p)
-	l.checkAt(p.nextChange())
 }
 
-// RemovePeer removes an instance that has stopped.
+// RemovePeer removes an instance that has stopped. It does nothing if the peer is not
+// known.
 func (l *Limiter) RemovePeer(instance string, now time.Time) {
-	if l.peers[instance] != nil {
-		l.Refill(now)
-		l.remove(instance)
+	p := l.peers[instance]
+	if p == nil {
+		return
 	}
-}
-
-// remove removes a peer. All buckets must be up to date.
-func (l *Limiter) remove(instance string) {
-	if p := l.peers[instance]; p.silent {
+	l.Refill(now)
+	if p.silent {
 		l.silent--
 	} else {
 		l.addRates(p, -1)
@@ -90,15 +73,18 @@
 	}
 }
 
-// checkPeers makes peers silent or removes them whose time has come, in the order in
-// which that was due, with all buckets brought up to that time.
+// checkPeers makes peers silent whose reports have timed out, in the order in which that
+// was due, with all buckets brought up to that time.
 func (l *Limiter) checkPeers(now time.Time) {
 	for !l.nextCheck.IsZero() && now.After(l.nextCheck) {
 		due := l.nextCheck
 		l.nextCheck = time.Time{}
 		refilled := false
-		for instance, p := range l.peers {
-			if at := p.nextChange(); at.After(due) {
+		for _, p := range l.peers {
+			if p.silent {
+				continue
+			}
+			if at := p.silentAt(); at.After(due) {
 				l.checkAt(at)
 				continue
 			}
@@ -108,26 +94,21 @@
 				}
 				refilled = true
 			}
-			if p.silent {
-				l.remove(instance)
-				continue
-			}
 			l.addRates(p, -1)
 			l.silence(p)
-			l.checkAt(p.nextChange())
 		}
 	}
 }
 
 // UpdatePeer applies a peer's report: the tokens by customer that it has spent
 // since its start. The incarnation is different after each start of the peer and
-// never 0.
+// never 0. The report of an instance that is no peer is ignored: it may arrive after
+// RemovePeer.
 func (l *Limiter) UpdatePeer(instance string, incarnation uint64, totals map[string]float64, now time.Time) {
-	l.AddPeer(instance, now)
 	l.checkPeers(now)
 	p := l.peers[instance]
 	if p == nil {
-		return // the report's time is before that of earlier calls by more than peerExpiry
+		return
 	}
 	first := p.incarnation == 0
 	if p.incarnation != incarnation {
@@ -142,7 +123,7 @@
 		l.applyReport(p, totals, now)
 	}
 	p.reported, p.updatedAt = totals, now
-	l.checkAt(p.nextChange())
+	l.checkAt(p.silentAt())
 }
 
 // applyReport corrects the estimate of what a peer has spent since its last report and
--- a/pkg/fleetrate/peers_test.go
+++ b/pkg/fleetrate/peers_test.go
@@ -23,6 +23,20 @@
 	reported, spendRate, estimated float64
 }
 
+// advance brings the level up to date in steps that end where a peer becomes silent.
+func (m *model) advance(from, to time.Time) {
+	for from.Before(to) {
+		end := to
+		for _, p := range m.peers {
+			if at := p.updatedAt.Add(peerTimeout); at.After(from) && at.Before(end) {
+				end = at
+			}
+		}
+		m.step(end, end.Sub(from))
+		from = end
+	}
+}
+
 func (m *model) step(now time.Time, d time.Duration) {
 	earned := m.rate.PerSecond * d.Seconds()
 	spentByPeers := 0.0
@@ -40,8 +54,7 @@
 func (m *model) update(instance string, incarnation uint64, total float64, now time.Time) {
 	p := m.peers[instance]
 	if p == nil {
-		p = &modelPeer{}
-		m.peers[instance] = p
+		return
 	}
 	if p.incarnation == 0 {
 		*p = modelPeer{incarnation: incarnation, updatedAt: now, reported: total, spendRate: m.rate.PerSecond / float64(len(m.peers)+1)}
@@ -55,13 +68,22 @@
 	p.reported, p.spendRate, p.estimated, p.updatedAt = total, max(0, spent/now.Sub(p.updatedAt).Seconds()), 0, now
 }
 
+// pauses are the times between two calls in the tests with a model. The longest is twice
+// the time after which an instance that is lost is removed.
+var pauses = []time.Duration{
+	step, step, step, step, step, step, step, step,
+	time.Second, peerTimeout, peerTimeout + step, 10 * time.Second, time.Minute, 2 * time.Minute,
+}
+
+// step is the shortest pause.
+const step = 10 * time.Millisecond
+
 // TestLevelsEqualThoseOfAModel guards against buckets that differ from ones which are
 // brought up to date for every peer at every step: an estimate that is not corrected by
-// the next report, and a peer that counts twice or not at all after it fell silent, was
-// removed or restarted.
+// the next report, and a peer that counts twice or not at all after it fell silent, for
+// however long, was removed or restarted.
 func TestLevelsEqualThoseOfAModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const step = 10 * time.Millisecond
 		rates := map[string]Rate{"a": {PerSecond: 1000, Burst: 3000}, "b": {PerSecond: 50, Burst: 20}}
 		l := New("self")
 		l.Configure(rates, start)
@@ -73,9 +95,13 @@
 		incarnations := map[string]uint64{}
 		now := start
 		for s := range rapid.IntRange(300, 1500).Draw(t, "steps") {
-			now = start.Add(time.Duration(s+1) * step)
+			before := now
+			now = now.Add(step)
+			if s%50 == 0 {
+				now = before.Add(rapid.SampledFrom(pauses).Draw(t, "pause"))
+			}
 			for _, m := range models {
-				m.step(now, step)
+				m.advance(before, now)
 			}
 			instance := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "instance"))
 			customer := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "customer")
@@ -136,6 +162,7 @@
 	}
 	l.Configure(rates, start)
 	for i := range 80 {
+		l.AddPeer(fmt.Sprint(i), start)
 		l.UpdatePeer(fmt.Sprint(i), 1, totals, start)
 	}
 	now := start.Add(time.Second)
@@ -175,3 +202,32 @@
 	l.UpdatePeer("other", 1, map[string]float64{customer: 60}, at(10))
 	levelIs(10, 100+800-10)
 }
+
+// TestLostPeerIsRemovedWithoutPanic guards against a limiter that removes a silent peer by
+// itself while its caller removes the same one.
+func TestLostPeerIsRemovedWithoutPanic(t *testing.T) {
+	for _, silence := range []time.Duration{peerTimeout, time.Minute - 1, time.Minute, time.Minute + 1, time.Hour} {
+		l := New("self")
+		l.Configure(map[string]Rate{customer: {PerSecond: 100, Burst: 1e6}}, start)
+		l.AddPeer("lost", start)
+		l.RemovePeer("lost", start.Add(silence))
+		l.Refill(start.Add(silence + time.Second))
+		if got, want := l.Level(customer), 50*silence.Seconds()+100; math.Abs(got-want) > 1e-6 {
+			t.Errorf("removed after %v: level %v 1 s later, want %v", silence, got, want)
+		}
+	}
+}
+
+// TestLateReportDoesNotAddARemovedPeer guards against a peer that nobody removes, since
+// its report was handled after its removal.
+func TestLateReportDoesNotAddARemovedPeer(t *testing.T) {
+	l := New("self")
+	l.Configure(map[string]Rate{customer: {PerSecond: 100, Burst: 1e6}}, start)
+	l.AddPeer("lost", start)
+	l.RemovePeer("lost", start)
+	l.UpdatePeer("lost", 1, map[string]float64{customer: 10}, start)
+	l.Refill(start.Add(time.Second))
+	if got := l.Level(customer); got != 100 {
+		t.Errorf("level %v after 1 s alone, want 100", got)
+	}
+}
