What a removed instance told is forgotten if its digest was half applied

A share of a removed instance would stay in admission and in the limits of upstreams for good, so that callers are served below what there is room for.

Cause: a digest is applied after the lock on the list of instances is released. If the process stands still there (a frozen machine) and the sender is removed meanwhile, what it told is recorded after it was forgotten, and nothing removes it again.

Change: once a digest is applied, what its sender told is forgotten if it is no longer an instance. Removal and this share one function. applyDigest, which had grown to 70 lines, is split into what the sender's entry records and what is told of upstreams; no other change of behaviour.

Evidence: edge.TestDigestOfRemovedInstanceLeavesNothing fails without the call and passes with it. A removal before the check is seen by it, and one after it forgets by itself, so neither order leaves anything.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -213,11 +213,7 @@
 		if stopped || silence > peerExpiry {
 			delete(p.byName, name)
 			p.work.discount(other)
-			p.limiter.removePeer(name)
-			p.placer.removeInstance(name)
-			for _, s := range p.shared {
-				s.forget(name)
-			}
+			p.forget(name)
 			p.log.Info("instance removed after silence", "instance", name)
 			continue
 		}
@@ -225,3 +221,22 @@
 	}
 	return addrs
 }
+
+// forget drops what an instance told that was removed. The caller holds mu.
+func (p *peers) forget(name string) {
+	p.limiter.removePeer(name)
+	p.placer.removeInstance(name)
+	for _, s := range p.shared {
+		s.forget(name)
+	}
+}
+
+// forgetIfRemoved drops what an instance told if it was removed while its digest was
+// applied: the process may have stood still between the two.
+func (p *peers) forgetIfRemoved(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byName[name] == nil {
+		p.forget(name)
+	}
+}
--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -63,3 +63,33 @@
 		}
 	})
 }
+
+// pausedState stands still for a time while a digest is applied. It implements sharedState.
+type pausedState struct {
+	pause func()
+	told  map[string]bool
+}
+
+func (pausedState) encode(*rpc.Digest, bool) {}
+func (s pausedState) apply(sender string, _ uint64, _ *rpc.Digest) {
+	s.pause()
+	s.told[sender] = true
+}
+func (s pausedState) forget(sender string) { delete(s.told, sender) }
+
+// TestDigestOfRemovedInstanceLeavesNothing guards against what an instance told that stays
+// for good, since it was removed while the process stood still with its digest half applied.
+func TestDigestOfRemovedInstanceLeavesNothing(t *testing.T) {
+	p, now, advance := newClockedPeers()
+	s := pausedState{told: map[string]bool{}, pause: func() {
+		advance(peerExpiry + 1)
+		p.mu.Lock()
+		p.expirePeers(now())
+		p.mu.Unlock()
+	}}
+	p.shared = append(p.shared, s)
+	p.applyDigest(newDigest(1, false))
+	if s.told["other"] {
+		t.Error("what the removed instance told is still known")
+	}
+}
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -38,47 +38,76 @@
 // applyDigest applies a digest from another instance. It ignores one that is not
 // newer than the last from its sender.
 func (p *peers) applyDigest(d *rpc.Digest) {
+	confirmations := d.Tables
+	accepted, ok := p.acceptDigest(d)
+	if !ok {
+		return
+	}
+	name := d.Sender.Name
+	if accepted.firstContact && !p.introduced.Load() {
+		p.requestIntroducer()
+	}
+	for _, t := range confirmations {
+		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, accepted.sentAt))
+	}
+	if !d.Partial {
+		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
+		p.seedBucketLevels(d)
+	}
+	p.applyUpstreamState(d, accepted.placements)
+	for _, s := range p.shared {
+		s.apply(name, d.Incarnation, d)
+	}
+	p.applyCrashes(d)
+	p.applyRateLimits(name, d.RateLimits)
+	p.streams.learn(d.Streams)
+	p.forgetIfRemoved(name)
+	p.requestFetch(d)
+}
+
+// acceptedDigest is what the entry of its sender says of a digest.
+type acceptedDigest struct {
+	firstContact bool          // no digest of the sender arrived before
+	sentAt       time.Time     // as far as its delay shows
+	placements   []*rpc.Placed // that no earlier digest contained
+}
+
+// acceptDigest records a digest in the entry of its sender. ok is false if the sender is
+// not known or the digest is not newer than the last one.
+func (p *peers) acceptDigest(d *rpc.Digest) (accepted acceptedDigest, ok bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	other := p.senderOf(d)
 	if other == nil {
-		p.mu.Unlock()
-		return
+		return acceptedDigest{}, false
 	}
 	last := other.lastDigest
 	if last != nil && (d.Incarnation < last.Incarnation || (d.Incarnation == last.Incarnation && d.Sequence <= last.Sequence)) {
-		p.mu.Unlock()
-		return
+		return acceptedDigest{}, false
 	}
 	now := p.now()
-	firstContact := other.heardAt.IsZero()
+	accepted.firstContact = other.heardAt.IsZero()
 	if last != nil && d.Incarnation != last.Incarnation {
 		other.introducedTo = false // the new process knows nothing of this instance
 		p.requestIntroductions()
 	}
-	confirmations, sentAt := d.Tables, other.sentAt(d, last, now)
+	accepted.sentAt = other.sentAt(d, last, now)
 	continues := d.Partial && last != nil && last.Incarnation == d.Incarnation
 	if continues && len(d.Tables) == 0 {
 		d.Tables = last.Tables
 	}
 	p.applyWork(other, d, continues, now)
 	other.heardAt, other.lastDigest = now, d
-	name := d.Sender.Name
 	if !d.Partial {
 		other.contents = d.Contents
 	}
 	p.trackLeader(d, now)
-	placements := other.newPlacements(d)
-	p.mu.Unlock()
-	if firstContact && !p.introduced.Load() {
-		p.requestIntroducer()
-	}
-	for _, t := range confirmations {
-		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, sentAt))
-	}
-	if !d.Partial {
-		p.limiter.updatePeer(name, d.Incarnation, spentByCustomer(d))
-		p.seedBucketLevels(d)
-	}
+	accepted.placements = other.newPlacements(d)
+	return accepted, true
+}
+
+// applyUpstreamState applies what a digest tells of upstreams.
+func (p *peers) applyUpstreamState(d *rpc.Digest, placements []*rpc.Placed) {
 	for _, l := range d.Loads {
 		hold := time.Duration(l.Ms) * time.Millisecond
 		if l.Brittle > 0 || l.BrittleEnded {
@@ -104,13 +133,6 @@
 	if len(d.Departures) > 0 {
 		p.follower.Leave(decodeDepartures(d.Departures)...)
 	}
-	for _, s := range p.shared {
-		s.apply(name, d.Incarnation, d)
-	}
-	p.applyCrashes(d)
-	p.applyRateLimits(name, d.RateLimits)
-	p.streams.learn(d.Streams)
-	p.requestFetch(d)
 }
 
 // applyCrashes applies what a digest tells of parts of prompts at which upstreams end.
