Instances tell each other since when the store answers

Cause: digests told when the store had last answered, not since when it had answered without an outage. An instance that heard nobody while its own calls failed could not tell a cut of its own from an outage afterwards.

Change: whole digests carry the newest period in which the store is known to have answered some instance at least every 2 s. Periods between which no such gap lies are joined; if that shows that there was no outage, the deferral of removals ends at once, back to that of an earlier outage if there was one. The grace period after the store came back from a copy is kept apart.

--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -131,6 +131,7 @@
 func (p *peers) addTotals(d *rpc.Digest) {
 	now := p.now()
 	d.Contents = encodeContents(p.follower.OperatorNumbers())
+	d.StoreUptime = encodeUptime(p.follower.StoreUptime(), now)
 	d.Quarantines = encodeQuarantines(p.crashes.quarantines(), now)
 	d.Loads = encodeBrittle(p.placer.brittleStatements(), now)
 	for customer, tokens := range p.limiter.spent() {
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -47,6 +47,7 @@
 	if accepted.firstContact && !p.introduced.Load() {
 		p.requestIntroducer()
 	}
+	p.follower.NoteStoreUptime(decodeUptime(d.StoreUptime, accepted.sentAt))
 	for _, t := range confirmations {
 		p.follower.Confirm(t.Name, position(t), decodeConfirmation(t, accepted.sentAt))
 	}
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// encodeUptime returns nil if the period is not known.
+func encodeUptime(u fleet.Uptime, now time.Time) *rpc.Uptime {
+	if u.IsZero() {
+		return nil
+	}
+	return &rpc.Uptime{SinceAgoMs: ago(u.Since, now), UntilAgoMs: ago(u.Until, now)}
+}
+
+// decodeUptime returns the zero period for nil.
+func decodeUptime(u *rpc.Uptime, now time.Time) fleet.Uptime {
+	if u == nil {
+		return fleet.Uptime{}
+	}
+	return fleet.Uptime{Since: before(u.SinceAgoMs, now), Until: before(u.UntilAgoMs, now)}
+}
+
 // ago returns how long ago a time was, in milliseconds. Messages state ages since the
 // clocks of instances differ.
 func ago(at, now time.Time) uint32 {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -74,6 +74,7 @@
 	departures      map[string]Departure // by ID: the last known one
 	outage          outage
 	outdatedUntil   time.Time // until when entries may stem from a copy with which the store's era began
+	restoredUntil   time.Time // until when the store may lack entries since it came back from a copy
 }
 
 // entry is a listed upstream and the position at which it was written.
@@ -91,7 +92,17 @@
 // StoreAnswered records that the store answered this or another instance, for any table,
 // at a time. The first answer after an outage starts the grace period for removals. It
 // reports whether that is so.
-func (r *Registry) StoreAnswered(at time.Time) (returned bool) { return r.outage.answered(at) }
+func (r *Registry) StoreAnswered(at time.Time) (returned bool) {
+	return r.outage.answered(Uptime{at, at})
+}
+
+// StoreUp records a period in which the store answered another instance. If it covers the
+// time in which calls of this instance failed, there was no outage, and removals are not
+// deferred any more. It reports the same as StoreAnswered.
+func (r *Registry) StoreUp(u Uptime) (returned bool) { return r.outage.answered(u) }
+
+// StoreUptime returns the newest period in which the store is known to have answered.
+func (r *Registry) StoreUptime() Uptime { return r.outage.uptime }
 
 // StoreCallFailed records that a call of this instance to the store failed that began at a
 // time.
@@ -111,11 +122,16 @@
 // again.
 func (r *Registry) MarkStoreRestored(now time.Time) {
 	r.MarkEraSeen(now)
-	r.outage.graceUntil = now.Add(ReconnectGracePeriod)
+	r.restoredUntil = now.Add(ReconnectGracePeriod)
 }
 
 // GraceUntil returns the end of the last grace period for removals.
-func (r *Registry) GraceUntil() time.Time { return r.outage.graceUntil }
+func (r *Registry) GraceUntil() time.Time {
+	if r.restoredUntil.After(r.outage.graceUntil) {
+		return r.restoredUntil
+	}
+	return r.outage.graceUntil
+}
 
 // Put adds or replaces an upstream that the store lists at a position, and cancels
 // its pending removal. It reports whether the view changes.
@@ -157,7 +173,7 @@
 	if !ok {
 		return false
 	}
-	if !e.shown.Draining && now.Before(r.outage.graceUntil) {
+	if !e.shown.Draining && now.Before(r.GraceUntil()) {
 		r.pendingRemovals[id] = true
 		return false
 	}
@@ -173,7 +189,7 @@
 func (r *Registry) Expire(now time.Time) bool {
 	r.expireDepartures(now)
 	changed := r.showReturned(now)
-	if r.outage.ongoing(now) || now.Before(r.outage.graceUntil) {
+	if r.outage.ongoing(now) || now.Before(r.GraceUntil()) {
 		return changed
 	}
 	for id := range r.pendingRemovals {
@@ -205,7 +221,7 @@
 	case e.shown.Draining:
 		return Leaving, time.Time{}
 	case r.pendingRemovals[id]:
-		return RemovalDeferred, r.outage.graceUntil
+		return RemovalDeferred, r.GraceUntil()
 	}
 	return InUse, time.Time{}
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -371,6 +371,11 @@
 func (f *Follower) expire() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.expireLocked()
+}
+
+// expireLocked is expire for callers that hold mu.
+func (f *Follower) expireLocked() {
 	if f.upstreams.Expire(f.now()) {
 		f.sink.UpstreamsChanged(f.upstreams.View())
 	}
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -55,10 +55,37 @@
 // caller holds mu.
 func (f *Follower) noteStoreAnswered(at time.Time) {
 	if f.upstreams.StoreAnswered(at) {
-		f.log.Info("removals of upstreams are deferred, since the store was away", "for", fleet.ReconnectGracePeriod.String())
+		f.logDeferral()
 	}
 }
 
+func (f *Follower) logDeferral() {
+	f.log.Info("removals of upstreams are deferred, since the store was away", "for", fleet.ReconnectGracePeriod.String())
+}
+
+// NoteStoreUptime records a period in which the store answered another instance. Deferred
+// removals are completed at once if there was no outage.
+func (f *Follower) NoteStoreUptime(u fleet.Uptime) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	deferredUntil := f.upstreams.GraceUntil()
+	if f.upstreams.StoreUp(u) {
+		f.logDeferral()
+	}
+	if f.upstreams.GraceUntil().Before(deferredUntil) {
+		f.log.Info("removals of upstreams are not deferred any more, since the store answered other instances meanwhile")
+		f.expireLocked()
+	}
+}
+
+// StoreUptime returns the newest period in which the store is known to have answered this
+// or another instance.
+func (f *Follower) StoreUptime() fleet.Uptime {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams.StoreUptime()
+}
+
 // RefreshUpstreams reads what has changed in the list of upstreams, whether or not this
 // instance follows the store. Afterwards the list is as the store had it when the call
 // began, or newer.
