Streams of a split or moved route go on where they began, at any instance

Found beside it: after a route had moved, streams of the old service went on at the new one, as if it had begun them.

Cause: what is told and what is inferred did not agree. Origins were told only while one service had several versions. An instance that was not told inferred the only version, but only where the route led to one service, and without regard to where it had led before.

Change: a service's alternatives are those that share a route with it, or did so while callers wait: a split, also one that ended, a route that moved, was removed or added again. The versions of a service and its alternatives together decide: more than one, and origins are told; one, and it is inferred. Rows of services name the alternatives, so that a restart of all and an instance that lags behind know them; they are also written once the last version is gone. An origin at a service to which the route no longer leads is refused with a message that says so.

--- a/pkg/edge/instance.go
+++ b/pkg/edge/instance.go
@@ -179,7 +179,6 @@
 	i.crashRows = newCrashRows(deps.Store, o.QuarantineTable, i.crashes, deps.Log.Named("crashes"))
 	i.streams = newStreams(deps.Log.Named("streams"), now)
 	i.versionRows = newVersionRows(deps.Store, o.VersionTable, i.streams, deps.Log.Named("streams"))
-	i.versionRows.config = i.snapshot.Load
 	i.releases = newReleases(o.Releases, deps.Store, deps.ServiceMetrics, deps.Log.Named("releases"), now)
 	i.releases.arrivedSince = i.pauses.earliest
 	i.follower = state.New(deps.Store, deps.Decoder, i, deps.Log.Named("state"), now)
--- a/pkg/edge/servedcheck.go
+++ b/pkg/edge/servedcheck.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/fescuestep/fescuestep/pkg/streamversion"
 )
 
 // servedCheck finds out which versions of a service's software may have begun a stream that
@@ -19,10 +21,10 @@
 	now     func() time.Time
 	log     hclog.Logger
 
-	mu       sync.Mutex // held while a check runs
-	beganAt  time.Time  // when the last check began
-	versions map[string][]string
-	err      error
+	mu      sync.Mutex // held while a check runs
+	beganAt time.Time  // when the last check began
+	stored  map[string]streamversion.Served
+	err     error
 }
 
 const (
@@ -33,9 +35,9 @@
 	servedCheckPause = 500 * time.Millisecond
 )
 
-// lately returns the versions of a service that have served lately by a check that begins
-// now or later. It returns false if that cannot be told.
-func (c *servedCheck) lately(ctx context.Context, service string) (versions []string, ok bool) {
+// lately returns, by service, what the store keeps of those that have served lately, by a
+// check that begins now or later. It returns false if that cannot be told.
+func (c *servedCheck) lately(ctx context.Context) (stored map[string]streamversion.Served, ok bool) {
 	asked := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,8 +48,7 @@
 	if c.err != nil {
 		return nil, c.agree()
 	}
-	versions, named := c.versions[service]
-	return versions, !named || versions != nil
+	return c.stored, true
 }
 
 // run makes a check. The caller holds mu.
@@ -56,15 +57,15 @@
 	defer cancel()
 	c.beganAt = c.now()
 	if c.err = c.refresh(ctx); c.err == nil {
-		c.versions, c.err = c.readRows(ctx)
+		c.stored, c.err = c.readRows(ctx)
 	}
 	if c.err != nil {
 		c.log.Info("cannot read which versions of software serve", "error", c.err)
 	}
 }
 
-// readRows returns the versions that the rows name, by service.
-func (c *servedCheck) readRows(ctx context.Context) (map[string][]string, error) {
+// readRows returns what the rows tell, by service.
+func (c *servedCheck) readRows(ctx context.Context) (map[string]streamversion.Served, error) {
 	page, err := c.rows.store.Rows(ctx, c.rows.table)
 	if err != nil {
 		return nil, err
--- a/pkg/edge/sink.go
+++ b/pkg/edge/sink.go
@@ -34,6 +34,7 @@
 	}
 	i.listener.setLimits(s.Limits)
 	i.forwards.setLimits(s.Limits)
+	i.streams.setRoutes(s)
 	i.snapshot.Store(s)
 }
 
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
+	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/pkg/streamversion"
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
@@ -18,31 +19,32 @@
 	log      hclog.Logger
 	now      func() time.Time
 	onUntold func() // called when the other instances must be told of a stream
-	// lately returns the versions of a service that have served lately, or false if that
-	// cannot be told.
-	lately func(ctx context.Context, service string) (versions []string, ok bool)
+	// lately returns, by service, what the store keeps of those that have served lately, or
+	// false if that cannot be told.
+	lately func(ctx context.Context) (stored map[string]streamversion.Served, ok bool)
 
 	mu     sync.Mutex
 	memory *streamversion.Memory
+	routes streamRoutes
 }
 
 func newStreams(log hclog.Logger, now func() time.Time) *streams {
 	return &streams{
-		log: log, now: now, memory: streamversion.NewMemory(),
-		onUntold: func() {}, lately: func(context.Context, string) ([]string, bool) { return nil, true },
+		log: log, now: now, memory: streamversion.NewMemory(), routes: newStreamRoutes(),
+		onUntold: func() {}, lately: func(context.Context) (map[string]streamversion.Served, bool) { return nil, true },
 	}
 }
 
 // Origin returns where a stream began that a caller takes up. resumes is the ID of the
 // request that brought its first event, and services are those that may serve it. If no
-// instance has told the origin, it is known only where one service, and one version of
-// it, can have begun the stream.
+// instance has told the origin, it is known only where one version of one service can have
+// begun the stream.
 func (s *streams) Origin(ctx context.Context, resumes string, services []string) (streamversion.Origin, bool) {
 	stream := streamversion.StreamOf(resumes)
-	if origin, ok := s.told(stream); ok || len(services) != 1 {
-		return origin, ok
+	if origin, ok := s.told(stream); ok {
+		return origin, true
 	}
-	lately, ok := s.lately(ctx, services[0])
+	stored, ok := s.lately(ctx)
 	if !ok {
 		return streamversion.Origin{}, false
 	}
@@ -51,8 +53,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	software, ok := s.memory.Only(services[0], lately, s.now())
-	return streamversion.Origin{Service: services[0], Software: software}, ok
+	return s.memory.Only(services, stored, s.now())
 }
 
 func (s *streams) told(stream streamversion.Stream) (streamversion.Origin, bool) {
@@ -123,18 +124,43 @@
 	}
 }
 
-// adoptServed records which versions, by service, had served before this instance started.
-func (s *streams) adoptServed(served map[string][]string) {
+// setRoutes records which services may have begun the same streams, now that a configuration
+// is in force.
+func (s *streams) setRoutes(config *routing.Snapshot) {
+	s.mu.Lock()
+	now := s.now()
+	untold := s.memory.SetRoutes(s.routes.change(config, now), now)
+	s.mu.Unlock()
+	if untold {
+		s.onUntold()
+	}
+}
+
+// adoptServed records what the store kept of services before this instance started.
+func (s *streams) adoptServed(stored map[string]streamversion.Served) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.memory.AdoptServed(served, s.now())
+	s.memory.AdoptServed(stored, s.now())
 }
 
-// versions returns the versions of a service that may have begun a stream.
-func (s *streams) versions(service string) []string {
+// served returns what the store is to keep, by service: of those with streams that may be
+// resumed, and of their alternatives.
+func (s *streams) served() map[string]streamversion.Served {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.memory.Versions(service, s.now())
+	now, out := s.now(), map[string]streamversion.Served{}
+	for _, name := range s.routes.services() {
+		out[name] = s.servedAt(name, now)
+		for _, other := range out[name].Alternatives {
+			out[other] = s.servedAt(other, now)
+		}
+	}
+	return out
+}
+
+// servedAt is served for one service. The caller holds mu.
+func (s *streams) servedAt(name string, now time.Time) streamversion.Served {
+	return streamversion.Served{Versions: s.memory.Versions(name, now), Alternatives: s.memory.Alternatives(name, now)}
 }
 
 // encodeStreams encodes streams by origin. Those of an origin are remembered for as long
--- a/pkg/filter/dispatch/origin.go
+++ b/pkg/filter/dispatch/origin.go
@@ -34,16 +34,14 @@
 	if !takesUp(edge) {
 		return edge.Route.PickService(rand.Float64()), nil, nil
 	}
-	var services []string
-	for _, part := range edge.Route.Split {
-		if part.Weight > 0 {
-			services = append(services, part.Service)
-		}
-	}
+	services := edge.Route.Services()
 	began, ok := h.Streams.Origin(ctx, edge.Call.Resumes, services)
-	if !ok || !slices.Contains(services, began.Service) {
+	if !ok {
 		return "", nil, code.New(code.StreamOriginUnknown, "it is not known which version of the upstreams began the stream").WithRetryAfter(retryAfterRefusal)
 	}
+	if !slices.Contains(services, began.Service) {
+		return "", nil, code.New(code.StreamOriginUnknown, "the route no longer leads to the service that began the stream").WithRetryAfter(retryAfterRefusal)
+	}
 	return began.Service, &began, nil
 }
 
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -71,6 +71,17 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Services returns the names of the services that get requests, in the order of the split.
+func (r *Route) Services() []string {
+	var out []string
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			out = append(out, s.Service)
+		}
+	}
+	return out
+}
+
 // MayResume reports whether a broken stream of the route may go on at another upstream.
 func (r *Route) MayResume() bool { return r.Kind == Stream && r.Resumable }
 
--- a/pkg/streamversion/streamversion.go
+++ b/pkg/streamversion/streamversion.go
@@ -23,6 +23,12 @@
 	Software string // version of the upstream's software; empty if it states none
 }
 
+// Served is what is stored of a service.
+type Served struct {
+	Versions     []string // that have served lately; nil: not known
+	Alternatives []string // services at which its streams may have begun as well
+}
+
 // Beginning tells that a stream began.
 type Beginning struct {
 	Stream Stream
@@ -51,7 +57,9 @@
 	window   time.Duration
 	purgedAt time.Time
 
-	knowsBefore bool // which versions served before this instance started
+	alternatives alternatives
+	watchedAt    time.Time // since when the versions that serve are known; zero: not yet
+	knowsBefore  bool      // which versions served before this instance started
 }
 
 type beginning struct {
@@ -70,7 +78,7 @@
 
 // NewMemory returns the memory of an instance that has just started.
 func NewMemory() *Memory {
-	return &Memory{streams: map[Stream]beginning{}, services: map[string]*service{}, window: minWindow}
+	return &Memory{streams: map[Stream]beginning{}, services: map[string]*service{}, window: minWindow, alternatives: newAlternatives()}
 }
 
 // Begin records that a stream began at this instance, or goes on here. It reports whether
@@ -129,39 +137,92 @@
 	return b.origin, ok && !now.After(b.until)
 }
 
-// Only returns the version of a service that alone can have begun a stream for which a
-// caller still waits. lately are the versions that have served lately by what others know.
-func (m *Memory) Only(name string, lately []string, now time.Time) (software string, ok bool) {
-	s := m.services[name]
-	if s == nil || now.Sub(s.watchedAt) < m.window {
-		return "", false
+// Only returns the origin that alone is possible for a stream for which a caller still
+// waits, if a route leads to some services. stored is what the store keeps of all services.
+// The origin may be at a service to which the route no longer leads.
+func (m *Memory) Only(services []string, stored map[string]Served, now time.Time) (only Origin, ok bool) {
+	for _, name := range m.alternatives.closure(services, stored, m.window, now) {
+		versions, known := m.completeVersions(name, stored, now)
+		if !known || len(versions) > 1 || (ok && len(versions) > 0) {
+			return Origin{}, false
+		}
+		if len(versions) == 1 {
+			only, ok = Origin{name, versions[0]}, true
+		}
+	}
+	return only, ok
+}
+
+// completeVersions returns the versions of a service that can have begun a stream for which
+// a caller still waits. It returns false if there may be others.
+func (m *Memory) completeVersions(name string, stored map[string]Served, now time.Time) (versions []string, ok bool) {
+	watchedAt := m.watchedAt
+	if s := m.services[name]; s != nil {
+		watchedAt = s.watchedAt
+	} else if m.knowsBefore {
+		watchedAt = time.Time{}
+	}
+	if m.watchedAt.IsZero() || now.Sub(watchedAt) < m.window {
+		return nil, false
+	}
+	versions = m.Versions(name, now)
+	lately, named := stored[name]
+	if named && lately.Versions == nil {
+		return nil, false
+	}
+	unseen := slices.ContainsFunc(lately.Versions, func(v string) bool { return !slices.Contains(versions, v) })
+	return versions, !unseen
+}
+
+// SetRoutes replaces which services may have begun the same streams. It reports whether the
+// other instances must be told of streams.
+func (m *Memory) SetRoutes(r Routes, now time.Time) (untold bool) {
+	return m.change(now, func() { m.alternatives.set(r, now) })
+}
+
+// Alternatives returns, in order, the services that share a route with one, or did when
+// streams began for which callers still wait.
+func (m *Memory) Alternatives(name string, now time.Time) []string {
+	return m.alternatives.neighbors(name, m.window, now)
+}
+
+// change makes a change, and has the streams told that can have begun elsewhere only since.
+// It reports whether the other instances must be told of streams.
+func (m *Memory) change(now time.Time, apply func()) (untold bool) {
+	before := map[string]bool{}
+	for name := range m.services {
+		before[name] = m.several(name, now)
 	}
-	versions := m.Versions(name, now)
-	if len(versions) != 1 || slices.ContainsFunc(lately, func(v string) bool { return v != versions[0] }) {
-		return "", false
+	apply()
+	for name := range m.services {
+		if !before[name] && m.several(name, now) {
+			m.queueUntold(name)
+		}
 	}
-	return versions[0], true
+	return len(m.untold) > 0
 }
 
 // SetServing replaces the versions that serve, by service. It reports whether the other
 // instances must be told of streams.
 func (m *Memory) SetServing(serving map[string]map[string]bool, now time.Time) (untold bool) {
+	if m.watchedAt.IsZero() {
+		m.watchedAt = now
+	}
+	return m.change(now, func() { m.setServing(serving, now) })
+}
+
+func (m *Memory) setServing(serving map[string]map[string]bool, now time.Time) {
 	for name := range serving {
 		m.service(name, now)
 	}
 	for name, s := range m.services {
-		before := m.several(name, now)
 		for software := range s.serving {
 			if !serving[name][software] {
 				s.ended[software] = now
 			}
 		}
 		s.serving = serving[name]
-		if !before && m.several(name, now) {
-			m.queueUntold(name)
-		}
 	}
-	return len(m.untold) > 0
 }
 
 func (m *Memory) service(name string, now time.Time) *service {
@@ -176,24 +237,25 @@
 	return s
 }
 
-// AdoptServed records which versions, by service, had served before this instance
-// started: none of a service that is not named, and unknown ones if they are nil. When
-// they ended is not known, so they count from now on.
-func (m *Memory) AdoptServed(served map[string][]string, now time.Time) {
+// AdoptServed records what the store keeps of services, by name: which versions had served
+// before this instance started, none of a service that is not named. When they ended is not
+// known, so they count from now on.
+func (m *Memory) AdoptServed(stored map[string]Served, now time.Time) {
 	m.knowsBefore = true
 	for _, s := range m.services {
 		s.watchedAt = time.Time{}
 	}
-	for name, versions := range served {
+	for name, served := range stored {
 		s := m.service(name, now)
-		if versions == nil {
+		if served.Versions == nil {
 			s.watchedAt = now
 		}
-		for _, software := range versions {
+		for _, software := range served.Versions {
 			if !s.serving[software] && s.ended[software].IsZero() {
 				s.ended[software] = now
 			}
 		}
+		m.alternatives.adopt(name, served.Alternatives, now)
 	}
 }
 
@@ -220,12 +282,20 @@
 	return out
 }
 
-// several reports whether more than one version of a service can have begun a stream. Only
-// then must instances tell each other which one did.
+// several reports whether a stream of a service can have begun at more than one version, of
+// it or of its alternatives. Only then must instances tell each other where it did.
 func (m *Memory) several(name string, now time.Time) bool {
+	n := 0
+	for _, name := range m.alternatives.closure([]string{name}, nil, m.window, now) {
+		n += m.versionCount(name, now)
+	}
+	return n > 1
+}
+
+func (m *Memory) versionCount(name string, now time.Time) int {
 	s := m.services[name]
 	if s == nil {
-		return false
+		return 0
 	}
 	n := len(s.serving)
 	for software, at := range s.ended {
@@ -233,7 +303,7 @@
 			n++
 		}
 	}
-	return n > 1
+	return n
 }
 
 // queueUntold has the streams told that began here while one version of their service
--- a/pkg/streamversion/streamversion_test.go
+++ b/pkg/streamversion/streamversion_test.go
@@ -24,8 +24,7 @@
 	if origin, ok := m.Origin(stream, now); ok {
 		return origin, true
 	}
-	software, ok := m.Only(llm, nil, now)
-	return Origin{llm, software}, ok
+	return m.Only([]string{llm}, nil, now)
 }
 
 // expectOrigin fails the test unless the origin of a stream is a version, or unknown ("").
@@ -58,8 +57,12 @@
 		lately []string
 		want   bool
 	}{{nil, true}, {[]string{"v1"}, true}, {[]string{"v1", "v2"}, false}, {[]string{"v2"}, false}} {
-		if software, ok := m.Only(llm, c.lately, start.Add(minWindow)); ok != c.want || (ok && software != "v1") {
-			t.Errorf("others saw %v: %q, %v; want %v", c.lately, software, ok, c.want)
+		stored := map[string]Served{}
+		if c.lately != nil {
+			stored[llm] = Served{Versions: c.lately}
+		}
+		if only, ok := m.Only([]string{llm}, stored, start.Add(minWindow)); ok != c.want || (ok && only != Origin{llm, "v1"}) {
+			t.Errorf("others saw %v: %+v, %v; want %v", c.lately, only, ok, c.want)
 		}
 	}
 }
@@ -77,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := NewMemory()
 			m.SetServing(serving("v1"), start)
-			m.AdoptServed(map[string][]string{llm: c.stored}, start)
+			m.AdoptServed(map[string]Served{llm: {Versions: c.stored}}, start)
 			expectOrigin(t, m, 1, start, c.want)
 			expectOrigin(t, m, 1, start.Add(minWindow), "v1")
 		})
@@ -87,7 +90,7 @@
 // TestLongWaitMakesTheWindowLonger guards against forgetting a version while a caller that waits longer may still take up a stream that began there.
 func TestLongWaitMakesTheWindowLonger(t *testing.T) {
 	m := NewMemory()
-	m.AdoptServed(map[string][]string{}, start)
+	m.AdoptServed(map[string]Served{}, start)
 	m.SetServing(serving("v1"), start)
 	m.Begin(Beginning{2, Origin{llm, "v1"}, start.Add(3 * minWindow)}, start)
 	m.SetServing(serving("v2"), start)
@@ -178,7 +181,7 @@
 	fleet := []*Memory{NewMemory(), NewMemory()}
 	for _, m := range fleet {
 		m.SetServing(serving(versions...), now)
-		m.AdoptServed(map[string][]string{llm: stored}, now)
+		m.AdoptServed(map[string]Served{llm: {Versions: stored}}, now)
 	}
 	return fleet
 }
