All parts of long prompts are judged

What callers saw: a part of prompts that ends servers was not found if it was the 32nd shared part or a later one, or if the prompt had more than 64 parts.

Cause: two caps past which the judgement was dropped in silence. A crash told 64 parts, two for each shared one; of a prompt with more than 64 none was read.

Change: a prompt has up to 1,024 parts, and of more the middle ones count as one part. The tracker finds crashes by an index of parts. Prompts with more than 64 parts are placed by 64 instead of by none. Rows of the store and log lines stay bounded.

--- a/pkg/edge/announce.go
+++ b/pkg/edge/announce.go
@@ -26,8 +26,9 @@
 
 	departures []pendingUpdate[*rpc.Departure]
 
-	crashes []pendingUpdate[*rpc.Crash]
-	answers []pendingUpdate[*rpc.Answer]
+	crashes     []pendingUpdate[*rpc.Crash]
+	crashPieces []pendingUpdate[*rpc.CrashPiece]
+	answers     []pendingUpdate[*rpc.Answer]
 
 	rateLimits []pendingUpdate[rateLimit]
 
@@ -79,6 +80,20 @@
 	return out
 }
 
+// nextCrashPieces returns the pieces of crashes for one digest: one, as it fills a datagram,
+// and none beside whole crashes. While others remain, the next digest does not wait. The
+// caller holds mu.
+func (p *peers) nextCrashPieces(besides []*rpc.Crash) []*rpc.CrashPiece {
+	var out []*rpc.CrashPiece
+	if len(besides) == 0 {
+		out = takeUpdates(&p.updates.crashPieces, 1)
+	}
+	if len(p.updates.crashPieces) > 0 {
+		p.requestSend()
+	}
+	return out
+}
+
 // nextStreams returns the streams for one digest. While others remain, the next digest
 // does not wait. The caller holds mu.
 func (p *peers) nextStreams() []streamversion.Beginning {
@@ -164,17 +179,29 @@
 }
 
 // announceCrash tells the other instances that an upstream ended while it began to
-// answer a prompt.
+// answer a prompt. They learn enough from those that are pending if there are many.
 func (p *peers) announceCrash(c quarantine.Crash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.updates.crashes) >= maxPendingCrashes {
-		return // the others learn enough from those that are pending
+	switch now := p.now(); {
+	case len(c.Parts) > maxCrashPieceParts:
+		p.announceInPieces(c, now)
+	case len(p.updates.crashes) < maxPendingCrashes:
+		p.updates.crashes = append(p.updates.crashes, pendingUpdate[*rpc.Crash]{encodeCrash(c, now), updateRepeats})
 	}
-	p.updates.crashes = append(p.updates.crashes, pendingUpdate[*rpc.Crash]{encodeCrash(c, p.now()), updateRepeats})
 	p.requestSend()
 }
 
+// announceInPieces does the same for a crash with many parts. The caller holds mu.
+func (p *peers) announceInPieces(c quarantine.Crash, now time.Time) {
+	if len(p.updates.crashPieces) >= maxPendingCrashPieces {
+		return
+	}
+	for _, piece := range c.Pieces(maxCrashPieceParts) {
+		p.updates.crashPieces = append(p.updates.crashPieces, pendingUpdate[*rpc.CrashPiece]{encodeCrashPiece(piece, now), updateRepeats})
+	}
+}
+
 // announceAnswer tells the other instances that a prompt with a part was answered.
 func (p *peers) announceAnswer(part quarantine.Part, at time.Time) {
 	p.mu.Lock()
--- a/pkg/edge/crashes.go
+++ b/pkg/edge/crashes.go
@@ -21,8 +21,9 @@
 	onAnswer func(part quarantine.Part, at time.Time) // called when another instance must be told of an answer
 	tries    func(quarantine.Part) bool               // reports whether this instance tries the requests with a part
 
-	mu      sync.Mutex
-	tracker *quarantine.Tracker
+	mu        sync.Mutex
+	tracker   *quarantine.Tracker
+	assembler quarantine.Assembler
 }
 
 func newCrashes(log hclog.Logger, now func() time.Time) *crashes {
@@ -67,14 +68,18 @@
 	return !c.tracker.Suspected(crash.Parts)
 }
 
+// maxLoggedParts bounds the parts that are logged of a crash.
+const maxLoggedParts = 64
+
 // logCrash logs a crash that this instance has seen, with what speaks for and against
 // each part: the processes that ended at it, and whether it was answered lately.
 func (c *crashes) logCrash(u *fleet.Upstream, crash quarantine.Crash, isNew bool) {
 	c.mu.Lock()
-	ends, sound := c.tracker.Evidence(crash.Parts, c.now())
+	parts := c.tracker.MostSuspect(crash.Parts, maxLoggedParts, c.now())
+	ends, sound := c.tracker.Evidence(parts, c.now())
 	c.mu.Unlock()
 	c.log.Info("upstream ended while it began to answer a request", "upstream", u.ID, "started_ms", u.StartTimeMS, "new", isNew,
-		"hashes", hexParts(crash.Parts), "ends", ends, "answered_lately", sound)
+		"parts", len(crash.Parts), "hashes", hexParts(parts), "ends", ends, "answered_lately", sound)
 }
 
 // record records a crash that this or another instance has seen.
@@ -88,6 +93,16 @@
 	return isNew
 }
 
+// recordPiece records a piece of a crash that another instance tells.
+func (c *crashes) recordPiece(piece quarantine.Piece) {
+	c.mu.Lock()
+	crash, complete := c.assembler.Add(piece, c.now())
+	c.mu.Unlock()
+	if complete {
+		c.record(crash)
+	}
+}
+
 // Answered records that a request was answered with a status.
 func (c *crashes) Answered(parts []quarantine.Part, status int) {
 	c.mu.Lock()
@@ -95,7 +110,7 @@
 	cleared, _ := c.tracker.RecordAnswer(parts, now)
 	c.mu.Unlock()
 	if len(cleared) > 0 {
-		c.log.Info("parts are not suspected any more, since a request with them was answered", "hashes", hexParts(cleared), "status", status)
+		c.log.Info("parts are not suspected any more, since a request with them was answered", "parts", len(cleared), "hashes", hexParts(cleared[:min(len(cleared), maxLoggedParts)]), "status", status)
 	}
 	for _, part := range cleared {
 		c.onAnswer(part, now)
--- a/pkg/edge/digest.go
+++ b/pkg/edge/digest.go
@@ -99,6 +99,7 @@
 	d.Placed = nextUpdates(&p.updates.placed)
 	d.Departures = nextUpdates(&p.updates.departures)
 	d.Crashes = p.nextCrashes()
+	d.CrashPieces = p.nextCrashPieces(d.Crashes)
 	d.Answers = nextUpdates(&p.updates.answers)
 	d.RateLimits = encodeRateLimits(append(nextUpdates(&p.updates.rateLimits), limits...), now)
 	d.Streams = encodeStreams(p.nextStreams(), now)
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -71,9 +71,13 @@
 	// maxCrashParts limits the parts of requests in the crashes of a digest; each takes 8
 	// bytes.
 	maxCrashParts = 72
-	// maxPendingCrashes limits the crashes that are still to be told. Many prompts begin
-	// at an engine that ends.
-	maxPendingCrashes = 48
+	// maxCrashPieceParts limits the parts of a crash that is told whole, and those of a piece
+	// of one with more.
+	maxCrashPieceParts = 64
+	// maxPendingCrashes and maxPendingCrashPieces limit what is still to be told of crashes.
+	// Many prompts begin at an engine that ends.
+	maxPendingCrashes     = 48
+	maxPendingCrashPieces = 128
 	// loadingHold is how long other instances are told to send no requests to an
 	// engine that loads weights. The announcement is renewed when no more than
 	// loadingRenewBefore of that time is left.
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -142,6 +142,9 @@
 	for _, c := range d.Crashes {
 		p.crashes.record(decodeCrash(c, now))
 	}
+	for _, piece := range d.CrashPieces {
+		p.crashes.recordPiece(decodeCrashPiece(piece, now))
+	}
 	for _, a := range d.Answers {
 		p.crashes.recordAnswer(quarantine.Part(a.Part), before(a.AgoMs, now))
 	}
--- a/pkg/edge/statecodec.go
+++ b/pkg/edge/statecodec.go
@@ -136,8 +136,19 @@
 
 func decodeCrash(c *rpc.Crash, now time.Time) quarantine.Crash {
 	return quarantine.Crash{
-		Process: quarantine.Process(c.Process), Parts: decodeParts(c.Parts[:min(len(c.Parts), quarantine.MaxParts)]),
-		At: before(c.AgoMs, now),
+		Process: quarantine.Process(c.GetProcess()), Parts: decodeParts(c.GetParts()[:min(len(c.GetParts()), quarantine.MaxParts)]),
+		At: before(c.GetAgoMs(), now),
+	}
+}
+
+func encodeCrashPiece(piece quarantine.Piece, now time.Time) *rpc.CrashPiece {
+	return &rpc.CrashPiece{Crash: encodeCrash(piece.Crash, now), Whole: piece.Whole, From: uint32(piece.From), Of: uint32(piece.Of)}
+}
+
+func decodeCrashPiece(piece *rpc.CrashPiece, now time.Time) quarantine.Piece {
+	return quarantine.Piece{
+		Crash: decodeCrash(piece.Crash, now), Whole: piece.Whole,
+		From: int(min(piece.From, quarantine.MaxParts)), Of: int(min(piece.Of, quarantine.MaxParts+1)),
 	}
 }
 
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -265,7 +265,7 @@
 func (x *exchange) query() placement.Query {
 	c := &x.edge.Call
 	q := placement.Query{
-		Service: x.service, Model: c.Model, Parts: c.PromptParts,
+		Service: x.service, Model: c.Model, Parts: placementParts(c.PromptParts),
 		PromptTokens: c.PromptTokens, MaxTokens: c.MaxTokens,
 		Software: x.software(),
 		Exclude:  func(id string) bool { return x.tried[id] || x.releaseExcludes(id) },
@@ -315,9 +315,13 @@
 	return true
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 64
+
 func (x *exchange) logAttempt(attempt *placement.Attempt, result placement.Result, err error) {
+	shared := x.sharedParts()
 	x.h.Log.Info("attempt failed", "request", x.r.ID, "upstream", attempt.Upstream.ID, "software", attempt.Upstream.Software, "addr", attempt.Upstream.Addr,
 		"result", result.String(), "sent_to", x.edge.Attempts, "may_have_run", x.mayHaveRun,
-		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "last_event", x.lastEventID, "parts", call.PartIDs(x.sharedParts()),
+		"status", x.r.Outcome.Status, "started", x.r.Outcome.ResponseStarted, "last_event", x.lastEventID, "parts", call.PartIDs(shared[:min(len(shared), maxLoggedParts)]),
 		"fingerprint", strconv.FormatUint(fingerprint(x.r), 16), "error", err)
 }
--- a/pkg/filter/dispatch/fingerprint.go
+++ b/pkg/filter/dispatch/fingerprint.go
@@ -63,8 +63,9 @@
 
 // crashParts returns the parts of the request at which upstreams may end: the whole
 // request, the parts that its prompt shares with others, each for any model and then for
-// the prompt's own, and the whole request with its prompt. Of two that explain the same crashes the later one is blamed. The whole request
-// comes first, since the bodies of prompts may all be alike.
+// the prompt's own, and the whole request with its prompt. Of two that explain the same
+// crashes the later one is blamed. The whole request comes first, since the bodies of
+// prompts may all be alike.
 func (x *exchange) crashParts() []quarantine.Part {
 	if x.parts != nil {
 		return x.parts
--- a/pkg/filter/dispatch/fingerprint_test.go
+++ b/pkg/filter/dispatch/fingerprint_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -49,10 +50,49 @@
 
 // TestNoSharedPartIsLeftOut guards against a part that is never found since many come before it.
 func TestNoSharedPartIsLeftOut(t *testing.T) {
-	ids := strings.Split("a b c d e f g h i j k l m n o p q r s bad own", " ")
-	a := newExchange("POST", "http://a.example/x", "c", "one", ids...)
-	if !slices.Contains(a.crashParts(), quarantine.PartOf("m", "bad")) {
-		t.Error("the twentieth shared part is left out")
+	for _, shared := range []int{1, 20, 31, 32, 63, 64, 65, maxSharedParts} {
+		x := newExchange("POST", "http://a.example/x", "c", "one", append(partIDs(shared-1), "bad", "own")...)
+		if !slices.Contains(x.crashParts(), quarantine.PartOf("m", "bad")) || !slices.Contains(x.crashParts(), quarantine.PartOfAnyModel("bad")) {
+			t.Errorf("the last of %d shared parts is left out", shared)
+		}
+		if len(x.crashParts()) > quarantine.MaxParts {
+			t.Errorf("%d parts, at most %d are told", len(x.crashParts()), quarantine.MaxParts)
+		}
+	}
+}
+
+// partIDs returns n IDs of parts.
+func partIDs(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = "p" + strconv.Itoa(i)
+	}
+	return out
+}
+
+// TestPlacementPartsOfLongPrompts guards against prompts with many parts that are placed as if they had none in common, and against tokens that count twice or not at all.
+func TestPlacementPartsOfLongPrompts(t *testing.T) {
+	parts := func(ids ...string) []call.PromptPart {
+		return newExchange("POST", "http://a.example/x", "c", "", ids...).edge.Call.PromptParts
+	}
+	for _, n := range []int{1, maxPlacementParts, maxPlacementParts + 1, 1024} {
+		got := placementParts(parts(append(partIDs(n-1), "own")...))
+		other := placementParts(parts(append(partIDs(n-1), "other")...))
+		tokens := 0
+		for _, part := range got {
+			tokens += part.Tokens
+		}
+		if len(got) != min(n, maxPlacementParts) || tokens != 100*n || got[len(got)-1].ID != "own" {
+			t.Errorf("%d parts: placed by %d with %d tokens, the last one %q", n, len(got), tokens, got[len(got)-1].ID)
+		}
+		if !slices.Equal(got[:len(got)-1], other[:len(other)-1]) {
+			t.Errorf("%d parts: prompts that differ in the last one have not all others in common", n)
+		}
+	}
+	a, b := partIDs(200), partIDs(200)
+	b[150] = "x"
+	if got, other := placementParts(parts(a...)), placementParts(parts(b...)); slices.Equal(got, other) || !slices.Equal(got[:10], other[:10]) {
+		t.Error("prompts that differ in a later part are alike, or have no part in common")
 	}
 }
 
--- a/pkg/quarantine/cause.go
+++ b/pkg/quarantine/cause.go
@@ -67,8 +67,8 @@
 func (t *Tracker) crashTimes(part Part) []time.Time {
 	var out []time.Time
 	counted := processEnds{}
-	for _, c := range t.crashes {
-		if c.speaksAgainst(part) && counted.add(c.Process, c.At) {
+	for c := range t.crashes.against(part) {
+		if counted.add(c.Process, c.At) {
 			out = append(out, c.At)
 		}
 	}
@@ -79,10 +79,7 @@
 // that follows it in one of them.
 func (t *Tracker) endedAtLaterParts(part Part) map[Part]processEnds {
 	out := map[Part]processEnds{}
-	for _, c := range t.crashes {
-		if !c.speaksAgainst(part) {
-			continue
-		}
+	for c := range t.crashes.against(part) {
 		for _, later := range c.Parts[slices.Index(c.Parts, part)+1:] {
 			if out[later] == nil {
 				out[later] = processEnds{}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,7 +1,8 @@
 // Package quarantine finds parts of requests that end upstreams, and says which requests
-// must not be sent. A part is one that prompts share, or the whole request. Instances tell each other the crashes that they see, so that each
-// decides from the crashes of all. The package does no I/O, is not safe for concurrent
-// use, and takes the current time as an argument.
+// must not be sent. A part is one that prompts share, or the whole request. Instances tell
+// each other the crashes that they see, so that each decides from the crashes of all. The
+// package does no I/O, is not safe for concurrent use, and takes the current time as an
+// argument.
 package quarantine
 
 import (
@@ -15,8 +16,8 @@
 // at all instances.
 type Part uint64
 
-// MaxParts bounds the parts of a request that are told to other instances.
-const MaxParts = 64
+// MaxParts bounds the parts of a request.
+const MaxParts = 2048
 
 // PartOf returns the identity of a part of prompts to a model. Callers state the IDs of
 // parts themselves and share them, so one that wants another's part to be blamed can state
@@ -50,8 +51,10 @@
 	// crash may arrive again.
 	crashMemory   = 10 * time.Minute
 	messageMemory = time.Minute
-	// maxCrashes bounds the crashes that are kept; the oldest go first.
-	maxCrashes = 512
+	// maxCrashes bounds the crashes that are kept, and maxCrashParts their parts, at 24
+	// bytes each; the oldest go first.
+	maxCrashes    = 512
+	maxCrashParts = 1 << 16
 	// answerMemory is how long an answer counts against crashes and quarantines before it
 	// that other instances tell later.
 	answerMemory = time.Minute
@@ -61,8 +64,7 @@
 
 // Tracker is the state of one instance.
 type Tracker struct {
-	crashes     []recorded
-	suspected   map[Part]bool // parts of crashes
+	crashes     crashLog
 	sound       *soundParts
 	seen        map[uint64]time.Time // by hash of a crash: when it happened last
 	explained   processEnds          // at a quarantined part
@@ -72,27 +74,10 @@
 	incompleteUntil time.Time
 }
 
-// recorded is a crash that counts.
-type recorded struct {
-	Crash
-	id     uint64
-	stored bool // taken over from the store, so that its time is not known
-	// cause is the quarantined part of the request, or 0. Then the crash speaks against the
-	// parts before it only: several parts may be blamed that follow the one that ends
-	// upstreams.
-	cause Part
-}
-
-// speaksAgainst reports whether the crash may have been for a part of its request.
-func (r *recorded) speaksAgainst(part Part) bool {
-	i := slices.Index(r.Parts, part)
-	return i >= 0 && (r.cause == 0 || i < slices.Index(r.Parts, r.cause))
-}
-
 // NewTracker returns a tracker without crashes.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspected: map[Part]bool{}, sound: newSoundParts(), seen: map[uint64]time.Time{}, explained: processEnds{},
+		crashes: newCrashLog(), sound: newSoundParts(), seen: map[uint64]time.Time{}, explained: processEnds{},
 		quarantined: map[Part]*period{}, answeredAt: map[Part]time.Time{},
 	}
 }
@@ -105,7 +90,7 @@
 func (t *Tracker) Incomplete(now time.Time) time.Duration { return max(0, t.incompleteUntil.Sub(now)) }
 
 // Idle reports whether no part is suspected or quarantined.
-func (t *Tracker) Idle() bool { return len(t.suspected) == 0 && len(t.quarantined) == 0 }
+func (t *Tracker) Idle() bool { return t.crashes.isEmpty() && len(t.quarantined) == 0 }
 
 // RecordCrash records a crash that this instance has seen or another one tells. It
 // reports whether the crash was not known, so that others must be told, and the parts
@@ -117,7 +102,7 @@
 		return false, nil
 	}
 	t.seen[id] = c.At
-	t.dropStored(id)
+	t.crashes.dropStored(id)
 	for _, part := range c.Parts {
 		if p := t.quarantined[part]; p != nil {
 			p.extend(c.At)
@@ -132,19 +117,10 @@
 	if len(c.Parts) == 0 {
 		return true, nil
 	}
-	t.add(recorded{Crash: c, id: id})
+	t.crashes.add(&recorded{Crash: c, id: id})
 	return true, t.quarantineCause(c.Parts, now)
 }
 
-// add adds a crash that counts. The oldest one makes room.
-func (t *Tracker) add(c recorded) {
-	if len(t.crashes) >= maxCrashes {
-		t.crashes = slices.Delete(t.crashes, 0, 1)
-	}
-	t.crashes = append(t.crashes, c)
-	t.index()
-}
-
 func (c Crash) hash() uint64 {
 	raw := make([]byte, 0, 8*(1+len(c.Parts)))
 	raw = appendUint64(raw, uint64(c.Process))
@@ -167,11 +143,9 @@
 	t.makeRoom()
 	at := t.crashTimes(part)
 	t.quarantined[part] = &period{since: slices.MaxFunc(at, time.Time.Compare), duration: firstDuration, tryAt: now.Add(firstDuration)}
-	for i, c := range t.crashes {
-		if c.speaksAgainst(part) {
-			t.crashes[i].cause = part
-			t.explained.add(c.Process, c.At)
-		}
+	for c := range t.crashes.against(part) {
+		c.cause = part
+		t.explained.add(c.Process, c.At)
 	}
 	t.dropExplained()
 }
@@ -183,19 +157,7 @@
 }
 
 func (t *Tracker) dropExplained() {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return c.cause == 0 && t.explained.has(c.Process, c.At) })
-	t.index()
-}
-
-// index collects the parts of the crashes, so that an answer to a request without any of
-// them costs little.
-func (t *Tracker) index() {
-	clear(t.suspected)
-	for _, c := range t.crashes {
-		for _, part := range c.Parts {
-			t.suspected[part] = true
-		}
-	}
+	t.crashes.drop(func(c *recorded) bool { return c.cause == 0 && t.explained.has(c.Process, c.At) })
 }
 
 // makeRoom forgets the quarantine whose trial is due first if there are maxQuarantines.
@@ -216,9 +178,10 @@
 // those that were suspected or quarantined because of earlier crashes, so that others
 // must be told, and those of them that were quarantined.
 func (t *Tracker) RecordAnswer(parts []Part, at time.Time) (cleared, lifted []Part) {
+	unsuspected := t.crashes.clear(parts, at)
 	for _, part := range parts {
 		t.sound.add(part, at)
-		suspected := t.dropCrashes(part, at)
+		suspected := unsuspected[part]
 		p := t.quarantined[part]
 		quarantined := p != nil && !p.since.After(at)
 		if quarantined {
@@ -233,26 +196,6 @@
 	return cleared, lifted
 }
 
-// dropCrashes removes a part from the crashes up to a time, and reports whether there
-// were any.
-func (t *Tracker) dropCrashes(part Part, until time.Time) (found bool) {
-	if !t.suspected[part] {
-		return false
-	}
-	for i, c := range t.crashes {
-		if j := slices.Index(c.Parts, part); j >= 0 && !c.At.After(until) {
-			t.crashes[i].Parts = slices.Delete(c.Parts, j, j+1)
-			if c.cause == part {
-				t.crashes[i].cause = 0
-			}
-			found = true
-		}
-	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return len(c.Parts) == 0 })
-	t.index()
-	return found
-}
-
 // Refused returns how long prompts with these parts are still refused; 0 if this one is
 // sent. When a trial is due, one prompt is sent by the instance for which tries returns
 // true.
@@ -293,7 +236,7 @@
 // Crashes returns the crashes that no quarantined part explains.
 func (t *Tracker) Crashes() []Crash {
 	var out []Crash
-	for _, c := range t.crashes {
+	for _, c := range t.crashes.list {
 		if c.cause == 0 {
 			out = append(out, c.Crash)
 		}
@@ -330,7 +273,7 @@
 // expire forgets what no longer counts. A quarantine is forgotten if no prompt was tried
 // for as long as it lasted, but crashMemory at least: none with its part comes.
 func (t *Tracker) expire(now time.Time) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return now.Sub(c.At) > crashMemory })
+	t.crashes.drop(func(c *recorded) bool { return now.Sub(c.At) > crashMemory })
 	forget(t.seen, now, messageMemory)
 	t.explained.forget(now, crashMemory)
 	forget(t.answeredAt, now, answerMemory)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 
 // record records a crash at the moment at which it happens.
 func record(t *Tracker, now time.Time, process Process, parts ...Part) (isNew bool) {
-	isNew, _ = t.RecordCrash(Crash{process, parts, now}, now)
+	isNew, _ = t.RecordCrash(Crash{Process: process, Parts: parts, At: now}, now)
 	return isNew
 }
 
@@ -216,7 +216,7 @@
 	record(tracker, at(0), 1, bad)
 	tracker.RecordAnswer([]Part{bad}, at(10))
 	for i := range 3 {
-		isNew, _ := tracker.RecordCrash(Crash{Process(10 + i), []Part{bad}, at(i)}, at(500))
+		isNew, _ := tracker.RecordCrash(Crash{Process: Process(10 + i), Parts: []Part{bad}, At: at(i)}, at(500))
 		if !isNew {
 			t.Error("not told to others")
 		}
@@ -284,12 +284,12 @@
 		record(tracker, start, Process(i), Part(1000+i))
 		tracker.Adopt(Quarantine{Part(5000 + i), start, time.Minute}, start)
 	}
-	if len(tracker.crashes) > maxCrashes || len(tracker.quarantined) > maxQuarantines {
-		t.Errorf("%d crashes, %d quarantines", len(tracker.crashes), len(tracker.quarantined))
+	if len(tracker.crashes.list) > maxCrashes || len(tracker.quarantined) > maxQuarantines {
+		t.Errorf("%d crashes, %d quarantines", len(tracker.crashes.list), len(tracker.quarantined))
 	}
 	record(tracker, start.Add(maxDuration), 1, bad)
-	if len(tracker.crashes) != 1 || len(tracker.seen) != 1 || len(tracker.quarantined) != 0 {
-		t.Errorf("after a day: %d crashes, %d messages, %d quarantines", len(tracker.crashes), len(tracker.seen), len(tracker.quarantined))
+	if len(tracker.crashes.list) != 1 || len(tracker.seen) != 1 || len(tracker.quarantined) != 0 {
+		t.Errorf("after a day: %d crashes, %d messages, %d quarantines", len(tracker.crashes.list), len(tracker.seen), len(tracker.quarantined))
 	}
 }
 
--- a/pkg/quarantine/sound.go
+++ b/pkg/quarantine/sound.go
@@ -6,8 +6,9 @@
 	// soundMemory is how long a part that was answered counts as sound. Requests that are
 	// often sent are answered again within it.
 	soundMemory = time.Minute
-	// maxSound bounds the parts in each of the two generations that are kept.
-	maxSound = 4096
+	// maxSound bounds the parts in each of the two generations that are kept, at about 50
+	// bytes each.
+	maxSound = 1 << 15
 )
 
 // soundParts remembers which parts were answered lately, in two generations: the older one
--- a/pkg/quarantine/stored.go
+++ b/pkg/quarantine/stored.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,17 +17,20 @@
 // instances differ, so that the time is not stored.
 const storedAge = time.Minute
 
+// maxStoredParts bounds the parts of a stored crash: a row of the store has a limited size.
+const maxStoredParts = 512
+
 // ToStore returns the newest crashes that happened at least minAge ago and that no
 // quarantined part explains, at most limit of them. Answers clear most crashes of sound
 // requests sooner.
 func (t *Tracker) ToStore(minAge time.Duration, limit int, now time.Time) []StoredCrash {
 	var out []StoredCrash
-	for _, c := range slices.Backward(t.crashes) {
+	for _, c := range slices.Backward(t.crashes.list) {
 		if len(out) == limit {
 			break
 		}
 		if c.cause == 0 && now.Sub(c.At) >= minAge {
-			out = append(out, StoredCrash{c.id, c.Process, slices.Clone(c.Parts)})
+			out = append(out, StoredCrash{c.id, c.Process, t.MostSuspect(c.Parts, maxStoredParts, now)})
 		}
 	}
 	return out
@@ -36,14 +40,29 @@
 // has told of it.
 func (t *Tracker) AdoptStored(s StoredCrash, now time.Time) {
 	_, told := t.seen[s.ID]
-	if told || len(s.Parts) == 0 || slices.ContainsFunc(t.crashes, func(c recorded) bool { return c.id == s.ID }) {
+	if told || len(s.Parts) == 0 || t.crashes.byID[s.ID] != nil {
 		return
 	}
-	t.add(recorded{Crash: Crash{s.Process, slices.Clone(s.Parts), now.Add(-storedAge)}, id: s.ID, stored: true})
+	t.crashes.add(&recorded{Crash: Crash{s.Process, slices.Clone(s.Parts), now.Add(-storedAge)}, id: s.ID, stored: true})
 }
 
-// dropStored removes a crash that was taken over from the store, since its time is known
-// now.
-func (t *Tracker) dropStored(id uint64) {
-	t.crashes = slices.DeleteFunc(t.crashes, func(c recorded) bool { return c.stored && c.id == id })
+// MostSuspect returns at most limit of some parts, in their order: first those at which most
+// processes ended and that were not answered lately.
+func (t *Tracker) MostSuspect(parts []Part, limit int, now time.Time) []Part {
+	if len(parts) <= limit {
+		return slices.Clone(parts)
+	}
+	ends := make(map[Part]int, len(parts))
+	for _, part := range parts {
+		if !t.sound.has(part, now) {
+			ends[part] = len(t.crashTimes(part))
+		}
+	}
+	byEnds := slices.Clone(parts)
+	slices.SortStableFunc(byEnds, func(a, b Part) int { return cmp.Compare(ends[b], ends[a]) })
+	kept := make(map[Part]bool, limit)
+	for _, part := range byEnds[:limit] {
+		kept[part] = true
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(part Part) bool { return !kept[part] })
 }
