An answer that ends with its connection is whole only if its request was written

Cause: net/http tells the reset to the goroutine that writes the request; the one that reads then finds a plain end, which is the regular end of a body with neither length nor chunks.

Change: netopt.WholeResponses wraps a transport: such a body fails unless the request was written to its end (httptrace.WroteRequest). The client of calls between instances now closes its idle connections, as its Close says.

--- a/cmd/fescuestep/adminclient.go
+++ b/cmd/fescuestep/adminclient.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 	"github.com/twitchtv/twirp"
 
+	"github.com/fescuestep/fescuestep/pkg/netopt"
 	"github.com/fescuestep/fescuestep/pkg/settings"
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
@@ -45,7 +46,7 @@
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	}
 	client := &http.Client{
-		Transport:     bearer{c.Credential, transport},
+		Transport:     bearer{c.Credential, netopt.WholeResponses(transport)},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return admin.NewAdminProtobufClient(c.Admin, client), nil
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescuestep/fescuestep/pkg/netopt"
 	rpc "github.com/fescuestep/fescuestep/rpc/peer"
 )
 
@@ -51,12 +52,16 @@
 		},
 	}
 	return &Client{
-		http:  &http.Client{Transport: singleAttemptTransport{transport, credential}, Timeout: callTimeout},
+		http:  newHTTPClient(transport, credential),
 		tls:   tlsConfig != nil,
 		peers: map[string]rpc.Peer{},
 	}
 }
 
+func newHTTPClient(transport http.RoundTripper, credential string) *http.Client {
+	return &http.Client{Transport: singleAttemptTransport{netopt.WholeResponses(transport), credential}, Timeout: callTimeout}
+}
+
 // Peer returns an RPC client for the instance at the address (IP:port). Clients
 // are cached by address.
 func (c *Client) Peer(addr string) rpc.Peer {
@@ -106,3 +111,6 @@
 	req.Header.Set("Authorization", bearerPrefix+t.credential)
 	return t.next.RoundTrip(req)
 }
+
+// CloseIdleConnections closes idle connections.
+func (t singleAttemptTransport) CloseIdleConnections() { netopt.CloseIdle(t.next) }
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/netopt"
 )
 
 // Defaults of Options.
@@ -63,10 +65,11 @@
 }
 
 // Client makes single attempts. It speaks HTTP/1.1 only, follows no redirects
-// and decodes no content.
+// and decodes no content. Bodies of responses are whole or end with an error, see
+// netopt.WholeResponses.
 type Client struct {
-	pooled *http.Transport
-	fresh  *http.Transport
+	pooled http.RoundTripper
+	fresh  http.RoundTripper
 }
 
 // New returns a client. Close releases its connections.
@@ -86,20 +89,20 @@
 	return &Client{pooled: newTransport(o, false), fresh: newTransport(o, true)}
 }
 
-func newTransport(o Options, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(o Options, disableKeepAlives bool) http.RoundTripper {
+	return netopt.WholeResponses(&http.Transport{
 		DialContext:         trackedDial(o.Dial),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		IdleConnTimeout:     o.IdleTimeout,
 		MaxIdleConnsPerHost: o.IdlePerHost,
-	}
+	})
 }
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
+	netopt.CloseIdle(c.pooled)
+	netopt.CloseIdle(c.fresh)
 }
 
 // Do makes one attempt and returns a *Error when there is no response. A
@@ -118,7 +121,7 @@
 	return resp, nil
 }
 
-func (c *Client) choose(req *http.Request) *http.Transport {
+func (c *Client) choose(req *http.Request) http.RoundTripper {
 	if req.Close || req.Header.Get("Idempotency-Key") != "" || req.Header.Get("X-Idempotency-Key") != "" {
 		return c.fresh
 	}
