A status that HTTP does not define is no answer

Played end to end on the code before: `edge` handed 600 and 999 on, with the upstream's seal, and took 000, 001 and 099 for interim responses: what stood in the body was read as the answer, and the caller got it with status 200. In `serve` a status below 100 made the handler panic, and the caller's connection was closed without an answer; 600 and 999 were handed on.

Cause: http.ReadResponse takes any three digits; nothing checked them, and httpconn took all below 200 for interim.

Change: netopt.CheckStatus allows 100 to 599 (RFC 9110, section 15) but 101, as no request asks for another protocol. httpconn and, by netopt.StrictResponses, every client of net/http fail on others; the attempt counts as failed.

Evidence: edge.TestStatusThatIsNoneIsNoAnswer and router.TestStatusThatIsNoneIsNoAnswer play six statuses for orders, reads and prompts, the former also with another answer in the body; both fail before (in `edge` status 200 for each of 000, 001 and 099, in `serve` EOF) and pass now.

--- a/cmd/fescuestep/adminclient.go
+++ b/cmd/fescuestep/adminclient.go
@@ -46,7 +46,7 @@
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	}
 	client := &http.Client{
-		Transport:     bearer{c.Credential, netopt.WholeResponses(transport)},
+		Transport:     bearer{c.Credential, netopt.StrictResponses(transport)},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return admin.NewAdminProtobufClient(c.Admin, client), nil
--- a/pkg/edge/statecall.go
+++ b/pkg/edge/statecall.go
@@ -28,7 +28,7 @@
 	transport := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: netopt.MaxControlHeadBytes,
 	}
-	return &http.Client{Transport: countingTransport{netopt.LimitSilence(netopt.LimitResponses(netopt.WholeResponses(transport), maxBytes), stateSilence)}}
+	return &http.Client{Transport: countingTransport{netopt.LimitSilence(netopt.LimitResponses(netopt.StrictResponses(transport), maxBytes), stateSilence)}}
 }
 
 // callState asks the instance at a control address for state, and applies what it tells.
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fescuestep/fescuestep/pkg/netopt"
 )
 
 // readBufferSize is in bytes; most response heads and stream events fit.
@@ -164,7 +166,8 @@
 // method. idOf returns the ID of the request that a response belongs to. A few small
 // late copies of responses that were received on the connection before are skipped.
 // Receive fails with ErrResponseMismatch on any other response that does not belong
-// to the request, and with ErrHeadTooLarge if no head ends within its limits. The
+// to the request, with ErrHeadTooLarge if no head ends within its limits, and with
+// netopt.ErrInvalidStatus if no response may have its status. The
 // returned stop must be called when the body has been read; until then the connection
 // is closed when ctx ends. stop returns false if ctx has ended.
 func (c *Conn) Receive(ctx context.Context, method, id string, idOf func(*http.Response) string) (resp *http.Response, stop func() bool, err error) {
@@ -201,7 +204,11 @@
 			return nil, ErrHeadTooLarge
 		case err != nil:
 			return nil, shortened(err)
-		case resp.StatusCode >= http.StatusOK:
+		}
+		if err := netopt.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -59,7 +59,7 @@
 }
 
 func newHTTPClient(transport http.RoundTripper, credential string) *http.Client {
-	return &http.Client{Transport: singleAttemptTransport{netopt.WholeResponses(transport), credential}, Timeout: callTimeout}
+	return &http.Client{Transport: singleAttemptTransport{netopt.StrictResponses(transport), credential}, Timeout: callTimeout}
 }
 
 // Peer returns an RPC client for the instance at the address (IP:port). Clients
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -65,8 +65,8 @@
 }
 
 // Client makes single attempts. It speaks HTTP/1.1 only, follows no redirects
-// and decodes no content. Bodies of responses are whole or end with an error, see
-// netopt.WholeResponses.
+// and decodes no content. Responses are valid and whole or fail, see
+// netopt.StrictResponses.
 type Client struct {
 	pooled http.RoundTripper
 	fresh  http.RoundTripper
@@ -90,7 +90,7 @@
 }
 
 func newTransport(o Options, disableKeepAlives bool) http.RoundTripper {
-	return netopt.WholeResponses(&http.Transport{
+	return netopt.StrictResponses(&http.Transport{
 		DialContext:         trackedDial(o.Dial),
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
