--- a/pkg/netopt/whole_test.go
+++ b/pkg/netopt/whole_test.go
@@ -13,9 +13,6 @@
 	"github.com/fescuestep/fescuestep/internal/faultyserver"
 )
 
-// unframedHead is the head of a response that ends with its connection.
-func unframedHead(*http.Request) string { return "HTTP/1.1 200 OK\r\n" }
-
 func newWholeClient(t *testing.T) *http.Client {
 	transport := &http.Transport{DisableCompression: true}
 	client := &http.Client{Transport: WholeResponses(transport)}
@@ -25,30 +22,17 @@
 
 // TestPartOfAnAnswerIsNotWhole guards against a part of an answer that counts as all of it, since its connection was reset while the request was still being written.
 func TestPartOfAnAnswerIsNotWhole(t *testing.T) {
-	client := newWholeClient(t)
 	for _, pause := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
-		server := httptest.NewServer(faultyserver.EarlyReset(unframedHead, "partial", pause))
 		for _, size := range []int{300 << 10, 1 << 20, 8 << 20, 32 << 20} {
-			for range 10 {
-				resp, err := client.Post(server.URL, "", bytes.NewReader(make([]byte, size)))
-				if err != nil {
-					continue
-				}
-				body, err := io.ReadAll(resp.Body)
-				_ = resp.Body.Close()
-				if err == nil {
-					t.Errorf("upload of %d bytes, reset after %v: %q is taken for the whole answer", size, pause, body)
-				}
-			}
+			faultyserver.ExpectNoPart(t, newWholeClient(t), size, pause)
 		}
-		server.Close()
 	}
 }
 
 // TestAnswerThatEndsWithItsConnectionIsWhole guards against answers that are rejected although the request was written to its end.
 func TestAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
 	client := newWholeClient(t)
-	server := httptest.NewServer(faultyserver.Raw(func(*http.Request) string { return unframedHead(nil) + "\r\nwhole" }))
+	server := httptest.NewServer(faultyserver.Raw(func(*http.Request) string { return faultyserver.UnframedHead(nil) + "\r\nwhole" }))
 	defer server.Close()
 	for _, size := range []int{0, 1, 300 << 10, 8 << 20} {
 		for range 20 {
@@ -74,7 +58,7 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(conn, unframedHead(nil)+head)
+			_, _ = io.WriteString(conn, faultyserver.UnframedHead(nil)+head)
 			time.Sleep(300 * time.Millisecond) // with the rest of the request unread
 			_ = conn.Close()
 		}))
@@ -94,7 +78,7 @@
 // TestWholeResponsesEndWithTheRequest guards against a read that waits for a request that is never written to its end.
 func TestWholeResponsesEndWithTheRequest(t *testing.T) {
 	client := newWholeClient(t)
-	server := httptest.NewServer(faultyserver.EarlyReset(unframedHead, "partial", 0))
+	server := httptest.NewServer(faultyserver.EarlyReset(faultyserver.UnframedHead, "partial", 0))
 	defer server.Close()
 	request, pending := io.Pipe() // never ends
 	defer func() { _ = pending.Close() }()
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -119,10 +119,9 @@
 	upstreams        *fleet.Registry
 	rejected         map[string]uint64 // version of rows that could not be decoded, by table and key
 	unavailableSince time.Time         // when the store last became unavailable for a table; initially the start
-	retryAt          time.Time         // beginning of the last call after a failed one, for any table
-	storeReturned    chan struct{}     // closed when calls for a table succeed again
-	knownUntil       time.Time         // of the update that is applied
-	source           string            // of the update that is applied
+	retries          retrySchedule
+	knownUntil       time.Time // of the update that is applied
+	source           string    // of the update that is applied
 }
 
 // New returns a follower that starts to follow the store when Run is called.
@@ -132,7 +131,7 @@
 		store: store, decoder: decoder, sink: sink, log: log, now: now,
 		tables:           map[string]*table{operatorName: newTable(), upstreamsName: newTable()},
 		idleChanged:      make(chan struct{}),
-		storeReturned:    make(chan struct{}),
+		retries:          newRetrySchedule(),
 		operator:         map[string]operatorRecord{},
 		upstreams:        fleet.NewRegistry(),
 		rejected:         map[string]uint64{},
@@ -154,18 +153,9 @@
 	// maxContactAge is how long after the last answer of the store an instance counts as
 	// one that follows it.
 	maxContactAge = 2 * time.Second
-	// minRetryInterval and maxRetryInterval bound the exponential interval between the
-	// beginnings of calls for one table that fail. Calls for different tables are at least
-	// half of it apart, so that the return of the store is noticed after that time: removals
-	// are deferred from the first answer on, for fleet.ReconnectGracePeriod.
-	minRetryInterval = 200 * time.Millisecond
-	maxRetryInterval = 800 * time.Millisecond
 	// eraRetryDelay is the pause after an answer of another era. It bounds the calls
 	// while late answers of an earlier era arrive.
 	eraRetryDelay = 50 * time.Millisecond
-	// expireInterval is the maximum time between checks for upstreams whose grace period
-	// has passed.
-	expireInterval = 250 * time.Millisecond
 )
 
 // Run follows the store until ctx ends.
@@ -230,35 +220,6 @@
 	}
 }
 
-// awaitRetry waits until the next call for a table whose last one, that began at a time,
-// failed. It returns at once when the store answers for another table again.
-func (f *Follower) awaitRetry(ctx context.Context, began time.Time, interval time.Duration) {
-	delay, returned := f.planRetry(began, interval)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-returned:
-	case <-timer.C:
-	}
-}
-
-// planRetry returns the time until the next call after a failed one, and a channel that is
-// closed when the store answers again.
-func (f *Follower) planRetry(began time.Time, interval time.Duration) (delay time.Duration, returned <-chan struct{}) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now, at := f.now(), began.Add(interval)
-	if apart := f.retryAt.Add(interval / 2); apart.After(at) {
-		at = apart
-	}
-	if now.After(at) {
-		at = now
-	}
-	f.retryAt = at
-	return at.Sub(now), f.storeReturned
-}
-
 func (f *Follower) batchDelay(name string) time.Duration {
 	if operatorName, _ := f.decoder.Tables(); name == operatorName {
 		return operatorBatchDelay
@@ -348,39 +309,6 @@
 	}
 }
 
-// expireUpstreams removes upstreams whose grace period has passed until ctx ends.
-func (f *Follower) expireUpstreams(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, f.untilExpiry())
-		f.expire()
-	}
-}
-
-// untilExpiry returns the time until the next check for upstreams whose grace period has
-// passed.
-func (f *Follower) untilExpiry() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	left := f.upstreams.GraceUntil().Sub(f.now())
-	if left <= 0 {
-		return expireInterval
-	}
-	return min(left, expireInterval)
-}
-
-func (f *Follower) expire() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.expireLocked()
-}
-
-// expireLocked is expire for callers that hold mu.
-func (f *Follower) expireLocked() {
-	if f.upstreams.Expire(f.now()) {
-		f.sink.UpstreamsChanged(f.upstreams.View())
-	}
-}
-
 // HasSynced reports whether every table was read from the store or merged from
 // another instance at least once.
 func (f *Follower) HasSynced() bool {
--- a/pkg/state/storecalls.go
+++ b/pkg/state/storecalls.go
@@ -44,8 +44,7 @@
 	t := f.tables[name]
 	if !t.healthy {
 		f.log.Info("store available", "table", name, "after", f.now().Sub(f.unavailableSince).String())
-		close(f.storeReturned)
-		f.storeReturned = make(chan struct{})
+		f.retries.storeReturned()
 	}
 	t.healthy = true
 	f.noteStoreAnswered(f.now())
@@ -74,7 +73,7 @@
 	}
 	if f.upstreams.GraceUntil().Before(deferredUntil) {
 		f.log.Info("removals of upstreams are not deferred any more, since the store answered other instances meanwhile")
-		f.expireLocked()
+		f.expire()
 	}
 }
 
