--- a/cmd/fescuestep/adminclient.go
+++ b/cmd/fescuestep/adminclient.go
@@ -22,7 +22,7 @@
 	next       http.RoundTripper
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip sends a request with the credential.
 func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+b.credential.Reveal())
--- a/pkg/admin/apply.go
+++ b/pkg/admin/apply.go
@@ -20,7 +20,7 @@
 // the same questionnaire again doesn't make a revision.
 var errUnchanged = errors.New("nothing to change")
 
-// Apply implements admin.Admin.
+// Apply checks a questionnaire and proposes the deployment that it describes.
 func (s *Service) Apply(ctx context.Context, req *admin.ApplyRequest) (*admin.ApplyResponse, error) {
 	text := []byte(req.Questionnaire)
 	if mistakes := questionnaire.Check(text); len(mistakes) > 0 {
@@ -107,7 +107,7 @@
 // one.
 type refusal struct{ answer twirp.Error }
 
-// Error implements error.
+// Error returns the text of the answer that the operator gets.
 func (r refusal) Error() string { return r.answer.Error() }
 
 // proposeError words a failed proposal. It claims that nothing was changed
--- a/pkg/admin/fleet.go
+++ b/pkg/admin/fleet.go
@@ -25,7 +25,7 @@
 	maxNote     = 2000 // bytes; a note is kept in one table row
 )
 
-// Upstreams implements admin.Admin.
+// Upstreams returns the status of the upstreams.
 func (s *Service) Upstreams(_ context.Context, req *admin.UpstreamsRequest) (*admin.UpstreamsResponse, error) {
 	resp := &admin.UpstreamsResponse{}
 	for _, u := range s.o.Pools.Status() {
@@ -56,7 +56,7 @@
 	}
 }
 
-// UnresolvedOrders implements admin.Admin.
+// UnresolvedOrders returns a page of the orders whose outcome is not known.
 func (s *Service) UnresolvedOrders(ctx context.Context, req *admin.UnresolvedOrdersRequest) (*admin.UnresolvedOrdersResponse, error) {
 	limit := int(cmp.Or(req.Limit, defaultPage))
 	if limit < 0 || limit > maxPage {
@@ -81,7 +81,7 @@
 	return resp, nil
 }
 
-// ResolveOrder implements admin.Admin.
+// ResolveOrder records the outcome of an order, as an operator found it out.
 func (s *Service) ResolveOrder(ctx context.Context, req *admin.ResolveOrderRequest) (*admin.ResolveOrderResponse, error) {
 	switch {
 	case req.Reference == "":
--- a/pkg/admin/key.go
+++ b/pkg/admin/key.go
@@ -16,7 +16,7 @@
 	"github.com/fescuestep/fescuestep/rpc/admin"
 )
 
-// CreateKey implements admin.Admin.
+// CreateKey creates an API key of a customer and returns its secret.
 func (s *Service) CreateKey(ctx context.Context, req *admin.CreateKeyRequest) (*admin.CreateKeyResponse, error) {
 	secret, key := keys.Create(req.Customer, req.Team, time.Now())
 	lastKnown := false
@@ -97,7 +97,7 @@
 	return &admin.RevokeKeyResponse{Status: s.wait(ctx, revision, lastKnown), Unchanged: unchanged}, nil
 }
 
-// ListKeys implements admin.Admin.
+// ListKeys returns the API keys without their secrets.
 func (s *Service) ListKeys(_ context.Context, req *admin.ListKeysRequest) (*admin.ListKeysResponse, error) {
 	resp := &admin.ListKeysResponse{}
 	for _, k := range s.o.State.Snapshot().Keys {
--- a/pkg/admin/status.go
+++ b/pkg/admin/status.go
@@ -98,7 +98,8 @@
 	return false
 }
 
-// Revision implements admin.Admin.
+// Revision returns the revision that this instance holds, and whether it is in force
+// everywhere.
 func (s *Service) Revision(ctx context.Context, _ *admin.RevisionRequest) (*admin.RevisionResponse, error) {
 	snapshot := s.o.State.Snapshot()
 	if snapshot.Revision == 0 {
@@ -115,7 +116,7 @@
 	}, nil
 }
 
-// Instances implements admin.Admin.
+// Instances returns the instances, and whether each has confirmed the newest revision.
 func (s *Service) Instances(ctx context.Context, _ *admin.InstancesRequest) (*admin.InstancesResponse, error) {
 	snapshot := s.o.State.Snapshot()
 	p := s.ask(ctx, snapshot.Revision)
--- a/pkg/metrics/collect/accounting.go
+++ b/pkg/metrics/collect/accounting.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Observe implements accounting.Metrics.
+// Observe records a duration of a request.
 func (a requests) Observe(h accounting.Histogram, l accounting.Labels, d time.Duration) {
 	c := a.customer(l)
 	switch {
--- a/pkg/metrics/collect/control.go
+++ b/pkg/metrics/collect/control.go
@@ -18,7 +18,7 @@
 	return commands{next, m}
 }
 
-// Control implements rollout.Upstreams.
+// Control sends a command to an engine and counts its result.
 func (c commands) Control(ctx context.Context, addr string, cmd engine.Command) (engine.CommandResult, error) {
 	result, err := c.Upstreams.Control(ctx, addr, cmd)
 	switch {
--- a/pkg/metrics/collect/feed.go
+++ b/pkg/metrics/collect/feed.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// OnList implements upstreams.Pools.
+// OnList records the pools of the listed upstreams and passes the list on.
 func (f *Feed) OnList(instances []external.Instance) {
 	poolOf := make(map[string]string, len(instances))
 	for _, x := range instances {
@@ -53,7 +53,7 @@
 	f.Pools.OnList(instances)
 }
 
-// OnReport implements upstreams.Pools.
+// OnReport records when a load report was sampled and passes it on.
 func (f *Feed) OnReport(upstreamID string, report engine.LoadReport) {
 	f.mu.Lock()
 	f.sampled[upstreamID] = time.Now().Add(-report.Age)
@@ -61,7 +61,7 @@
 	f.Pools.OnReport(upstreamID, report)
 }
 
-// OnEvents implements upstreams.Pools.
+// OnEvents counts the cache events of a listed upstream and passes them on.
 func (f *Feed) OnEvents(upstreamID string, batch engine.EventBatch) {
 	f.mu.Lock()
 	name, listed := f.poolOf[upstreamID]
--- a/pkg/metrics/collect/peers.go
+++ b/pkg/metrics/collect/peers.go
@@ -20,7 +20,7 @@
 // PeerCalls records the calls to other instances.
 func PeerCalls(next Peers, m *metrics.Metrics) Peers { return peers{next, m} }
 
-// Peer implements Peers.
+// Peer returns a client of the instance at an address that counts its calls.
 func (p peers) Peer(addr string) rpc.Peer { return onePeer{p.next.Peer(addr), p.m} }
 
 type onePeer struct {
@@ -38,31 +38,31 @@
 	return resp, nil
 }
 
-// Sync implements rpc.Peer.
+// Sync makes the call and counts it.
 func (p onePeer) Sync(ctx context.Context, req *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	resp, err := p.next.Sync(ctx, req)
 	return counted(p.m, metrics.Sync, resp, err)
 }
 
-// Acknowledgements implements rpc.Peer.
+// Acknowledgements makes the call and counts it.
 func (p onePeer) Acknowledgements(ctx context.Context, req *rpc.AcknowledgementsRequest) (*rpc.AcknowledgementsResponse, error) {
 	resp, err := p.next.Acknowledgements(ctx, req)
 	return counted(p.m, metrics.Acknowledgements, resp, err)
 }
 
-// Join implements rpc.Peer.
+// Join makes the call and counts it.
 func (p onePeer) Join(ctx context.Context, req *rpc.JoinRequest) (*rpc.JoinResponse, error) {
 	resp, err := p.next.Join(ctx, req)
 	return counted(p.m, metrics.Join, resp, err)
 }
 
-// Acquire implements rpc.Peer.
+// Acquire makes the call and counts it.
 func (p onePeer) Acquire(ctx context.Context, req *rpc.AcquireRequest) (*rpc.AcquireResponse, error) {
 	resp, err := p.next.Acquire(ctx, req)
 	return counted(p.m, metrics.Acquire, resp, err)
 }
 
-// Return implements rpc.Peer.
+// Return makes the call and counts it.
 func (p onePeer) Return(ctx context.Context, req *rpc.ReturnRequest) (*rpc.ReturnResponse, error) {
 	resp, err := p.next.Return(ctx, req)
 	return counted(p.m, metrics.Return, resp, err)
--- a/pkg/metrics/collect/platform.go
+++ b/pkg/metrics/collect/platform.go
@@ -46,7 +46,7 @@
 	return table{next, calls{m, metrics.Table}}
 }
 
-// Get implements external.Table.
+// Get makes the call and records its duration and outcome.
 func (t table) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	start := time.Now()
 	rows, err := t.next.Get(ctx, keys...)
@@ -54,7 +54,7 @@
 	return rows, err
 }
 
-// Scan implements external.Table.
+// Scan makes the call and records its duration and outcome.
 func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	start := time.Now()
 	rows, err := t.next.Scan(ctx, prefix, after, limit)
@@ -62,7 +62,7 @@
 	return rows, err
 }
 
-// Commit implements external.Table.
+// Commit makes the call and records its duration and outcome.
 func (t table) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	start := time.Now()
 	version, err := t.next.Commit(ctx, txn)
@@ -80,7 +80,7 @@
 	return objects{next, calls{m, metrics.Objects}}
 }
 
-// Put implements external.ObjectStore.
+// Put makes the call and records its duration and outcome.
 func (o objects) Put(ctx context.Context, key string, value []byte) error {
 	start := time.Now()
 	err := o.next.Put(ctx, key, value)
@@ -88,7 +88,7 @@
 	return err
 }
 
-// Get implements external.ObjectStore.
+// Get makes the call and records its duration and outcome.
 func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
 	start := time.Now()
 	value, err := o.next.Get(ctx, key)
@@ -96,7 +96,7 @@
 	return value, err
 }
 
-// Delete implements external.ObjectStore.
+// Delete makes the call and records its duration and outcome.
 func (o objects) Delete(ctx context.Context, key string) error {
 	start := time.Now()
 	err := o.next.Delete(ctx, key)
@@ -114,7 +114,7 @@
 	return list{next, calls{m, metrics.List}}
 }
 
-// List implements external.InstanceList.
+// List makes the call and records its duration and outcome.
 func (l list) List(ctx context.Context) ([]external.Instance, error) {
 	start := time.Now()
 	instances, err := l.next.List(ctx)
--- a/pkg/metrics/collect/request.go
+++ b/pkg/metrics/collect/request.go
@@ -29,7 +29,7 @@
 	return limiter{next, m}
 }
 
-// Take implements ratelimit.Limiter.
+// Take records how long a request waited for its charge.
 func (l limiter) Take(ctx context.Context, customer *config.Customer, tokens int) (ratelimit.Charge, error) {
 	start := time.Now()
 	charge, err := l.next.Take(ctx, customer, tokens)
@@ -63,7 +63,7 @@
 	return found.(*poolStats)
 }
 
-// Acquire implements endpoint.Pools.
+// Acquire records how long a request waited for a slot, and how many wait.
 func (p *pools) Acquire(ctx context.Context, q upstream.Query) (endpoint.Slot, error) {
 	stats := p.of(q.Pool)
 	stats.Queued(int(stats.waiting.Add(1)))
@@ -90,7 +90,7 @@
 	upstream.Cancelled:   metrics.Cancelled,
 }
 
-// Done implements endpoint.Slot.
+// Done counts the result of the attempt and frees the slot.
 func (s slot) Done(r upstream.Result) {
 	s.stats.Attempt(attemptOutcomes[r])
 	s.Slot.Done(r)
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -77,7 +77,7 @@
 	factor int64
 }{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"", 1}}
 
-// Set implements flag.Value.
+// Set parses a number of bytes with an optional unit.
 func (s *Size) Set(text string) error {
 	for _, u := range units {
 		digits, ok := strings.CutSuffix(text, u.suffix)
@@ -94,7 +94,7 @@
 	return nil
 }
 
-// String implements flag.Value.
+// String returns the number of bytes in the largest unit that divides it.
 func (s *Size) String() string {
 	if s == nil {
 		return "0"
--- a/pkg/standin/objects/objects.go
+++ b/pkg/standin/objects/objects.go
@@ -90,17 +90,17 @@
 	return nil
 }
 
-// Put implements external.ObjectStore.
+// Put stores a copy of a value.
 func (s *Store) Put(ctx context.Context, key string, value []byte) error {
 	return s.change(ctx, func() { s.objects[key] = slices.Clone(value) })
 }
 
-// Delete implements external.ObjectStore.
+// Delete removes an object; it is no error if there is none.
 func (s *Store) Delete(ctx context.Context, key string) error {
 	return s.change(ctx, func() { delete(s.objects, key) })
 }
 
-// Get implements external.ObjectStore.
+// Get returns a copy of a value.
 func (s *Store) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
--- a/pkg/standin/table/server.go
+++ b/pkg/standin/table/server.go
@@ -79,7 +79,7 @@
 // service adapts a Store to the Twirp service.
 type service struct{ store *Store }
 
-// Get implements rpc.Table.
+// Get returns the rows with some keys.
 func (s service) Get(ctx context.Context, req *rpc.GetRequest) (*rpc.GetResponse, error) {
 	rows, err := s.store.Get(ctx, req.Keys...)
 	if err != nil {
@@ -88,7 +88,7 @@
 	return &rpc.GetResponse{Rows: toRows(rows)}, nil
 }
 
-// Scan implements rpc.Table.
+// Scan returns a page of the rows whose keys have a prefix.
 func (s service) Scan(ctx context.Context, req *rpc.ScanRequest) (*rpc.ScanResponse, error) {
 	rows, err := s.store.Scan(ctx, req.Prefix, req.After, int(req.Limit))
 	if err != nil {
@@ -97,7 +97,7 @@
 	return &rpc.ScanResponse{Rows: toRows(rows)}, nil
 }
 
-// Commit implements rpc.Table.
+// Commit applies a transaction if its conditions hold.
 func (s service) Commit(ctx context.Context, req *rpc.CommitRequest) (*rpc.CommitResponse, error) {
 	txn := external.Txn{Token: req.Token}
 	for _, c := range req.Conditions {
--- a/pkg/standin/table/store.go
+++ b/pkg/standin/table/store.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-// Get implements external.Table.
+// Get returns the rows with some keys.
 func (s *Store) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
@@ -124,7 +124,7 @@
 	return row
 }
 
-// Scan implements external.Table.
+// Scan returns a page of the rows whose keys have a prefix.
 func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]external.Row, error) {
 	if err := s.before(ctx, s.reads); err != nil {
 		return nil, err
@@ -145,7 +145,7 @@
 	return out, nil
 }
 
-// Commit implements external.Table.
+// Commit applies a transaction if its conditions hold.
 func (s *Store) Commit(ctx context.Context, txn external.Txn) (uint64, error) {
 	if txn.Token == "" {
 		return 0, errors.Wrap(external.ErrUnavailable, "a transaction needs a token")
--- a/pkg/standin/weights/weights.go
+++ b/pkg/standin/weights/weights.go
@@ -92,7 +92,7 @@
 	s.active--
 }
 
-// Versions implements external.WeightStore.
+// Versions returns the versions of weights that can be fetched.
 func (s *Store) Versions(context.Context) ([]string, error) {
 	if s.Faults.Get().Down {
 		return nil, errors.Wrap(external.ErrUnavailable, "weight stand-in is down")
@@ -100,7 +100,7 @@
 	return slices.Clone(s.options.Versions), nil
 }
 
-// Fetch implements external.WeightStore.
+// Fetch writes the weights of a version and returns their size in bytes.
 func (s *Store) Fetch(ctx context.Context, version string, dst io.Writer) (int64, error) {
 	if err := s.check(ctx, version); err != nil {
 		return 0, err
