Request lines of every length are judged alike

Cause: of a line longer than 512 bytes the first 512 had to hold one space. A line that is up to eight bytes longer holds a part of " HTTP/1.1" there, and with it the second space. Longer lines were looked at less than short ones: chunks in HTTP/1.0, and any version, were accepted.

Change: the scanner counts the spaces of the whole request line and keeps its end, so that the length makes no difference.

Evidence: on the code before, framing.TestTargetsOfEveryLengthAreAccepted fails for 24 lengths, TestOddRequestLinesOfEveryLengthAreRejected from 501 bytes on; both pass now.

--- a/pkg/framing/framing.go
+++ b/pkg/framing/framing.go
@@ -32,6 +32,8 @@
 	// maxKeptLine is the length up to which lines are looked at; longer ones can be no
 	// header that frames a request.
 	maxKeptLine = 512
+	// versionSuffix ends a request line.
+	versionSuffix = " HTTP/1.1"
 	// maxLengthDigits and maxSizeDigits bound lengths, so that none overflows.
 	maxLengthDigits = 18
 	maxSizeDigits   = 15
@@ -40,8 +42,10 @@
 // Scanner follows the requests on one connection. The zero value expects a request.
 type Scanner struct {
 	state     state
-	line      []byte // of the current line, at most maxKeptLine bytes
-	length    int    // of the current line
+	line      []byte                   // of the current line, at most maxKeptLine bytes
+	length    int                      // of the current line
+	spaces    int                      // in the current line
+	tail      [len(versionSuffix)]byte // of the current line
 	afterCR   bool
 	remaining int64 // bytes of the body or chunk
 
@@ -118,20 +122,32 @@
 		s.afterCR = true
 		return true
 	}
+	s.keep(c)
+	return true
+}
+
+// keep records a byte of the current line.
+func (s *Scanner) keep(c byte) {
+	if s.state == requestLine {
+		copy(s.tail[:], s.tail[1:])
+		s.tail[len(s.tail)-1] = c
+		if c == ' ' {
+			s.spaces++
+		}
+	}
 	if s.length++; s.length <= maxKeptLine {
 		s.line = append(s.line, c)
 	}
-	return true
 }
 
 // endLine handles a whole line.
 func (s *Scanner) endLine() (ok bool) {
-	line, length := s.line, s.length
-	s.line, s.length, s.afterCR = s.line[:0], 0, false
+	line, length, spaces := s.line, s.length, s.spaces
+	s.line, s.length, s.spaces, s.afterCR = s.line[:0], 0, 0, false
 	switch s.state {
 	case requestLine:
 		s.state = headerLine
-		return s.endRequestLine(line, length)
+		return s.endRequestLine(line, length, spaces)
 	case headerLine:
 		if length == 0 {
 			return s.endHead()
@@ -154,16 +170,21 @@
 	}
 }
 
-func (s *Scanner) endRequestLine(line []byte, length int) (ok bool) {
-	if length > maxKeptLine {
-		return bytes.Count(line, []byte(" ")) == 1 // a long target; net/http checks its end
-	}
-	parts := bytes.Split(line, []byte(" "))
-	if len(parts) != 3 || len(parts[0]) == 0 || len(parts[1]) == 0 {
+// endRequestLine handles the line "METHOD target HTTP/1.1" or one that ends in HTTP/1.0. line
+// is what was kept of it.
+func (s *Scanner) endRequestLine(line []byte, length, spaces int) (ok bool) {
+	method := bytes.IndexByte(line, ' ')
+	if spaces != 2 || method <= 0 || length-method-1 <= len(versionSuffix) {
 		return false
 	}
-	s.oldVersion = string(parts[2]) == "HTTP/1.0"
-	return s.oldVersion || string(parts[2]) == "HTTP/1.1"
+	switch string(s.tail[:]) {
+	case versionSuffix:
+		return true
+	case " HTTP/1.0":
+		s.oldVersion = true
+		return true
+	}
+	return false
 }
 
 func (s *Scanner) endHeader(line []byte, length int) (ok bool) {
--- a/pkg/framing/framing_test.go
+++ b/pkg/framing/framing_test.go
@@ -114,3 +114,34 @@
 		}
 	})
 }
+
+// TestTargetsOfEveryLengthAreAccepted guards against requests that are refused since their request line is a little longer than what is kept of a line.
+func TestTargetsOfEveryLengthAreAccepted(t *testing.T) {
+	for _, method := range []string{"GET", "POST", "OPTIONS"} {
+		for length := 1; length < 3*maxKeptLine; length++ {
+			line := method + " /" + strings.Repeat("a", length-1) + " HTTP/1.1"
+			if _, err := new(Scanner).Scan([]byte(line + "\r\nHost: h\r\n\r\n")); err != nil {
+				t.Errorf("%s with a target of %d bytes: %v", method, length, err)
+			}
+		}
+	}
+}
+
+// TestOddRequestLinesOfEveryLengthAreRejected guards against a long request line that is looked at less than a short one.
+func TestOddRequestLinesOfEveryLengthAreRejected(t *testing.T) {
+	for length := 1; length < 3*maxKeptLine; length++ {
+		target := "/" + strings.Repeat("a", length-1)
+		for _, odd := range []string{
+			"GET " + target, "GET " + target + " ", "GET " + target + "  HTTP/1.1", "GET  " + target + " HTTP/1.1", " GET " + target + " HTTP/1.1",
+			"GET " + target + " x HTTP/1.1", "GET " + target + " HTTP/1.2", "GET" + target + " HTTP/1.1", " " + target + " HTTP/1.1",
+		} {
+			if _, err := new(Scanner).Scan([]byte(odd + "\r\nHost: h\r\n\r\n")); err == nil {
+				t.Fatalf("accepted, with a target of %d bytes: %.20q...%q", length, odd, odd[max(0, len(odd)-12):])
+			}
+		}
+		old := "POST " + target + " HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		if _, err := new(Scanner).Scan([]byte(old)); err == nil {
+			t.Fatalf("chunks in HTTP/1.0 are accepted with a target of %d bytes", length)
+		}
+	}
+}
