Replaced weights are left in time however many versions follow

Cause: the last 16 target versions were remembered. A request may start on older weights until some time after the next target above them, and of 17 within that time the next one was forgotten.

Change: targets are forgotten by their age: those before the newest one since which OldWeightsPeriod has passed, below which no request may start anyway. If more than 256 are set in that time, the oldest two are judged as one, by the earlier time.

--- a/pkg/placement/balancer.go
+++ b/pkg/placement/balancer.go
@@ -108,9 +108,9 @@
 	setAt   time.Time // when it became the target
 }
 
-// maxTargets bounds the number of target versions that are remembered per model. No
-// upstream should still run weights older than all of them.
-const maxTargets = 16
+// maxTargets bounds the number of target versions that are remembered per model, those of
+// OldWeightsPeriod. If more are set in that time, the oldest two are judged as one.
+const maxTargets = 256
 
 // maxComputeWait bounds the time for which a request waits until another request has
 // computed the shared parts of its prompt.
--- a/pkg/placement/weights.go
+++ b/pkg/placement/weights.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuestep/fescuestep/pkg/fleet"
@@ -22,14 +23,26 @@
 	if len(list) > 0 && version <= list[len(list)-1].version {
 		return false
 	}
-	list = append(list, targetVersion{version: version, setAt: now})
+	list = append(b.currentTargets(list, now), targetVersion{version: version, setAt: now})
 	if len(list) > maxTargets {
+		list[1].setAt = list[0].setAt // weights below the first one must still be left in time
 		list = list[1:]
 	}
 	b.targets[model] = list
 	return true
 }
 
+// currentTargets drops the targets before the newest one since which OldWeightsPeriod has
+// passed: no request may start on weights below that one.
+func (b *Balancer) currentTargets(list []targetVersion, now time.Time) []targetVersion {
+	for i, target := range slices.Backward(list) {
+		if now.Sub(target.setAt) >= b.cfg.OldWeightsPeriod {
+			return list[i:]
+		}
+	}
+	return list
+}
+
 // TargetVersion returns the version that a model's weights must reach, or 0 if none
 // was set.
 func (b *Balancer) TargetVersion(model string) int {
--- a/pkg/placement/weights_test.go
+++ b/pkg/placement/weights_test.go
@@ -44,6 +44,37 @@
 	}
 }
 
+// TestWeightsAreLeftInTimeHoweverManyTargetsFollow guards against starting requests on weights that were replaced long ago, since many versions were named after the one that replaced them.
+func TestWeightsAreLeftInTimeHoweverManyTargetsFollow(t *testing.T) {
+	const period = 6 * time.Second // OldWeightsPeriod of newTestBalancer
+	for _, gap := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 250 * time.Millisecond, 7 * time.Second} {
+		b := newTestBalancer(1, 1)
+		e := b.view.ByID("e00")
+		setAt := map[int]time.Time{}
+		for version := 2; version < 2000; version++ {
+			now := start.Add(time.Duration(version) * gap)
+			b.SetTargetVersion("m", version, now)
+			setAt[version] = now
+			if len(b.targets["m"]) > maxTargets {
+				t.Fatalf("%d targets are remembered", len(b.targets["m"]))
+			}
+			for _, has := range []int{1, 2, version / 2, version - 1} {
+				if has < 1 {
+					continue
+				}
+				e.Weights = map[string]int{"m": has}
+				replaced, allowed := now.Sub(setAt[has+1]), b.weightsAllowed(now, e, "m")
+				if has < version && allowed && replaced >= period {
+					t.Fatalf("a version each %v: version %d is used %v after it was replaced", gap, has, replaced)
+				}
+				if few := int(period/gap) < maxTargets; few && has < version && !allowed && replaced < period-weightsMargin {
+					t.Fatalf("a version each %v: version %d is refused %v after it was replaced", gap, has, replaced)
+				}
+			}
+		}
+	}
+}
+
 // TestRefusedVersionLeadsToTheNext guards against requesting a version that an engine
 // has not loaded yet: after a refusal it has the next target version, not the latest.
 func TestRefusedVersionLeadsToTheNext(t *testing.T) {
