An entry without a start time brings no upstream back that leaves

All instances used the server again; orders reached it up to 4 s after it had said that it leaves, and those in progress at its exit were lost.

Cause: an entry without a start time counted as one of another process, since 0 differs from the time of the one that leaves, and the departure was forgotten.

Change: such an entry shows no other process than the one whose departure is known; and its removal does not end what a process with a start time has stated. Services whose servers state no start time at all are served as before.

--- a/pkg/fleet/departures.go
+++ b/pkg/fleet/departures.go
@@ -91,19 +91,25 @@
 	case known.StartTimeMS == u.StartTimeMS:
 		d.outdatedUntil = known.outdatedUntil
 	}
-	if !ok || d.supersedes(known) || (known.Stated && u.StartTimeMS == 0 && !u.Draining) {
+	if !ok || d.supersedes(known) || (known.Stated && known.StartTimeMS == 0 && u.StartTimeMS == 0 && !u.Draining) {
 		r.departures[u.ID] = d
 	}
 }
 
-// departed reports whether a listed upstream is known to leave. A departure that only
+// departed reports whether a listed upstream is known to leave. An entry without a start
+// time shows no other process than the one that leaves: another writer may have left it.
+// A departure that only
 // the store listed is void if the upstream was listed again after it. In a new era
 // that is certain for higher versions only: an entry with a lower one may stem from
 // the copy with which the era began, and counts as outdated for a while.
 func (r *Registry) departed(e entry, now time.Time) bool {
 	d, ok := r.departures[e.listed.ID]
 	switch {
-	case !ok || d.StartTimeMS != e.listed.StartTimeMS:
+	case !ok:
+		return false
+	case e.listed.StartTimeMS == 0 && d.StartTimeMS != 0:
+		return true
+	case d.StartTimeMS != e.listed.StartTimeMS:
 		return false
 	case d.Stated || now.Before(d.outdatedUntil):
 		return true
--- a/pkg/fleet/departures_test.go
+++ b/pkg/fleet/departures_test.go
@@ -198,3 +198,35 @@
 		t.Error("still not available, although reports from before have long been carried out")
 	}
 }
+
+// TestEntryWithoutStartTimeBringsNoUpstreamBack guards against requests to an upstream that leaves, since another writer left an entry without a start time under its key.
+func TestEntryWithoutStartTimeBringsNoUpstreamBack(t *testing.T) {
+	leaves := map[string]func(r *Registry){
+		"listed as draining": func(r *Registry) {
+			draining := process("a", 10)
+			draining.Draining = true
+			r.Put(draining, at(2), start)
+		},
+		"stated":  func(r *Registry) { r.Leave(Departure{ID: "a", StartTimeMS: 10, Stated: true}, start) },
+		"removed": func(r *Registry) { r.Remove("a", at(2), start) },
+	}
+	for name, leave := range leaves {
+		r := NewRegistry()
+		r.Put(process("a", 10), at(1), start)
+		leave(r)
+		later := start.Add(10 * time.Second)
+		if r.Put(testUpstream("a"), at(3), later); available(r, "a") {
+			t.Errorf("%s: available again by an entry without a start time", name)
+		}
+		r.Expire(later.Add(time.Minute))
+		if r.Remove("a", at(4), later); available(r, "a") {
+			t.Errorf("%s: available after the odd entry was removed", name)
+		}
+		if r.Put(testUpstream("a"), at(5), later); available(r, "a") {
+			t.Errorf("%s: available by a second odd entry", name)
+		}
+		if r.Put(process("a", 20), at(6), later); !available(r, "a") {
+			t.Errorf("%s: the next process with the ID is not available", name)
+		}
+	}
+}
