Requests that ran are charged, whatever status answers them

Cause: the charge of a request with a status of 400 to 499 was given back, as if the server had not run it. Behind `edge` a server says so (Not-Executed); any other answer may be that of a request that ran.

Change: in `edge` a charge is given back only if the request was not sent, or its refusal is attested. In `serve`, where engines answer with 4xx what they cannot process, nothing changes.

Evidence: filter/ratelimit.TestRequestThatRanIsCharged fails for 400 and 404 before and passes now.

--- a/pkg/filter/ratelimit/ratelimit.go
+++ b/pkg/filter/ratelimit/ratelimit.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return limiterError(ctx, err)
 		}
-		defer func() { charge.Settle(usedTokens(r.Outcome, charged)) }()
+		defer func() { charge.Settle(usedTokens(r, charged)) }()
 		return next(ctx, r)
 	}
 }
@@ -104,10 +104,13 @@
 	return c.WithRun(code.NotRun)
 }
 
-// usedTokens returns how many of the charged tokens the request has used.
-func usedTokens(o chain.Outcome, charged int) int {
-	refused := o.Status >= http.StatusBadRequest && o.Status < http.StatusInternalServerError
-	if !o.Sent || refused {
+// usedTokens returns how many of the charged tokens the request has used. Services behind an
+// edge instance state when they did not run a request; engines behind a router answer with
+// 4xx what they cannot process.
+func usedTokens(r *chain.Request, charged int) int {
+	o := r.Outcome
+	rejected := r.Edge == nil && o.Status >= http.StatusBadRequest && o.Status < http.StatusInternalServerError
+	if !o.Sent || rejected {
 		return 0
 	}
 	reported := o.PromptTokens + o.OutputTokens
