An instance whose clock was set back is heard after its restart

An instance whose clock was ahead at one start and right at the next was not heard by the others until they forgot it, 60 s later: its spending, work and limits counted as unknown, and its news arrived by the store only.

Cause: digests of a lower incarnation were dropped as late ones of an earlier process, and an incarnation is the time of the start.

Late datagrams come while the next process is heard.

Evidence: edge.TestInstanceWhoseClockWasSetBackIsHeard fails before and passes now; a digest that is late within that time still counts for nothing.

--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -93,3 +93,20 @@
 		t.Error("what the removed instance told is still known")
 	}
 }
+
+// TestInstanceWhoseClockWasSetBackIsHeard guards against an instance that is not heard for 60 s after its restart, since its clock was ahead at the start before.
+func TestInstanceWhoseClockWasSetBackIsHeard(t *testing.T) {
+	p, _, advance := newClockedPeers()
+	work := func(requests uint32) *rpc.Work { return &rpc.Work{Upstream: "e1", Requests: requests} }
+	p.applyDigest(newDigest(9, false, work(1)))
+	restarted := newDigest(1, false, work(2))
+	restarted.Incarnation--
+	advance(lateDigestTime)
+	if p.applyDigest(restarted); p.byName["other"].work["e1"].Requests != 1 {
+		t.Error("a late digest of an earlier process counts")
+	}
+	advance(time.Millisecond)
+	if p.applyDigest(restarted); p.byName["other"].work["e1"].Requests != 2 {
+		t.Errorf("the digest of the restarted process does not count after a silence of %v", lateDigestTime)
+	}
+}
--- a/pkg/edge/peer.go
+++ b/pkg/edge/peer.go
@@ -34,6 +34,23 @@
 // false for nil, an instance that was removed meanwhile.
 func (p *peer) lastDigestFollows() bool { return p != nil && p.lastDigest.GetFollows() }
 
+// lateDigestTime is how long the datagrams of a process may arrive after those of the next
+// one. Incarnations are start times, so that one that is lower is usually late; after a
+// silence of that time the clock was ahead at the start before.
+const lateDigestTime = relayTimeout
+
+// isNewer reports whether a digest is newer than the last one.
+func (p *peer) isNewer(d *rpc.Digest, now time.Time) bool {
+	last := p.lastDigest
+	switch {
+	case last == nil || d.Incarnation > last.Incarnation:
+		return true
+	case d.Incarnation < last.Incarnation:
+		return now.Sub(p.heardAt) > lateDigestTime
+	}
+	return d.Sequence > last.Sequence
+}
+
 // lastSign returns when the instance was last heard or, if that is later, listed.
 func (p *peer) lastSign() time.Time {
 	if p.heardAt.After(p.listedAt) {
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -82,11 +82,10 @@
 	if other == nil {
 		return acceptedDigest{}, false
 	}
-	last := other.lastDigest
-	if last != nil && (d.Incarnation < last.Incarnation || (d.Incarnation == last.Incarnation && d.Sequence <= last.Sequence)) {
+	last, now := other.lastDigest, p.now()
+	if !other.isNewer(d, now) {
 		return acceptedDigest{}, false
 	}
-	now := p.now()
 	accepted.firstContact = other.heardAt.IsZero()
 	if last != nil && d.Incarnation != last.Incarnation {
 		other.introducedTo = false // the new process knows nothing of this instance
