Whole digests of many customers are received

From some 130 customers on a whole digest has more than 4,096 bytes. It was cut at its receiver and dropped, so that an instance with many customers was heard by its partial digests only: without its spending each customer's rate is shared equally.

Cause: the buffer for datagrams had 4,096 bytes.

Change: it has the size of the largest datagram.

Evidence: edge.TestDigestOfManyCustomersIsReceived (1,600 customers, 56,046 bytes) fails before and passes now.

--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/fescuestep/fescuestep/pkg/config"
@@ -110,3 +114,49 @@
 		t.Errorf("the digest of the restarted process does not count after a silence of %v", lateDigestTime)
 	}
 }
+
+// datagrams is a connection on which datagrams arrive. It implements DigestConn.
+type datagrams struct{ list chan []byte }
+
+func (d datagrams) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	raw, ok := <-d.list
+	if !ok {
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+	return copy(b, raw), netip.AddrPort{}, nil
+}
+func (datagrams) WriteToUDPAddrPort(b []byte, _ netip.AddrPort) (int, error) { return len(b), nil }
+func (datagrams) Close() error                                               { return nil }
+
+// TestDigestOfManyCustomersIsReceived guards against whole digests that are cut at their receiver and dropped, so that an instance with many customers is never heard.
+func TestDigestOfManyCustomersIsReceived(t *testing.T) {
+	const customers = 1600
+	p, _, _ := newClockedPeers()
+	d := newDigest(1, false)
+	for i := range customers {
+		d.Spent = append(d.Spent, &rpc.Spending{Customer: fmt.Sprintf("customer-%04d", i), Tokens: 1e6, Level: 1e5})
+	}
+	raw, err := proto.Marshal(d)
+	if err != nil || len(raw) > maxDatagramBytes {
+		t.Fatalf("%d bytes, error %v", len(raw), err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	conn := datagrams{make(chan []byte, 1)}
+	conn.list <- raw
+	close(conn.list)
+	p.conn = conn
+	done := make(chan struct{})
+	go func() {
+		p.receive(ctx)
+		close(done)
+	}()
+	deadline := time.Now().Add(5 * time.Second)
+	for p.peerCount() == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	if p.peerCount() == 0 {
+		t.Errorf("a digest of %d bytes is not received", len(raw))
+	}
+}
--- a/pkg/edge/receive.go
+++ b/pkg/edge/receive.go
@@ -14,9 +14,13 @@
 	rpc "github.com/fescuestep/fescuestep/rpc/edge"
 )
 
+// maxDatagramBytes is the size of the largest UDP datagram. Whole digests of an instance with
+// many customers are larger than maxDigestBytes.
+const maxDatagramBytes = 64 << 10
+
 // receive applies digests that arrive until ctx ends.
 func (p *peers) receive(ctx context.Context) {
-	buffer := make([]byte, 4<<10)
+	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
 		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
