--- a/pkg/edge/streamroutes.go
+++ b/pkg/edge/streamroutes.go
@@ -16,8 +16,9 @@
 // streamRoutes follows which services may have begun the same streams while configurations
 // follow each other.
 type streamRoutes struct {
-	config  *routing.Snapshot // in force; nil: none yet
-	removed map[pathPrefix]removedRoute
+	config   *routing.Snapshot // in force; nil: none yet
+	services []string          // with streams that may be resumed, in order
+	removed  map[pathPrefix]removedRoute
 }
 
 // pathPrefix is what a route matches.
@@ -30,17 +31,6 @@
 
 func newStreamRoutes() streamRoutes { return streamRoutes{removed: map[pathPrefix]removedRoute{}} }
 
-// services returns the services with streams that may be resumed, in order.
-func (r *streamRoutes) services() []string {
-	services := map[string]bool{}
-	for _, route := range resumableRoutes(r.config) {
-		for _, name := range route.Services() {
-			services[name] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(services))
-}
-
 // change returns which services may have begun the same streams, now that a configuration
 // follows the one in force.
 func (r *streamRoutes) change(config *routing.Snapshot, now time.Time) (out streamversion.Routes) {
@@ -59,10 +49,21 @@
 		}
 	}
 	r.rememberRemoved(old, current, now)
-	r.config = config
+	r.config, r.services = config, servicesOf(current)
 	return out
 }
 
+// servicesOf returns the services of routes, in order.
+func servicesOf(routes map[pathPrefix]*routing.Route) []string {
+	services := map[string]bool{}
+	for _, route := range routes {
+		for _, name := range route.Services() {
+			services[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
 func (r *streamRoutes) rememberRemoved(old, current map[pathPrefix]*routing.Route, now time.Time) {
 	maps.DeleteFunc(r.removed, func(key pathPrefix, route removedRoute) bool {
 		return current[key] != nil || now.Sub(route.removedAt) > removedRouteMemory
--- a/pkg/edge/streams.go
+++ b/pkg/edge/streams.go
@@ -149,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, out := s.now(), map[string]streamversion.Served{}
-	for _, name := range s.routes.services() {
+	for _, name := range s.routes.services {
 		out[name] = s.servedAt(name, now)
 		for _, other := range out[name].Alternatives {
 			out[other] = s.servedAt(other, now)
