Budgets of small instances are shares of the memory that the program leaves

Cause: bodies, answers and callers hold fixed shares of an instance's memory, of which the program's own pages take 26 MB on x86-64. With 64 MB the shares were those of 64 MB, and what they hold filled the rest.

Change: the shares are those of the memory for which the collector's limit is set, 45 MB of 64. Instances with 107 MiB or more are as before.

--- a/cmd/fescuestep/edge.go
+++ b/cmd/fescuestep/edge.go
@@ -135,6 +135,13 @@
 	return max(minMemoryLimit, min(int64(float64(memory)*memoryLimitShare), memory-mappedProgram))
 }
 
+// budgetMemory returns the memory of which the budgets of an instance are shares. It is less
+// than its own on an instance of which the program takes a large part.
+func budgetMemory(memory int64) int64 {
+	left := max(minMemoryLimit, memory-mappedProgram)
+	return min(memory, int64(float64(left)/memoryLimitShare))
+}
+
 func newEdgeLog(name, level string, out io.Writer) hclog.Logger {
 	return logging.New(logging.Options{Name: name, Level: level, JSON: true, Output: out})
 }
@@ -146,7 +153,7 @@
 		CallerAddr: s.CallerAddr, ReadinessAddr: s.ReadinessAddr, ReadinessPath: platform.ReadinessPath, ControlAddr: s.ControlAddr,
 		PeerAddr:      netip.AddrPortFrom(s.CallerAddr.Addr(), s.FirstPeerPort),
 		Seeds:         s.Seeds,
-		MemoryBytes:   s.MemoryLimitBytes,
+		MemoryBytes:   budgetMemory(s.MemoryLimitBytes),
 		LinkMbps:      s.LinkMbps,
 		Callers:       edge.CallerOptions{Descriptors: s.MaxFileDescriptors},
 		ShutdownGrace: s.Bounds.ShutdownGrace, WeightsDeadline: s.Bounds.WeightsApplyTime, StartupGrace: s.Bounds.StabilizationTime, LeaderOrderGap: s.Bounds.OrderLease,
