--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,8 +16,7 @@
 // try is one client attempt at a stream.
 type try struct {
 	id      string
-	status  int    // 0: no answer
-	result  string // of the answer's body, if it is a refusal
+	status  int // 0: no answer
 	wait    time.Duration
 	first   int // number of the first event; 0: none
 	last    int // number of the last event
@@ -26,22 +24,25 @@
 	refusal string
 }
 
+// prompt returns the parts of the prompt of a request: one that all share and one of its own.
+func prompt(id string) string { return fmt.Sprintf("a1:200,%x:100", id) }
+
+// takingUp returns the headers with which a client takes up the rest of a stream.
+func (t try) takingUp() map[string]string {
+	return map[string]string{"Resumes": t.id, "Last-Event-Id": strconv.Itoa(t.last), "Prompt-Prefix": prompt(t.id)}
+}
+
 // stream sends a request for a stream to a machine and reads until its end, or until the
 // caller leaves after some events (0: never).
 func (m *machine) stream(path, id string, header map[string]string, leaveAfter int) try {
-	return m.streamFrom("", path, id, header, leaveAfter)
-}
-
-// streamFrom does so from a loopback address; "": any.
-func (m *machine) streamFrom(ip, path, id string, header map[string]string, leaveAfter int) try {
 	ctx, leave := context.WithTimeout(context.Background(), 8*time.Second)
 	defer leave()
-	return m.read(ctx, ip, path, id, header, func(events int) (on bool) { return events != leaveAfter })
+	return m.read(ctx, path, id, header, func(events int) (on bool) { return events != leaveAfter })
 }
 
 // read sends a request for a stream and reads until its end, until on returns false after an
 // event, or until ctx ends.
-func (m *machine) read(ctx context.Context, ip, path, id string, header map[string]string, on func(events int) bool) (t try) {
+func (m *machine) read(ctx context.Context, path, id string, header map[string]string, on func(events int) bool) (t try) {
 	t.id = id
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", m.ip, portFront, path), strings.NewReader("body"))
 	must(err)
@@ -51,11 +52,11 @@
 	req.Header.Set("Deadline-Ms", "8000")
 	req.Header.Set("Model-Name", model)
 	req.Header.Set("Token-Count", "300,60")
-	req.Header.Set("Prompt-Prefix", fmt.Sprintf("a1:200,%s:100", id))
+	req.Header.Set("Prompt-Prefix", prompt(id))
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	transport := &http.Transport{DialContext: dialer(ip).DialContext, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return t
@@ -102,19 +103,10 @@
 	}()
 	once := sync.OnceFunc(begun.Done)
 	defer once()
-	return m.read(ctx, "", path, id, nil, func(events int) (on bool) {
+	return m.read(ctx, path, id, nil, func(events int) (on bool) {
 		if events == after {
 			once()
 		}
 		return true
 	})
 }
-
-// dialer opens connections from a loopback address; "": any.
-func dialer(ip string) *net.Dialer {
-	d := &net.Dialer{Timeout: time.Second}
-	if ip != "" {
-		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(ip)}
-	}
-	return d
-}
--- a/review/harness-3/crowd.go
+++ b/review/harness-3/crowd.go
@@ -162,12 +162,13 @@
 	defer func() { _ = conn.Close() }()
 	connected.Add(1)
 	var parts strings.Builder
-	for i := 0; parts.Len() < partsBytes; i++ {
-		fmt.Fprintf(&parts, "%x:1,", i)
+	tokens := 1
+	for ; parts.Len() < partsBytes; tokens++ {
+		fmt.Fprintf(&parts, "%x:1,", tokens)
 	}
 	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: crowd-%d-%d\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 8000\r\n"+
-		"Model-Name: %s\r\nToken-Count: 1400,20\r\nPrompt-Prefix: %sffff:1\r\nContent-Length: 0\r\n\r\n",
-		streamPath, host, time.Now().UnixNano(), n, key, model, parts.String())
+		"Model-Name: %s\r\nToken-Count: %d,20\r\nPrompt-Prefix: %sffff:1\r\nContent-Length: 0\r\n\r\n",
+		streamPath, host, time.Now().UnixNano(), n, key, model, tokens, parts.String())
 	if _, err := io.WriteString(conn, request); err != nil {
 		return
 	}
--- a/review/harness-3/joined.go
+++ b/review/harness-3/joined.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -69,7 +68,7 @@
 			first := w.machines[0].stream(streamPath, fmt.Sprintf("stream-%d", i), nil, eventsBefore)
 			m := w.machines[1+i%(len(w.machines)-1)]
 			id := first.id + "-again"
-			second := m.stream(streamPath, id, map[string]string{"Resumes": first.id, "Last-Event-Id": strconv.Itoa(first.last)}, 0)
+			second := m.stream(streamPath, id, first.takingUp(), 0)
 			w.record("%s: %s answered %d, events %d to %d; %s: %s answered %d, events %d to %d %s", first.id, w.machines[0].name, first.status, first.first, first.last,
 				id, m.name, second.status, second.first, second.last, second.refusal)
 			mu.Lock()
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -8,6 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -18,12 +22,14 @@
 	argsCount = 3
 )
 
+// longest is the time after which a case ends as one that could not run.
+const longest = 115 * time.Second
+
 // cases are the scripted cases by name.
 var cases = map[string]func(w *world, trouble bool) (verdict int){
 	"joined": joined,
 	"crowd":  crowd,
 	"takeup": takeUp,
-	"fill":   fill,
 	"frozen": frozen,
 }
 
@@ -42,7 +48,19 @@
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
 	}
-	defer w.close()
+	end := sync.OnceFunc(w.close)
+	defer end()
+	go func() {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		select {
+		case <-stop:
+		case <-time.After(longest):
+		}
+		w.record("verdict: could not run, it was stopped")
+		end()
+		os.Exit(couldNot)
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			w.record("the case could not run: %v", p)
--- a/review/harness-3/takeup.go
+++ b/review/harness-3/takeup.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -152,7 +151,7 @@
 func (w *world) takeUpStream(first try, at ...*machine) (goesOn bool) {
 	for i, m := range at {
 		id := fmt.Sprintf("%s-again-%d", first.id, i)
-		t := m.stream(streamPath, id, map[string]string{"Resumes": first.id, "Last-Event-Id": strconv.Itoa(first.last)}, 0)
+		t := m.stream(streamPath, id, first.takingUp(), 0)
 		w.record("%s: %s answered %d, events %d to %d %s", id, m.name, t.status, t.first, t.last, t.refusal)
 		if t.status == http.StatusOK {
 			return t.first == first.last+1 && t.last == events
--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -16,6 +16,7 @@
 	"sync"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/fescuestep/fescuestep/pkg/routing"
 	"github.com/fescuestep/fescuestep/platform"
@@ -30,6 +31,8 @@
 	startTime = 15 * time.Second
 	pollTime  = 20 * time.Millisecond
 
+	descriptors = 4100 // fd_limit of the settings
+
 	portReady   = 8605
 	portFront   = 8606
 	portControl = 8608
@@ -209,6 +212,7 @@
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(cmd.Start())
+	must(limitDescriptors(cmd.Process.Pid))
 	ended := make(chan struct{})
 	m.cmd, m.ended = cmd, ended
 	go func() {
@@ -218,6 +222,17 @@
 	m.world.record("%s starts", m.name)
 }
 
+// limitDescriptors gives a process that the case has started the fd_limit of its settings, as
+// the platform does.
+func limitDescriptors(pid int) error {
+	limit := syscall.Rlimit{Cur: descriptors, Max: descriptors}
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+	if errno != 0 {
+		return errno
+	}
+	return nil
+}
+
 // kill ends the process at once and waits for its end.
 func (m *machine) kill() {
 	m.world.record("%s is killed", m.name)
@@ -268,7 +283,7 @@
 cpu_share = 0.4
 cores = 1
 memory_mb = 134
-fd_limit = 4100
+fd_limit = %d
 link_mbps = 1000.0
 disk_mb = 0
 [bounds]
@@ -310,7 +325,7 @@
 across = true
 history_s = 20
 `, m.name, m.ip, m.zone, portInner, lastInner, strings.Join(seeds, ","),
-		m.ip, portFront, m.ip, portReady, m.ip, portControl, m.store)
+		m.ip, portFront, m.ip, portReady, m.ip, portControl, descriptors, m.store)
 }
 
 // close ends all that the case has started.
