--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,13 +35,50 @@
 
 	descriptors = 4100 // fd_limit of the settings
 
-	portReady   = 8605
-	portFront   = 8606
-	portControl = 8608
-	portInner   = 7600
-	lastInner   = 7615
+	innerPorts   = 16
+	portsNeeded  = innerPorts + 3
+	firstPort    = 20_000
+	lastPort     = 30_000
+	portAttempts = 100
 )
 
+// Ports of all machines, which choosePorts sets.
+var portReady, portFront, portControl, portInner, lastInner int
+
+// choosePorts chooses ports that are free at some addresses.
+func choosePorts(ips []string) {
+	for range portAttempts {
+		base := firstPort + rand.IntN(lastPort-firstPort)
+		if !areFree(ips, base) {
+			continue
+		}
+		portReady, portFront, portControl = base, base+1, base+2
+		portInner, lastInner = base+3, base+portsNeeded-1
+		return
+	}
+	panic("no free ports")
+}
+
+// areFree reports whether the ports from base on are free at some addresses.
+func areFree(ips []string, base int) bool {
+	for _, ip := range ips {
+		for port := base; port < base+portsNeeded; port++ {
+			addr := net.JoinHostPort(ip, strconv.Itoa(port))
+			ln, err := net.Listen("tcp4", addr)
+			if err != nil {
+				return false
+			}
+			_ = ln.Close()
+			conn, err := net.ListenPacket("udp4", addr)
+			if err != nil {
+				return false
+			}
+			_ = conn.Close()
+		}
+	}
+	return true
+}
+
 // world is everything that a case starts.
 type world struct {
 	network  string // first three numbers of all addresses
@@ -187,6 +226,11 @@
 
 // startMachines starts one instance for each name and waits until all are ready.
 func (w *world) startMachines(names ...string) {
+	var ips []string
+	for i := range names {
+		ips = append(ips, w.ip(1+i))
+	}
+	choosePorts(ips)
 	for i, name := range names {
 		m := &machine{name: name, zone: strings.Split(name, "-")[1], ip: w.ip(1 + i), world: w}
 		m.store = w.serveStore(m, 50+i)
